--- /dev/null
+++ b/Source/Core/Objects/Types.h
@@ -0,0 +1,107 @@
+#pragma once
+
+/// The operators' objects as typed values. Parsing and validation live in ObjectSet.h and Validator.h.
+
+#include "Common/Time.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Objects {
+
+/// Level of a failure domain; a rack lies in a data centre, a data centre in a region.
+enum class DomainLevel {
+    Region,
+    DataCentre,
+    Rack,
+};
+
+/// A set of hosts that can fail together.
+struct FailureDomain {
+    std::string name;
+    DomainLevel level = DomainLevel::Rack;
+    std::string parent; ///< Name of the enclosing domain; empty for a region.
+};
+
+/// A group of upstreams that serve the same services.
+struct Pool {
+    std::string name;
+    bool spare = false; ///< Hosts of a spare pool may be moved to other pools at a peak.
+    unsigned minimumHosts = 0; ///< For each data centre that has hosts of the pool.
+    unsigned pinnedHosts = 0; ///< For each data centre; pinned hosts move only by explicit answer of every member.
+};
+
+/// Something callers ask for; runs in one pool. The pool of a service can't change once published.
+struct Service {
+    std::string name;
+    std::string pool;
+    std::vector<std::string> teams; ///< Teams that may call it; empty for all.
+    std::size_t maximumBodyBytes = 65536;
+    std::chrono::milliseconds expectedRunTime { 100 }; ///< First guess; replaced by learned run times.
+    std::chrono::milliseconds maximumDeadline { 60000 };
+};
+
+/// A level that teams pay for. The lowest rank is served first.
+struct Priority {
+    std::string name;
+    unsigned rank = 0;
+};
+
+/// A paying customer.
+struct Team {
+    std::string name;
+    std::vector<std::string> priorities; ///< Priorities that the team may ask for.
+    unsigned slotQuota = 0; ///< Slots the team may hold at once in a data centre, per pool.
+    unsigned weight = 1; ///< Share among teams of one priority.
+};
+
+/// Availability budget of a service in a data centre.
+struct Budget {
+    std::string name;
+    std::string service;
+    std::string dataCentre;
+    unsigned minimumAvailablePercent = 0; ///< Of the hosts of the service's pool in the data centre.
+};
+
+/// A maintenance wave over whole pools.
+struct Wave {
+    std::string name;
+    std::vector<std::string> pools;
+    std::vector<std::string> dataCentres; ///< Empty for all.
+    Common::WallTime windowStart {};
+    std::chrono::seconds windowLength { 0 };
+    std::chrono::seconds drainLimit { 60 }; ///< A drain that takes longer is stopped by priority.
+    std::chrono::seconds rebootTime { 300 };
+    bool paused = false;
+};
+
+/// An executor on a worker: eight slots and 64 connections each by default.
+struct Upstream {
+    std::string name;
+    std::string address; ///< "ip:port".
+    std::string pool; ///< Pool at first publication; moves are recorded beside the configuration.
+    std::string rack;
+    unsigned slots = 8;
+    unsigned connections = 64;
+};
+
+/// The whole published set. Keys are object names.
+struct ObjectSet {
+    std::map<std::string, FailureDomain> domains;
+    std::map<std::string, Pool> pools;
+    std::map<std::string, Service> services;
+    std::map<std::string, Priority> priorities;
+    std::map<std::string, Team> teams;
+    std::map<std::string, Budget> budgets;
+    std::map<std::string, Wave> waves;
+    std::map<std::string, Upstream> upstreams;
+
+    /// Data centre of an upstream by its rack; nothing when a name dangles.
+    std::optional<std::string> dataCentreOf(const Upstream&) const;
+};
+
+} // namespace Objects
