--- /dev/null
+++ b/Source/UnitTests/Moves/MarginPolicyTest.cpp
@@ -0,0 +1,153 @@
+/// The margin policy in virtual time: peaks, give-back, budgets, weights.
+
+#include "Decision/Moves/MarginPolicy.h"
+
+#include <doctest/doctest.h>
+
+using namespace Decision;
+using namespace std::chrono_literals;
+using Common::Instant;
+
+namespace {
+
+/// Two pools of eight hosts and a spare pool of eight, each host of a pool in its own rack. Moves take effect at once.
+struct PolicyFixture {
+    FleetView view;
+    std::unique_ptr<BudgetLedger> ledger;
+    std::unique_ptr<MarginPolicy> policy;
+    std::set<std::string> due;
+    std::map<std::string, double> offered { { "desk", 20 }, { "hotels", 20 } };
+    std::chrono::seconds now { 0 };
+
+    explicit PolicyFixture(MarginSettings settings = {})
+    {
+        for (const auto* pool : { "desk", "hotels", "backoffice" }) {
+            for (int i = 0; i < 8; ++i)
+                addHost(pool, i);
+        }
+        ledger = BudgetLedger::create({ "imlil", "entry-0", { { "booking", "desk", 50 }, { "groups", "hotels", 50 } }, {} }).take();
+        policy = MarginPolicy::create(settings).take();
+    }
+
+    void addHost(const std::string& pool, int index)
+    {
+        HostView host;
+        host.name = pool + "-" + std::to_string(index);
+        host.pool = host.homePool = pool;
+        host.rack = "rack-" + std::to_string(index);
+        host.health = HostHealth::Up;
+        host.serving = true;
+        view.hosts.push_back(std::move(host));
+    }
+
+    std::vector<MoveHost> step()
+    {
+        now += 1s;
+        MoveInput input { view, *ledger, {}, {}, {}, due };
+        for (const auto& [pool, slots] : offered)
+            input.demands.push_back({ pool, false, slots, 0, 8, 0 });
+        input.demands.push_back({ "backoffice", true, 0, 0, 8, 0 });
+        const auto moves = policy->decide(Instant(now), input);
+        for (const auto& move : moves) {
+            for (auto& host : view.hosts) {
+                if (host.name == move.upstream)
+                    host.pool = move.to;
+            }
+        }
+        return moves;
+    }
+
+    unsigned hostsOf(const std::string& pool) const
+    {
+        return static_cast<unsigned>(std::count_if(view.hosts.begin(), view.hosts.end(), [&](const HostView& it) { return it.pool == pool; }));
+    }
+
+    void settle(int steps)
+    {
+        for (int i = 0; i < steps; ++i)
+            step();
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(PolicyFixture, "hosts without use go to the spare pool, never below the budget after a lost rack")
+{
+    offered = { { "desk", 1 }, { "hotels", 1 } };
+    settle(30);
+    // Four are required and one more is kept for a lost rack.
+    CHECK(hostsOf("desk") == 5);
+    CHECK(hostsOf("hotels") == 5);
+}
+
+TEST_CASE_FIXTURE(PolicyFixture, "a peak is met at once and its hosts are kept no longer than the keep time")
+{
+    settle(30);
+    offered["desk"] = 100;
+    step();
+    CHECK(hostsOf("desk") >= 13);
+    const auto atPeak = hostsOf("desk");
+    offered["desk"] = 1;
+    step();
+    CHECK(hostsOf("desk") == atPeak);
+    settle(static_cast<int>(std::chrono::ceil<std::chrono::seconds>(policy->keepTime()).count()) + 6);
+    CHECK(hostsOf("desk") == 5);
+}
+
+TEST_CASE("a load that flaps faster than the keep time moves nothing twice")
+{
+    MarginSettings settings;
+    settings.moveCostWeight = 4;
+    PolicyFixture fixture(settings);
+    fixture.offered["desk"] = 100;
+    fixture.settle(60);
+    std::size_t moves = 0;
+    for (int i = 0; i < 40; ++i) {
+        fixture.offered["desk"] = i % 4 < 2 ? 100 : 5;
+        for (const auto& move : fixture.step())
+            moves += move.from == "desk" || move.to == "desk";
+    }
+    CHECK(moves == 0);
+}
+
+TEST_CASE("a dearer buffer is given back sooner, and roll-out time lowers the floors that waves must leave")
+{
+    MarginSettings dear;
+    dear.bufferCostWeight = 4;
+    MarginSettings fast;
+    fast.rollOutTimeWeight = 4;
+    PolicyFixture buffer(dear);
+    PolicyFixture rollOut(fast);
+    CHECK(buffer.policy->keepTime() < rollOut.policy->keepTime());
+    for (auto* it : { &buffer, &rollOut }) {
+        it->offered["desk"] = 60;
+        it->settle(3);
+        it->offered["desk"] = 1;
+        it->step();
+    }
+    CHECK(rollOut.policy->loadFloors()["desk"] < rollOut.policy->margins()["desk"].held);
+}
+
+TEST_CASE_FIXTURE(PolicyFixture, "a host that a wave must reboot stays for it and isn't sent to a peak")
+{
+    settle(30);
+    for (const auto& host : view.hosts) {
+        if (host.homePool == "backoffice" && host.name != "backoffice-7" && host.name != "backoffice-6")
+            due.insert(host.name);
+    }
+    offered["desk"] = 58;
+    const auto moves = step();
+    CHECK(moves.size() > 2);
+    for (const auto& move : moves)
+        CHECK_FALSE(due.contains(move.upstream));
+}
+
+TEST_CASE("settings without sense are refused")
+{
+    MarginSettings settings;
+    settings.bufferCostWeight = 0;
+    CHECK_FALSE(MarginPolicy::create(settings).isOk());
+    settings = {};
+    settings.moveTime = 0ms;
+    CHECK_FALSE(MarginPolicy::create(settings).isOk());
+}
--- /dev/null
+++ b/Source/UnitTests/Standins/LoadTest.cpp
@@ -0,0 +1,212 @@
+/// Tests of the load generator: it passes a system that keeps its promises and finds each kind of breach.
+
+#include "Standins/LoadRunner.h"
+#include "Standins/StandinFixture.h"
+
+#include <doctest/doctest.h>
+#include <map>
+
+using Standins::ExchangePtr;
+using Standins::LoadPlan;
+using Standins::LoadSettings;
+using Standins::LoadSummary;
+
+namespace {
+
+/// An entry host that runs each body itself and answers for the executor, too.
+class FakeEntryHost {
+public:
+    using Behaviour = std::function<void(FakeEntryHost&, const ExchangePtr&)>;
+
+    FakeEntryHost(Adapters::EventLoop& loop, Behaviour behaviour)
+        : server(Standins::HttpServer::create(loop, 0, [this](const auto& it) { serve(it); }).take())
+        , m_behaviour(std::move(behaviour))
+    {
+    }
+
+    void run(const ExchangePtr& exchange) { ++m_runs[Standins::bodyHash(exchange->request().body)]; }
+
+    static void replyDone(const ExchangePtr& exchange, const std::string& body)
+    {
+        exchange->reply({ 200, { { "Marigold-Outcome", "done" } }, "ran id " + Standins::bodyHash(body) + " " + body });
+    }
+
+    static void replyNotRun(const ExchangePtr& exchange, const std::string& retryAfterMs)
+    {
+        exchange->reply({ 503, { { "Marigold-Outcome", "not-run" }, { "Marigold-Retry-After-Ms", retryAfterMs } }, {} });
+    }
+
+    /// Tries seen of a key, this one included.
+    unsigned triesOf(const ExchangePtr& exchange) { return ++m_tries[exchange->request().header("idempotency-key")]; }
+
+    std::unique_ptr<Standins::HttpServer> server;
+
+private:
+    void serve(const ExchangePtr& exchange)
+    {
+        const std::string& path = exchange->request().path;
+        if (path == "/runs")
+            exchange->reply({ 200, {}, runsText() });
+        else if (path == "/ready")
+            exchange->reply({});
+        else
+            m_behaviour(*this, exchange);
+    }
+
+    std::string runsText() const
+    {
+        std::string text;
+        for (const auto& [hash, count] : m_runs)
+            text += (text.empty() ? "\"" : ",\"") + hash + "\":" + std::to_string(count);
+        return "{\"byBodyHash\":{" + text + "}}";
+    }
+
+    Behaviour m_behaviour;
+    std::map<std::string, unsigned> m_runs;
+    std::map<std::string, unsigned> m_tries;
+};
+
+LoadSummary loadOn(const FakeEntryHost::Behaviour& behaviour, double idempotentShare = 0)
+{
+    const auto loop = Adapters::EventLoop::create();
+    FakeEntryHost host(*loop, behaviour);
+    LoadSettings settings;
+    settings.targets = { "127.0.0.1:" + std::to_string(host.server->port()) };
+    settings.executors = settings.targets;
+    settings.services = { "desk" };
+    settings.rate = 200;
+    settings.length = std::chrono::milliseconds(200);
+    settings.timeout = std::chrono::minutes(5);
+    settings.idempotentShare = idempotentShare;
+    const auto runner = Standins::LoadRunner::create(*loop, settings);
+    LoadSummary summary;
+    runner->start([&](const LoadSummary& it) {
+        summary = it;
+        loop->post([&] {
+            runner->shutdown();
+            host.server->shutdown();
+            loop->stop();
+        });
+    });
+    loop->run();
+    return summary;
+}
+
+} // namespace
+
+TEST_CASE("a system that keeps its promises passes")
+{
+    const auto summary = loadOn([](auto& host, const auto& exchange) {
+        host.run(exchange);
+        FakeEntryHost::replyDone(exchange, exchange->request().body);
+    });
+    CHECK(summary.asked > 0);
+    CHECK(summary.answered == summary.asked);
+    CHECK(summary.executorsRead == 1);
+    CHECK(summary.clean());
+}
+
+TEST_CASE("a not-run answer and a cut connection are followed by another try with the same key")
+{
+    const auto summary = loadOn([](auto& host, const auto& exchange) {
+        const unsigned tries = host.triesOf(exchange);
+        if (tries == 1) {
+            FakeEntryHost::replyNotRun(exchange, "1");
+        } else if (tries == 2) {
+            exchange->drop();
+        } else {
+            host.run(exchange);
+            FakeEntryHost::replyDone(exchange, exchange->request().body);
+        }
+    });
+    CHECK(summary.answered == summary.asked);
+    CHECK(summary.clean());
+}
+
+TEST_CASE("a second run of a non-idempotent request is found")
+{
+    const auto twice = [](auto& host, const auto& exchange) {
+        host.run(exchange);
+        host.run(exchange);
+        FakeEntryHost::replyDone(exchange, exchange->request().body);
+    };
+    const auto summary = loadOn(twice);
+    CHECK(summary.doubled == summary.asked);
+    CHECK_FALSE(summary.clean());
+    CHECK(loadOn(twice, 1).clean());
+}
+
+TEST_CASE("another's answer and a shortened one are found")
+{
+    const auto stranger = loadOn([](auto& host, const auto& exchange) {
+        host.run(exchange);
+        FakeEntryHost::replyDone(exchange, "another body");
+    });
+    CHECK(stranger.strangers == stranger.asked);
+    const auto shortened = loadOn([](auto& host, const auto& exchange) {
+        host.run(exchange);
+        exchange->reply({ 200, { { "Marigold-Outcome", "done" } }, "ran id" });
+    });
+    CHECK(shortened.strangers == shortened.asked);
+    CHECK_FALSE(shortened.clean());
+}
+
+TEST_CASE("a request that ran though it was answered as not run is found")
+{
+    const auto summary = loadOn([](auto& host, const auto& exchange) {
+        host.run(exchange);
+        FakeEntryHost::replyNotRun(exchange, "0");
+    });
+    CHECK(summary.ranAfterNotRun == summary.asked);
+    CHECK_FALSE(summary.clean());
+}
+
+TEST_CASE("an answer that is none of the three, or for a run that never was, is lost")
+{
+    const auto none = loadOn([](auto&, const auto& exchange) { exchange->reply({ 500, {}, {} }); });
+    CHECK(none.lost == none.asked);
+    const auto invented = loadOn([](auto&, const auto& exchange) { FakeEntryHost::replyDone(exchange, exchange->request().body); });
+    CHECK(invented.lost == invented.asked);
+    CHECK_FALSE(invented.clean());
+}
+
+TEST_CASE("an unknown outcome ends a non-idempotent request and is no breach")
+{
+    const auto summary = loadOn([](auto& host, const auto& exchange) {
+        host.run(exchange);
+        exchange->reply({ 504, { { "Marigold-Outcome", "unknown" } }, {} });
+    });
+    CHECK(summary.unknown == summary.asked);
+    CHECK(summary.clean());
+}
+
+TEST_CASE("a plan is the same for the same seed and peaks at the stated rate")
+{
+    LoadSettings settings;
+    settings.services = { "desk", "hotels" };
+    LoadPlan plan(settings, "tag");
+    LoadPlan same(settings, "tag");
+    std::map<bool, unsigned> counts; // By whether the time lies in the peak.
+    constexpr std::chrono::seconds peakBegin { 6 };
+    constexpr std::chrono::seconds peakEnd { 9 };
+    for (auto it = plan.next(); it.at < peakEnd; it = plan.next()) {
+        const auto other = same.next();
+        CHECK(it.at == other.at);
+        CHECK(it.body == other.body);
+        ++counts[it.at >= peakBegin];
+    }
+    // 300 are expected before the peak and 750 in it.
+    CHECK(counts[false] > 200);
+    CHECK(counts[false] < 400);
+    CHECK(counts[true] > 600);
+    CHECK(plan.rateAt(peakEnd) == doctest::Approx(settings.rate / 20));
+}
+
+TEST_CASE("keys are UUIDs of version 7 that carry their time")
+{
+    std::mt19937_64 random(1);
+    const std::string key = Standins::uuidV7(std::chrono::milliseconds(0x0123456789ab), random);
+    CHECK(key.size() == 36);
+    CHECK(key.starts_with("01234567-89ab-7"));
+    CHECK(std::string("89ab").find(key[19]) != std::string::npos);
+}
--- /dev/null
+++ b/Source/UnitTests/Waves/BudgetLedgerTest.cpp
@@ -0,0 +1,137 @@
+/// Budget arithmetic, the records, and how a lost answer is settled.
+
+#include "Decision/Waves/BudgetLedger.h"
+#include "Decision/Waves/WaveSelection.h"
+
+#include <doctest/doctest.h>
+
+using namespace Decision;
+using namespace std::chrono_literals;
+using Ports::PlatformStatus;
+
+namespace {
+
+HostView makeHost(const std::string& name, const std::string& rack)
+{
+    HostView host;
+    host.name = name;
+    host.pool = host.homePool = "desk";
+    host.rack = rack;
+    host.health = HostHealth::Up;
+    host.serving = true;
+    return host;
+}
+
+/// Six hosts, one to a rack; two services share the pool and the stricter one needs three.
+struct LedgerFixture {
+    FleetView view;
+    std::unique_ptr<BudgetLedger> ledger;
+
+    LedgerFixture()
+    {
+        for (int i = 0; i < 6; ++i)
+            view.hosts.push_back(makeHost("desk-" + std::to_string(i), "rack-" + std::to_string(i)));
+        ledger = BudgetLedger::create({ "imlil", "entry-0", { { "booking", "desk", 50 }, { "rosters", "desk", 20 } }, {} }).take();
+        answerLoad({});
+    }
+
+    void answerLoad(const std::vector<Ports::KeyValue>& budgets)
+    {
+        for (const auto& call : ledger->load())
+            answer(call, budgets);
+    }
+
+    void answer(const PlatformAction& call, const std::vector<Ports::KeyValue>& budgets)
+    {
+        const auto& read = std::get<PlatformRead>(call);
+        Ports::PlatformReply reply;
+        reply.status = PlatformStatus::Ok;
+        if (read.key == budgetPrefix("imlil"))
+            reply.values = budgets;
+        ledger->handle({ read.token, reply });
+    }
+
+    std::vector<PlatformAction> reserve(const std::vector<std::string>& hosts)
+    {
+        std::vector<LedgerChange> changes;
+        for (const auto& name : hosts)
+            changes.push_back({ LedgerChange::Kind::Reserve, { name, "kernel", "entry-0", ReservationPhase::Draining, 1, false, {} }, "desk", "", false });
+        return ledger->submit(view, changes);
+    }
+};
+
+} // namespace
+
+TEST_CASE("required hosts are rounded up")
+{
+    CHECK(requiredHosts(3, 50) == 2);
+    CHECK(requiredHosts(4, 50) == 2);
+    CHECK(requiredHosts(0, 50) == 0);
+    CHECK(requiredHosts(7, 100) == 7);
+}
+
+TEST_CASE("records survive their JSON form, and nonsense is refused")
+{
+    BudgetRecord record { 4, { { "desk-1", "kernel", "entry-0", ReservationPhase::Returning, 9, true, Common::WallTime(77ms) } } };
+    const auto read = decodeBudgetRecord(encodeBudgetRecord(record));
+    CHECK(read.value().version == 4);
+    CHECK(read.value().reserved == record.reserved);
+    CHECK_FALSE(decodeBudgetRecord("[1").isOk());
+    CHECK_FALSE(decodeBudgetRecord(R"({"version":1,"reserved":[{"phase":"sleeping"}]})").isOk());
+    CHECK(decodeWaveRackRecord(encodeWaveRackRecord({ 2, { "a", "b" } })).value().done.size() == 2);
+}
+
+TEST_CASE_FIXTURE(LedgerFixture, "a pool with two services is reserved in both records or in none, within the stricter budget")
+{
+    const auto calls = reserve({ "desk-0", "desk-1", "desk-2", "desk-3" });
+    REQUIRE(calls.size() == 1);
+    const auto& write = std::get<PlatformTransact>(calls[0]);
+    CHECK(write.transaction.puts.size() == 2);
+    CHECK(write.transaction.compares.size() == 2);
+    // Six hosts, three required, one kept for a lost rack: two may go.
+    CHECK(decodeBudgetRecord(write.transaction.puts[0].value).value().reserved.size() == 2);
+    CHECK(ledger->reservedHosts().empty());
+    ledger->handle({ write.token, { PlatformStatus::Ok, 5, {}, 0, {} } });
+    CHECK(ledger->reservedHosts().size() == 2);
+    CHECK(reserve({ "desk-4" }).empty());
+}
+
+TEST_CASE_FIXTURE(LedgerFixture, "an uncertain reservation is read back before anything else")
+{
+    const auto calls = reserve({ "desk-0" });
+    const auto write = std::get<PlatformTransact>(calls.at(0));
+    const auto reads = ledger->handle({ write.token, { PlatformStatus::Uncertain, 0, {}, 0, {} } });
+    CHECK(reads.size() == 2);
+    CHECK_FALSE(ledger->isLoaded());
+    CHECK(reserve({ "desk-1" }).empty());
+    std::vector<Ports::KeyValue> stored;
+    for (const auto& put : write.transaction.puts)
+        stored.push_back({ put.key, put.value, 8 });
+    for (const auto& read : reads)
+        answer(read, stored);
+    CHECK(ledger->reservedHosts() == std::set<std::string> { "desk-0" });
+}
+
+TEST_CASE_FIXTURE(LedgerFixture, "unknown counts as down, and a failed read keeps the ledger closed")
+{
+    for (int i = 0; i < 3; ++i)
+        view.hosts[i].health = HostHealth::Unknown;
+    CHECK_FALSE(ledger->mayReserve(view, view.hosts[4]));
+    CHECK_FALSE(ledger->isBelowBudget(view, "desk"));
+    view.hosts[3].health = HostHealth::Down;
+    CHECK(ledger->isBelowBudget(view, "desk"));
+    auto other = BudgetLedger::create({ "imlil", "entry-1", {}, {} }).take();
+    for (const auto& call : other->load())
+        other->handle({ std::get<PlatformRead>(call).token, { PlatformStatus::NotSent, 0, {}, 0, {} } });
+    CHECK_FALSE(other->isLoaded());
+    CHECK_FALSE(other->isBusy());
+}
+
+TEST_CASE("the paper forecast keeps the budget after a lost rack")
+{
+    // 12 hosts on 6 racks of 2, 50%: 6 must stay after a rack of the remaining hosts is lost.
+    const auto forecast = forecastFleet({ 12, 6, 50, 100s });
+    CHECK(forecast.atOnce == 4);
+    CHECK(forecast.length == 300s);
+    CHECK(forecastFleet({ 2, 2, 50, 100s }).atOnce == 0);
+}
--- /dev/null
+++ b/Source/UnitTests/Waves/WavePlannerTest.cpp
@@ -0,0 +1,190 @@
+/// Steps of the planner seen one at a time: drain limits, pause, window, failures, loans.
+
+#include "Decision/Waves/WavePlanner.h"
+#include "Decision/Waves/DrainMeasures.h"
+
+#include <doctest/doctest.h>
+
+using namespace Decision;
+using namespace std::chrono_literals;
+using Common::Instant;
+using Common::WallTime;
+
+namespace {
+
+/// A planner over six hosts whose store answers at once.
+struct PlannerFixture {
+    FleetView view;
+    Objects::Wave wave;
+    std::unique_ptr<BudgetLedger> ledger;
+    std::unique_ptr<WavePlanner> planner;
+    std::chrono::milliseconds now { 0 };
+    std::int64_t revision = 0;
+
+    explicit PlannerFixture(unsigned hosts = 6, unsigned spares = 0)
+    {
+        for (unsigned i = 0; i < hosts + spares; ++i)
+            addHost(i < hosts ? "desk" : "backoffice", i);
+        wave.name = "kernel";
+        wave.pools = { "desk" };
+        wave.windowLength = 1h;
+        ledger = BudgetLedger::create({ "imlil", "entry-0", { { "booking", "desk", 50 } }, {} }).take();
+        WavePlannerSettings settings;
+        settings.dataCentre = "imlil";
+        settings.holder = "entry-0";
+        settings.sparePools = { "backoffice" };
+        planner = WavePlanner::create(settings, wave, *ledger).take();
+        planner->setDutyEnd(Instant(1h));
+    }
+
+    void addHost(const std::string& pool, unsigned index)
+    {
+        HostView host;
+        host.name = pool + "-" + std::to_string(index);
+        host.pool = host.homePool = pool;
+        host.rack = "rack-" + std::to_string(index);
+        host.health = HostHealth::Up;
+        host.serving = true;
+        view.hosts.push_back(std::move(host));
+    }
+
+    std::vector<WaveDecision> tick()
+    {
+        now += 1s;
+        auto output = planner->tick(Instant(now), WallTime(now), view);
+        for (const auto& call : output.calls)
+            answer(call);
+        return output.decisions;
+    }
+
+    void answer(const PlatformAction& call)
+    {
+        const auto token = std::visit([](const auto& it) { return it.token; }, call);
+        const bool reads = std::holds_alternative<PlatformRead>(call);
+        if (reads && !ledger->isLoaded())
+            ledger->handle({ token, { Ports::PlatformStatus::Ok, ++revision, {}, 0, {} } });
+        if (!reads)
+            ledger->handle({ token, { Ports::PlatformStatus::Ok, ++revision, {}, 0, {} } });
+    }
+
+    WaveState state() const { return planner->progress(WallTime(now), view).state; }
+};
+
+template<typename Decision>
+std::size_t countOf(const std::vector<WaveDecision>& decisions)
+{
+    return static_cast<std::size_t>(std::count_if(decisions.begin(), decisions.end(), [](const auto& it) { return std::holds_alternative<Decision>(it); }));
+}
+
+HostView hostWithTasks()
+{
+    HostView host;
+    host.name = "desk-0";
+    host.tasks = { { "urgent", 0, false }, { "batch", 2, false }, { "saved", 1, true } };
+    return host;
+}
+
+TaskMeasure measureOf(const std::vector<EaseTask>& measures, const std::string& task)
+{
+    const auto it = std::find_if(measures.begin(), measures.end(), [&](const EaseTask& measure) { return measure.task == task; });
+    REQUIRE(it != measures.end());
+    return it->measure;
+}
+
+} // namespace
+
+TEST_CASE("a drain checkpoints and waits first, then throttles, and stops by priority past its limit")
+{
+    const auto host = hostWithTasks();
+    const DrainLimits limits { 60s, 5s, 2 };
+    const auto early = drainMeasures(host, 1s, limits);
+    CHECK(early.size() == 1);
+    CHECK(measureOf(early, "saved") == TaskMeasure::Checkpoint);
+    CHECK(measureOf(drainMeasures(host, 30s, limits), "batch") == TaskMeasure::Throttle);
+    const auto past = drainMeasures(host, 60s, limits);
+    CHECK(measureOf(past, "batch") == TaskMeasure::Stop);
+    CHECK(measureOf(past, "saved") == TaskMeasure::Checkpoint);
+    CHECK(past.size() == 2);
+    CHECK(measureOf(drainMeasures(host, 65s, limits), "saved") == TaskMeasure::Stop);
+    CHECK(measureOf(drainMeasures(host, 70s, limits), "urgent") == TaskMeasure::Stop);
+}
+
+TEST_CASE_FIXTURE(PlannerFixture, "drains are decided only after the reservation is stored")
+{
+    CHECK(tick().empty());
+    CHECK(tick().empty());
+    CHECK(ledger->reservedHosts().size() == 2);
+    CHECK(countOf<DrainHost>(tick()) == 2);
+    CHECK(state() == WaveState::Running);
+}
+
+TEST_CASE_FIXTURE(PlannerFixture, "a failure that eats the margin sends back hosts that still drain, and holds the wave")
+{
+    for (int i = 0; i < 3; ++i)
+        tick();
+    for (int i = 3; i < 5; ++i)
+        view.hosts[i].health = HostHealth::Down;
+    for (auto& host : view.hosts)
+        host.serving = !ledger->reservedHosts().contains(host.name);
+    tick();
+    const auto decisions = tick();
+    CHECK(countOf<ReturnHost>(decisions) == 1);
+    CHECK(countOf<RebootHost>(decisions) == 0);
+}
+
+TEST_CASE_FIXTURE(PlannerFixture, "a paused wave or a closed window begins nothing")
+{
+    wave.paused = true;
+    planner->setWave(wave);
+    tick();
+    tick();
+    CHECK(ledger->reservedHosts().empty());
+    CHECK(state() == WaveState::Paused);
+    wave.paused = false;
+    wave.windowLength = 60s;
+    planner->setWave(wave);
+    tick();
+    CHECK(ledger->reservedHosts().empty());
+    CHECK(state() == WaveState::WindowClosed);
+    wave.windowLength = 1h;
+    planner->setWave(wave);
+    tick();
+    CHECK(ledger->reservedHosts().size() == 2);
+}
+
+TEST_CASE_FIXTURE(PlannerFixture, "a planner whose duty has ended is silent")
+{
+    planner->setDutyEnd(Instant(2s));
+    tick();
+    CHECK(ledger->isLoaded());
+    tick();
+    CHECK(ledger->reservedHosts().empty());
+}
+
+TEST_CASE_FIXTURE(PlannerFixture, "the forecast follows the budget")
+{
+    tick();
+    const auto progress = planner->progress(WallTime(now), view);
+    REQUIRE(progress.timeLeft);
+    // Six hosts, two at once, each 10 s of drain, 300 s of reboot and 5 s to settle.
+    CHECK(*progress.timeLeft == 945s);
+    view.hosts[0].health = view.hosts[1].health = HostHealth::Down;
+    CHECK_FALSE(planner->progress(WallTime(now), view).timeLeft);
+    CHECK(state() == WaveState::Held);
+}
+
+TEST_CASE("a pool too small for its own maintenance asks for the loan of spare hosts")
+{
+    PlannerFixture fixture(2, 2);
+    fixture.tick();
+    const auto loans = fixture.planner->loans(fixture.view);
+    REQUIRE(loans.size() == 1);
+    CHECK(loans[0].from == "backoffice");
+    CHECK(loans[0].to == "desk");
+    for (auto& host : fixture.view.hosts) {
+        if (host.name == loans[0].upstream)
+            host.pool = "desk";
+    }
+    fixture.tick();
+    CHECK(fixture.ledger->reservedHosts().size() == 1);
+}
