Carry out moves and waves: the fleet duty, the reboot call, and their administration API

Cause: planners and the assignment state machine had no runtime; operators had no moves or waves. Ruled out: a duty for each planner (three leases and three views of the same hosts). Change: FleetAgent plans under one fenced duty per data centre; any host carries out an operator's move; members answer assignment queries; POST /v1/moves, GET /v1/waves, pause and resume by publishing the object; the platform port reboots hosts.

--- a/Source/Core/Adapters/Platform/EmbeddedPlatform.cpp
+++ b/Source/Core/Adapters/Platform/EmbeddedPlatform.cpp
@@ -124,6 +124,21 @@
     m_private->m_loop->post([this, callback = std::move(callback)] { callback(Ports::PlatformStatus::Ok, m_private->m_hosts); });
 }
 
+void EmbeddedPlatform::rebootHost(const std::string& name, std::uint64_t incarnation, PlatformCallback callback)
+{
+    m_private->m_loop->post([this, name, incarnation, callback = std::move(callback)] {
+        Ports::PlatformReply reply;
+        reply.status = Ports::PlatformStatus::ComparesFailed;
+        for (auto& host : m_private->m_hosts) {
+            if (host.name != name || host.incarnation != incarnation)
+                continue;
+            ++host.incarnation;
+            reply.status = Ports::PlatformStatus::Ok;
+        }
+        callback(std::move(reply));
+    });
+}
+
 void EmbeddedPlatform::setHosts(std::vector<Ports::ListedHost> hosts)
 {
     m_private->m_loop->post([this, hosts = std::move(hosts)]() mutable { m_private->m_hosts = std::move(hosts); });
--- a/Source/Core/Adapters/Platform/EmbeddedPlatform.h
+++ b/Source/Core/Adapters/Platform/EmbeddedPlatform.h
@@ -24,6 +24,7 @@
     /// Starts with the changes of `fromRevision` itself (inclusive; zero for new ones only).
     void watch(const std::string& prefix, std::int64_t fromRevision, Ports::WatchCallback) override;
     void readHostList(Ports::HostListCallback) override;
+    void rebootHost(const std::string& name, std::uint64_t incarnation, Ports::PlatformCallback) override;
     /// Runs the calls made so far and ends the thread; watches end silently. Later calls are dropped.
     void stop() override;
 
--- a/Source/Core/Adapters/Platform/EtcdCodec.cpp
+++ b/Source/Core/Adapters/Platform/EtcdCodec.cpp
@@ -283,7 +283,8 @@
         if (!it.isObject() || !it["name"].isString() || !it["address"].isString() || !it["state"].isString())
             return std::nullopt;
         const auto state = it["state"] == "leaving" ? Ports::ListedHost::State::Leaving : Ports::ListedHost::State::Live;
-        hosts.push_back({ it["name"].asString(), it["address"].asString(), state });
+        const std::uint64_t incarnation = it["incarnation"].isUInt64() ? it["incarnation"].asUInt64() : 0;
+        hosts.push_back({ it["name"].asString(), it["address"].asString(), state, incarnation });
     }
     return hosts;
 }
--- a/Source/Core/Adapters/Platform/EtcdPlatform.cpp
+++ b/Source/Core/Adapters/Platform/EtcdPlatform.cpp
@@ -135,6 +135,27 @@
         });
     }
 
+    void rebootHost(const std::string& name, std::uint64_t incarnation, Ports::PlatformCallback callback)
+    {
+        m_loop->post([this, name, incarnation, callback = std::move(callback)]() mutable {
+            HttpCall call;
+            call.method = "POST";
+            call.url = "http://" + m_settings.hostListAddress + "/hosts/" + name + "/reboot";
+            call.body = "{\"incarnation\":" + std::to_string(incarnation) + "}";
+            call.timeout = m_settings.callTimeout;
+            call.connectTimeout = m_settings.callTimeout;
+            call.freshConnection = true;
+            m_client->start(std::move(call), [callback = std::move(callback)](const HttpOutcome& outcome) {
+                Ports::PlatformReply reply;
+                if (outcome.end == HttpEnd::Answered)
+                    reply.status = outcome.status == statusOk ? PlatformStatus::Ok : PlatformStatus::ComparesFailed;
+                else
+                    reply.status = outcome.end == HttpEnd::NotSent ? PlatformStatus::NotSent : PlatformStatus::Uncertain;
+                callback(std::move(reply));
+            });
+        });
+    }
+
     void stop()
     {
         m_loop->post([this] {
@@ -235,6 +256,11 @@
     m_private->watch(EtcdCodec::encodeWatch(prefix, fromRevision), std::move(callback));
 }
 
+void EtcdPlatform::rebootHost(const std::string& name, std::uint64_t incarnation, Ports::PlatformCallback callback)
+{
+    m_private->rebootHost(name, incarnation, std::move(callback));
+}
+
 void EtcdPlatform::readHostList(Ports::HostListCallback callback)
 {
     m_private->readHostList(std::move(callback));
--- a/Source/Core/Adapters/Platform/EtcdPlatform.h
+++ b/Source/Core/Adapters/Platform/EtcdPlatform.h
@@ -35,6 +35,7 @@
     /// doesn't confirm the watch within the call timeout.
     void watch(const std::string& prefix, std::int64_t fromRevision, Ports::WatchCallback) override;
     void readHostList(Ports::HostListCallback) override;
+    void rebootHost(const std::string& name, std::uint64_t incarnation, Ports::PlatformCallback) override;
     /// Ends the calls under way (writes as Uncertain, watches silently) and the thread. Later calls are dropped.
     void stop() override;
 
--- a/Source/Core/Decision/Membership/PlatformActions.h
+++ b/Source/Core/Decision/Membership/PlatformActions.h
@@ -60,8 +60,15 @@
     PlatformToken token = 0;
 };
 
+/// Reboots a host if it still is at that incarnation.
+struct HostReboot {
+    PlatformToken token = 0;
+    std::string host;
+    std::uint64_t incarnation = 0;
+};
+
 /// A call that a core wants made.
-using PlatformAction = std::variant<PlatformRead, PlatformTransact, LeaseGrant, LeaseRenew, LeaseRevoke, PlatformWatch, HostListRead>;
+using PlatformAction = std::variant<PlatformRead, PlatformTransact, LeaseGrant, LeaseRenew, LeaseRevoke, PlatformWatch, HostListRead, HostReboot>;
 
 /// Event: the reply to a call. Every call but a watch gets exactly one.
 struct PlatformReplied {
--- a/Source/Core/Kernel/ControlEffects.cpp
+++ b/Source/Core/Kernel/ControlEffects.cpp
@@ -79,6 +79,7 @@
         configured[name] = { upstream.pool, pin };
     }
     assignments.setConfigured(std::move(configured));
+    fleet.setObjects(objects);
     updateUpstreams();
 }
 
@@ -103,8 +104,10 @@
         if (news.record)
             table.recordRead(*news.record, news.askedUnder);
     });
-    if (news.record)
-        updateUpstreams();
+    if (!news.record)
+        return;
+    fleet.setSnapshot(now, assignments.snapshot());
+    updateUpstreams();
 }
 
 void ControlService::Impl::updateUpstreams()
@@ -130,11 +133,50 @@
     }
 }
 
-void ControlService::Impl::applyHosts(Common::Instant)
+void ControlService::Impl::hostsRead(Common::Instant now, const Decision::HostListReplied& event)
 {
+    if (event.status != Ports::PlatformStatus::Ok)
+        return;
+    leavingUpstreams.clear();
+    for (const auto& host : event.hosts) {
+        if (host.state == Ports::ListedHost::State::Leaving)
+            leavingUpstreams.insert(host.address);
+    }
+    membership->handle(now, event);
+    fleet.setHosts(event.hosts);
     updateUpstreams();
 }
 
+void ControlService::Impl::assignmentAsked(const Ports::HostId& from, const Messages::AssignmentQuery& query)
+{
+    assignments.hint(query.version);
+    std::optional<Messages::AssignmentAnswer> answer;
+    requests.withTable([&](Decision::AssignmentTable& table) { answer = table.answer(query, Common::BootClock::now()); });
+    if (!answer)
+        return;
+    if (from == settings.host)
+        fleet.answered(from, *answer);
+    else
+        send(from, *answer);
+}
+
+void ControlService::Impl::tickFleet(Common::Instant now)
+{
+    std::vector<HostLoads> loads { { settings.host, requests.loads() } };
+    for (const auto& host : membership->aliveMembers(now)) {
+        const auto* heartbeat = membership->lastHeartbeat(host);
+        if (host != settings.host && heartbeat)
+            loads.push_back({ host, heartbeat->loads });
+    }
+    fleet.setLoads(std::move(loads));
+    const Decision::DutyContext context { membership->lease(now), membership->leaseValidUntil(), membership->aliveMembers(now) };
+    fleet.tick(now, Common::wallNow(), context);
+    if (fleet.wantsRead())
+        assignments.readSoon();
+    for (const auto& step : fleet.takeNotes())
+        record(settings.host, step, "");
+}
+
 std::vector<Ports::HostId> ControlService::Impl::readyMembers(Common::Instant now) const
 {
     std::vector<Ports::HostId> members;
--- a/Source/Core/Kernel/ControlService.cpp
+++ b/Source/Core/Kernel/ControlService.cpp
@@ -77,6 +77,7 @@
     , publisher(orThrow(Decision::ConfigurationPublisher::create({}, validator)))
     , auditTrail(orThrow(Decision::AuditTrail::create(auditSettings(settings, incarnation))))
     , assignments(settings.dataCentre, { settings.host, incarnation })
+    , fleet(settings, incarnation)
 {
     for (const auto& name : membershipSettings(settings, incarnation).dataCentres) {
         if (name != settings.dataCentre)
@@ -99,6 +100,12 @@
 
 void ControlService::Impl::send(const Ports::HostId& to, const Messages::PeerMessage& message)
 {
+    if (to == settings.host) {
+        // Questions to all members reach this host too.
+        if (const auto* it = std::get_if<Messages::AssignmentQuery>(&message))
+            assignmentAsked(to, *it);
+        return;
+    }
     ports.peers.send(to, Messages::encode(message));
 }
 
@@ -136,6 +143,7 @@
     carryOut(*publisher, repliesTo([this](Common::Instant at, const auto& event) { pass(*publisher, at, event); }));
     carryOut(*auditTrail, repliesTo([this](Common::Instant at, const auto& event) { pass(*auditTrail, at, event); }));
     carryOut(assignments, repliesTo([this](Common::Instant at, const auto& event) { pass(assignments, at, event); }));
+    carryOut(fleet, repliesTo([this](Common::Instant at, const auto& event) { pass(fleet, at, event); }));
     for (const auto& adopted : keeper->takeAdopted())
         adopt(adopted);
     finishPublications();
@@ -152,20 +160,13 @@
     publisher->tick(now);
     auditTrail->tick(now);
     assignments.tick(now, viewLease(now));
+    tickFleet(now);
     if (now >= nextHostList) {
         nextHostList = now + hostListInterval;
         runner.run(Decision::HostListRead {}, repliesTo([this](Common::Instant at, const auto& event) {
             using Event = std::decay_t<decltype(event)>;
             if constexpr (std::is_same_v<Event, Decision::HostListReplied>) {
-                if (event.status != Ports::PlatformStatus::Ok)
-                    return;
-                leavingUpstreams.clear();
-                for (const auto& host : event.hosts) {
-                    if (host.state == Ports::ListedHost::State::Leaving)
-                        leavingUpstreams.insert(host.address);
-                }
-                membership->handle(at, event);
-                applyHosts(at);
+                hostsRead(at, event);
             }
         }));
     }
@@ -201,6 +202,17 @@
         pump(now);
         return;
     }
+    else if (const auto* it = std::get_if<Messages::AssignmentQuery>(&message)) {
+        const std::lock_guard guard(lock);
+        assignmentAsked(from, *it);
+        pump(now);
+        return;
+    } else if (const auto* it = std::get_if<Messages::AssignmentAnswer>(&message)) {
+        const std::lock_guard guard(lock);
+        fleet.answered(from, *it);
+        pump(now);
+        return;
+    }
     requests.peerMessage(from, message);
 }
 
@@ -303,6 +315,29 @@
     return faults;
 }
 
+std::optional<std::string> ControlService::requestMove(const std::string& who, const std::string& upstream, const std::string& target, const std::string& why)
+{
+    const std::lock_guard guard(m_impl->lock);
+    auto refusal = m_impl->fleet.requestMove(upstream, target);
+    m_impl->record(who, "move " + upstream + " to " + target + (refusal ? ": refused: " + *refusal : ""), why);
+    m_impl->pump(Common::BootClock::now());
+    return refusal;
+}
+
+std::vector<WaveStatus> ControlService::waves()
+{
+    const std::lock_guard guard(m_impl->lock);
+    m_impl->fleet.refreshWaves(Common::BootClock::now());
+    m_impl->pump(Common::BootClock::now());
+    return m_impl->fleet.waves(Common::wallNow());
+}
+
+bool ControlService::holdsFleetDuty()
+{
+    const std::lock_guard guard(m_impl->lock);
+    return m_impl->fleet.holdsDuty(Common::BootClock::now());
+}
+
 void ControlService::audit(const std::string& who, const std::string& what, const std::string& why)
 {
     const std::lock_guard guard(m_impl->lock);
--- a/Source/Core/Kernel/ControlService.h
+++ b/Source/Core/Kernel/ControlService.h
@@ -5,6 +5,7 @@
 
 #include "Decision/Configuration/ConfigurationKeeper.h"
 #include "Decision/Configuration/ConfigurationPublisher.h"
+#include "Kernel/FleetAgent.h"
 #include "Kernel/Metrics.h"
 #include "Kernel/RequestService.h"
 #include "Kernel/Settings.h"
@@ -81,6 +82,12 @@
     void publish(Decision::PublishRequest, PublishCallback);
     /// Every fault of a document that would follow the one in force.
     std::vector<std::string> faultsOfChange(const std::string& document);
+    /// An operator's move of an upstream of this data centre. Nothing when it was taken, else why not.
+    std::optional<std::string> requestMove(const std::string& who, const std::string& upstream, const std::string& target, const std::string& why);
+    /// Progress of the waves of this data centre, as far as this host knows.
+    std::vector<WaveStatus> waves();
+    /// True while this host plans the moves and waves of its data centre.
+    bool holdsFleetDuty();
     void audit(const std::string& who, const std::string& what, const std::string& why);
     /// Reads the audit trail of a data centre back; each entry is one line of JSON.
     void readAudit(const std::string& dataCentre, std::function<void(Ports::PlatformStatus, std::vector<std::string>)>);
--- a/Source/Core/Kernel/ControlServiceImpl.h
+++ b/Source/Core/Kernel/ControlServiceImpl.h
@@ -6,6 +6,7 @@
 #include "Decision/Membership/Membership.h"
 #include "Kernel/AssignmentAgent.h"
 #include "Kernel/ControlService.h"
+#include "Kernel/FleetAgent.h"
 #include "Kernel/ObjectsValidator.h"
 #include "Kernel/PlatformRunner.h"
 
@@ -34,7 +35,9 @@
     void adopt(const Decision::ConfigurationAdopted&);
     void applyAssignment(Common::Instant now);
     void applyMembership(Common::Instant now);
-    void applyHosts(Common::Instant now);
+    void assignmentAsked(const Ports::HostId&, const Messages::AssignmentQuery&);
+    void tickFleet(Common::Instant now);
+    void hostsRead(Common::Instant now, const Decision::HostListReplied&);
     void updateUpstreams();
     void updateReadiness(Common::Instant now);
     void updateHeartbeat(Common::Instant now);
@@ -60,6 +63,7 @@
     std::unique_ptr<Decision::ConfigurationPublisher> publisher;
     std::unique_ptr<Decision::AuditTrail> auditTrail;
     AssignmentAgent assignments;
+    FleetAgent fleet;
 
     std::vector<std::string> foreignDataCentres;
     std::shared_ptr<const Objects::ObjectSet> objects;
--- /dev/null
+++ b/Source/Core/Kernel/FleetAgent.cpp
@@ -0,0 +1,250 @@
+#include "Kernel/FleetAgent.h"
+
+#include "Decision/Assignment/AssignmentStore.h"
+#include "Kernel/KernelError.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Kernel {
+
+using Decision::PlatformAction;
+
+namespace {
+
+    constexpr std::chrono::milliseconds planInterval { 1000 };
+    constexpr std::chrono::milliseconds queryInterval { 500 };
+
+    template<typename Value, typename Error>
+    Value orThrow(Common::Result<Value, Error> result)
+    {
+        if (!result)
+            throw KernelError(result.error().what());
+        return result.take();
+    }
+
+    Decision::DutySettings dutySettings(const Settings& settings, std::uint64_t incarnation)
+    {
+        Decision::DutySettings to;
+        to.name = "fleet/" + settings.dataCentre;
+        to.self = settings.host;
+        to.incarnation = incarnation;
+        return to;
+    }
+
+    Decision::MarginSettings marginSettings(const Settings& settings)
+    {
+        Decision::MarginSettings to;
+        to.bufferCostWeight = settings.weights.bufferCost;
+        to.rollOutTimeWeight = settings.weights.rollOutTime;
+        to.moveCostWeight = settings.weights.moves;
+        return to;
+    }
+
+    /// Gives an action another token; the kinds that the fleet's cores use all have one.
+    PlatformAction withToken(PlatformAction action, Decision::PlatformToken token)
+    {
+        std::visit([&](auto& it) { it.token = token; }, action);
+        return action;
+    }
+
+    Decision::PlatformToken tokenOf(const PlatformAction& action)
+    {
+        return std::visit([](const auto& it) { return it.token; }, action);
+    }
+
+} // namespace
+
+FleetAgent::FleetAgent(const Settings& settings, std::uint64_t incarnation)
+    : m_settings(settings)
+    , m_self { settings.host, incarnation }
+    , m_duty(orThrow(Decision::DutyHolder::create(dutySettings(settings, incarnation))))
+    , m_coordinator(orThrow(Decision::MoveCoordinator::create({})))
+    , m_policy(orThrow(Decision::MarginPolicy::create(marginSettings(settings))))
+{
+}
+
+FleetAgent::~FleetAgent() = default;
+
+void FleetAgent::setObjects(std::shared_ptr<const Objects::ObjectSet> objects)
+{
+    m_objects = std::move(objects);
+    rebuildPlanners();
+}
+
+void FleetAgent::rebuildPlanners()
+{
+    // Planners keep nothing that isn't in the store, so a new configuration simply makes new ones.
+    m_planners.clear();
+    Decision::LedgerSettings ledger;
+    ledger.dataCentre = m_settings.dataCentre;
+    ledger.holder = m_self.host + "/" + std::to_string(m_self.incarnation);
+    for (const auto& [name, budget] : m_objects->budgets) {
+        const auto service = m_objects->services.find(budget.service);
+        if (budget.dataCentre == m_settings.dataCentre && service != m_objects->services.end())
+            ledger.budgets.push_back({ budget.service, service->second.pool, budget.minimumAvailablePercent });
+    }
+    m_ledger = orThrow(Decision::BudgetLedger::create(ledger));
+    Decision::WavePlannerSettings planner;
+    planner.dataCentre = m_settings.dataCentre;
+    planner.holder = ledger.holder;
+    for (const auto& [name, pool] : m_objects->pools) {
+        if (pool.spare)
+            planner.sparePools.insert(name);
+    }
+    for (const auto& [name, priority] : m_objects->priorities)
+        planner.lowestRank = std::max(planner.lowestRank, priority.rank);
+    for (const auto& [name, wave] : m_objects->waves) {
+        const auto& places = wave.dataCentres;
+        if (places.empty() || std::find(places.begin(), places.end(), m_settings.dataCentre) != places.end())
+            m_planners[name] = orThrow(Decision::WavePlanner::create(planner, wave, *m_ledger));
+    }
+    std::erase_if(m_pending, [](const auto& item) { return item.second.part == Part::Ledger; });
+}
+
+void FleetAgent::setSnapshot(Common::Instant now, const Decision::AssignmentSnapshot& snapshot)
+{
+    if (!m_coordinator.snapshotRead(snapshot, now))
+        note("alarm: the store shows older assignments than it did before; they are not followed");
+    std::erase_if(m_operatorMoves, [&](const auto& item) {
+        const auto it = snapshot.record.upstreams.find(item.first);
+        return it == snapshot.record.upstreams.end() || (it->second.pool == item.second && it->second.state == Decision::AssignmentState::Serving);
+    });
+}
+
+void FleetAgent::setHosts(std::vector<Ports::ListedHost> hosts)
+{
+    m_hosts.clear();
+    for (auto& host : hosts) {
+        const std::string address = host.address;
+        m_hosts[address] = std::move(host);
+    }
+}
+
+void FleetAgent::setLoads(std::vector<HostLoads> loads)
+{
+    m_loads = std::move(loads);
+}
+
+std::optional<std::string> FleetAgent::requestMove(const std::string& upstream, const std::string& target)
+{
+    const auto& record = m_coordinator.snapshot().record.upstreams;
+    const auto it = record.find(upstream);
+    if (it == record.end())
+        return "no upstream " + upstream + " in this data centre";
+    if (!m_objects || !m_objects->pools.count(target))
+        return "no pool " + target;
+    if (it->second.state != Decision::AssignmentState::Serving)
+        return upstream + " is on its way already";
+    if (it->second.pool == target)
+        return upstream + " serves " + target + " already";
+    m_operatorMoves[upstream] = target;
+    m_coordinator.requestMove({ upstream, target, false, it->second.pinned });
+    note("move " + upstream + " from " + it->second.pool + " to " + target + " asked for");
+    return std::nullopt;
+}
+
+void FleetAgent::call(Part part, PlatformAction action)
+{
+    const Decision::PlatformToken token = m_nextToken++;
+    m_pending[token] = { part, tokenOf(action) };
+    m_actions.emplace_back(withToken(std::move(action), token));
+}
+
+void FleetAgent::call(Part part, const std::vector<PlatformAction>& actions)
+{
+    for (const auto& action : actions)
+        call(part, action);
+}
+
+void FleetAgent::handle(Common::Instant now, const Decision::PlatformReplied& event)
+{
+    const auto found = m_pending.find(event.token);
+    if (found == m_pending.end())
+        return;
+    const Pending pending = found->second;
+    m_pending.erase(found);
+    const Decision::PlatformReplied inner { pending.token, event.reply };
+    switch (pending.part) {
+    case Part::Duty:
+        m_duty->handle(now, inner);
+        call(Part::Duty, m_duty->takeActions());
+        return;
+    case Part::Ledger:
+        call(Part::Ledger, m_ledger->handle(inner));
+        return;
+    case Part::Move:
+        m_coordinator.writeEnded(pending.token);
+        return;
+    case Part::Reboot:
+        return;
+    }
+}
+
+void FleetAgent::answered(const Ports::HostId& host, const Messages::AssignmentAnswer& answer)
+{
+    m_coordinator.answered(host, answer);
+}
+
+void FleetAgent::tick(Common::Instant now, Common::WallTime wall, const Decision::DutyContext& context)
+{
+    m_duty->tick(now, context);
+    call(Part::Duty, m_duty->takeActions());
+    if (m_duty->holds(now) && m_objects && now >= m_nextPlan) {
+        m_nextPlan = now + planInterval;
+        for (auto& [name, planner] : m_planners)
+            planner->setDutyEnd(context.leaseValidUntil);
+        plan(now, wall);
+    }
+    if (m_duty->holds(now) || !m_operatorMoves.empty())
+        driveMoves(now);
+}
+
+void FleetAgent::driveMoves(Common::Instant now)
+{
+    if (now >= m_nextQuery) {
+        m_nextQuery = now + queryInterval;
+        for (const auto& query : m_coordinator.queries())
+            m_actions.emplace_back(Decision::PeerSend { query.to, query.query });
+    }
+    auto write = m_coordinator.nextWrite(now);
+    if (!write)
+        return;
+    auto transact = Decision::assignmentWrite(m_settings.dataCentre, *write);
+    // A planner that was paused past its lease must not carry out what it decided before.
+    if (m_duty->holds(now))
+        transact.transaction = m_duty->fencedTransaction(transact.transaction);
+    call(Part::Move, transact);
+}
+
+std::vector<Decision::Action> FleetAgent::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+std::vector<std::string> FleetAgent::takeNotes()
+{
+    return std::exchange(m_notes, {});
+}
+
+void FleetAgent::note(const std::string& step)
+{
+    m_notes.push_back(step);
+}
+
+void FleetAgent::refreshWaves(Common::Instant now)
+{
+    if (m_ledger && !m_duty->holds(now) && !m_ledger->isBusy())
+        call(Part::Ledger, m_ledger->load());
+}
+
+std::vector<WaveStatus> FleetAgent::waves(Common::WallTime wall) const
+{
+    std::vector<WaveStatus> waves;
+    const auto seen = view();
+    for (const auto& [name, planner] : m_planners)
+        waves.push_back({ name, planner->progress(wall, seen) });
+    return waves;
+}
+
+} // namespace Kernel
--- a/Source/Core/Kernel/OperatorApi.cpp
+++ b/Source/Core/Kernel/OperatorApi.cpp
@@ -1,6 +1,10 @@
 #include "Kernel/OperatorApi.h"
 
+#include "Objects/ObjectSetLoader.h"
+#include "Objects/ObjectWriter.h"
+
 #include <algorithm>
+#include <ctime>
 #include <iterator>
 #include <json/json.h>
 #include <utility>
@@ -10,6 +14,7 @@
 namespace {
 
     constexpr int ok = 200;
+    constexpr int accepted = 202;
     constexpr int badRequest = 400;
     constexpr int unauthorized = 401;
     constexpr int notFound = 404;
@@ -81,6 +86,16 @@
     return std::unique_ptr<OperatorApi>(new OperatorApi(settings, control, requests, metrics));
 }
 
+bool OperatorApi::matches(const std::string& path, const std::string& pattern)
+{
+    const auto star = pattern.find('*');
+    if (star == std::string::npos)
+        return path == pattern;
+    const std::string head = pattern.substr(0, star);
+    const std::string tail = pattern.substr(star + 1);
+    return path.size() > head.size() + tail.size() && path.starts_with(head) && path.ends_with(tail);
+}
+
 const OperatorApi::Route* OperatorApi::find(const std::string& method, const std::string& path, bool& pathKnown)
 {
     static const Route s_routes[] = {
@@ -93,9 +108,13 @@
         { "POST", "/v1/configuration", false, &OperatorApi::publish },
         { "POST", "/v1/validate", false, &OperatorApi::validate },
         { "GET", "/v1/audit", false, &OperatorApi::audit },
+        { "POST", "/v1/moves", false, &OperatorApi::move },
+        { "GET", "/v1/waves", false, &OperatorApi::waves },
+        { "POST", "/v1/waves/*/pause", false, &OperatorApi::pauseWave },
+        { "POST", "/v1/waves/*/resume", false, &OperatorApi::resumeWave },
     };
     for (const auto& route : s_routes) {
-        if (path != route.path)
+        if (!matches(path, route.path))
             continue;
         pathKnown = true;
         if (method == route.method)
@@ -241,6 +260,11 @@
         sendJson(call.reply, unprocessable, value);
         return;
     }
+    publishDocument(call, std::move(request));
+}
+
+void OperatorApi::publishDocument(Call& call, Decision::PublishRequest request)
+{
     m_control.publish(std::move(request), [reply = call.reply](const Decision::PublishResult& result) {
         static const struct {
             Decision::PublishStatus status;
@@ -281,4 +305,86 @@
     });
 }
 
+void OperatorApi::move(Call& call)
+{
+    std::string errors;
+    const auto body = parse(call.request.body, errors);
+    if (!body || !hasText(*body, "upstream") || !hasText(*body, "target")) {
+        sendError(call.reply, badRequest, "needed: upstream (text), target (text); reason (text) may be given");
+        return;
+    }
+    const std::string reason = hasText(*body, "reason") ? (*body)["reason"].asString() : "";
+    const auto refusal = m_control.requestMove(call.who, (*body)["upstream"].asString(), (*body)["target"].asString(), reason);
+    if (refusal) {
+        sendError(call.reply, conflict, *refusal);
+        return;
+    }
+    Json::Value value;
+    value["status"] = "accepted";
+    sendJson(call.reply, accepted, value);
+}
+
+void OperatorApi::waves(Call& call)
+{
+    static const char* const s_states[] = { "waiting", "running", "paused", "held", "finished", "window-closed" };
+    Json::Value value(Json::arrayValue);
+    const bool planning = m_control.holdsFleetDuty();
+    for (const auto& [name, progress] : m_control.waves()) {
+        Json::Value item;
+        item["name"] = name;
+        item["state"] = s_states[static_cast<std::size_t>(progress.state)];
+        item["hostsTotal"] = progress.total;
+        item["hostsDone"] = progress.done;
+        item["hostsDraining"] = progress.draining;
+        item["hostsRebooting"] = progress.rebooting;
+        item["hostsReturning"] = progress.returning;
+        item["hostsOverdue"] = progress.overdue;
+        item["planner"] = planning;
+        item["dataCentre"] = m_settings.dataCentre;
+        if (progress.timeLeft) {
+            item["secondsLeft"] = Json::Int64(progress.timeLeft->count());
+            const std::time_t end = std::chrono::system_clock::to_time_t(Common::wallNow() + *progress.timeLeft);
+            std::tm utc {};
+            gmtime_r(&end, &utc);
+            char text[sizeof("2026-01-01T00:00:00Z")];
+            std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%SZ", &utc);
+            item["forecastEnd"] = text;
+        }
+        value.append(item);
+    }
+    sendJson(call.reply, ok, value);
+}
+
+void OperatorApi::pauseWave(Call& call)
+{
+    editWave(call, true);
+}
+
+void OperatorApi::resumeWave(Call& call)
+{
+    editWave(call, false);
+}
+
+void OperatorApi::editWave(Call& call, bool paused)
+{
+    const std::string& path = call.request.path;
+    const auto begin = std::string("/v1/waves/").size();
+    const std::string name = path.substr(begin, path.rfind('/') - begin);
+    const auto document = m_control.document();
+    auto set = Objects::ObjectSetLoader::loadText("configuration", document ? *document : "{}");
+    if (!set || !set.value().waves.count(name)) {
+        sendError(call.reply, notFound, "no wave " + name);
+        return;
+    }
+    set.value().waves[name].paused = paused;
+    // A wave is an object like any other: pausing it publishes the set with that one field changed.
+    Decision::PublishRequest request;
+    request.baseRevision = m_control.revision();
+    request.changeId = "wave-" + name + (paused ? "-pause-" : "-resume-") + std::to_string(Common::wallNow().time_since_epoch().count());
+    request.document = Objects::ObjectWriter::write(set.value());
+    request.author = call.who;
+    request.reason = std::string(paused ? "pause" : "resume") + " wave " + name;
+    publishDocument(call, std::move(request));
+}
+
 } // namespace Kernel
--- a/Source/Core/Kernel/OperatorApi.h
+++ b/Source/Core/Kernel/OperatorApi.h
@@ -35,6 +35,7 @@
 
     OperatorApi(const Settings&, ControlService&, RequestService&, Metrics&);
     static const Route* find(const std::string& method, const std::string& path, bool& pathKnown);
+    static bool matches(const std::string& path, const std::string& pattern);
     std::string whoIs(const std::string& token) const;
 
     void health(Call&);
@@ -46,6 +47,12 @@
     void validate(Call&);
     void publish(Call&);
     void audit(Call&);
+    void move(Call&);
+    void waves(Call&);
+    void pauseWave(Call&);
+    void resumeWave(Call&);
+    void editWave(Call&, bool paused);
+    void publishDocument(Call&, Decision::PublishRequest);
 
     const Settings& m_settings;
     ControlService& m_control;
--- a/Source/Core/Kernel/PlatformRunner.cpp
+++ b/Source/Core/Kernel/PlatformRunner.cpp
@@ -51,6 +51,8 @@
         m_platform.grantLease(it->timeToLive, replyTo(it->token, replies, "lease-grant"));
     else if (const auto* it = std::get_if<Decision::LeaseRenew>(&action))
         m_platform.renewLease(it->lease, replyTo(it->token, replies, "lease-renew"));
+    else if (const auto* it = std::get_if<Decision::HostReboot>(&action))
+        m_platform.rebootHost(it->host, it->incarnation, replyTo(it->token, replies, "host-reboot"));
     else if (const auto* it = std::get_if<Decision::LeaseRevoke>(&action))
         m_platform.revokeLease(it->lease, replyTo(it->token, replies, "lease-revoke"));
     else if (const auto* it = std::get_if<Decision::PlatformWatch>(&action)) {
--- a/Source/Core/Ports/PlatformPort.h
+++ b/Source/Core/Ports/PlatformPort.h
@@ -79,6 +79,7 @@
     std::string name;
     std::string address;
     State state = State::Live;
+    std::uint64_t incarnation = 0; ///< Goes up with each reboot; zero when the platform doesn't tell.
 };
 
 using HostListCallback = std::function<void(PlatformStatus, std::vector<ListedHost>)>;
@@ -104,6 +105,8 @@
     /// Watches a prefix from a store revision on, until the process ends or the watch breaks.
     virtual void watch(const std::string& prefix, std::int64_t fromRevision, WatchCallback) = 0;
     virtual void readHostList(HostListCallback) = 0;
+    /// Reboots a host if it still is at that incarnation; ComparesFailed when it isn't, Uncertain when no answer came.
+    virtual void rebootHost(const std::string& name, std::uint64_t incarnation, PlatformCallback) = 0;
     virtual void stop() = 0;
 };
 
--- a/Source/Standins/PlatformJson.cpp
+++ b/Source/Standins/PlatformJson.cpp
@@ -106,6 +106,7 @@
         host["name"] = it.name;
         host["address"] = it.address;
         host["state"] = it.state == Ports::ListedHost::State::Leaving ? "leaving" : "live";
+        host["incarnation"] = Json::UInt64(it.incarnation);
         value["hosts"].append(host);
     }
     return value;
@@ -120,7 +121,8 @@
         if (!it.isObject() || !it["name"].isString() || !it["address"].isString())
             return std::nullopt;
         const auto state = it["state"] == "leaving" ? Ports::ListedHost::State::Leaving : Ports::ListedHost::State::Live;
-        hosts.push_back({ it["name"].asString(), it["address"].asString(), state });
+        const std::uint64_t incarnation = it["incarnation"].isUInt64() ? it["incarnation"].asUInt64() : 1;
+        hosts.push_back({ it["name"].asString(), it["address"].asString(), state, incarnation });
     }
     return hosts;
 }
--- a/Source/Standins/PlatformStandin.cpp
+++ b/Source/Standins/PlatformStandin.cpp
@@ -21,6 +21,8 @@
 
     constexpr int badRequest = 400;
     constexpr int notFound = 404;
+    constexpr int conflict = 409;
+    constexpr std::chrono::milliseconds rebootTime { 1000 }; ///< A rebooting host is off the list for so long.
     constexpr int leaseNotFoundCode = 5; ///< Status code of gRPC.
     constexpr std::chrono::milliseconds expiryInterval { 100 };
 
@@ -154,6 +156,10 @@
             exchange->reply(jsonResponse(hostListJson(m_hosts)));
             return;
         }
+        if (const auto name = hostToReboot(request)) {
+            exchange->reply({ reboot(*name, parseJsonObject(request.body)) ? 200 : conflict, {}, {} });
+            return;
+        }
         const auto body = parseJsonObject(request.body);
         const Route* route = routeOf(request.path);
         if (!body || (!route && request.path != "/v3/watch")) {
@@ -166,6 +172,29 @@
             watch(exchange, (*body)["create_request"]);
     }
 
+    static std::optional<std::string> hostToReboot(const Request& request)
+    {
+        static const std::string s_prefix = "/hosts/";
+        static const std::string s_suffix = "/reboot";
+        const std::string& path = request.path;
+        if (request.method != "POST" || !path.starts_with(s_prefix) || !path.ends_with(s_suffix) || path.size() <= s_prefix.size() + s_suffix.size())
+            return std::nullopt;
+        return path.substr(s_prefix.size(), path.size() - s_prefix.size() - s_suffix.size());
+    }
+
+    /// Takes a host off the list and brings it back with the next incarnation; false when it isn't at the one named.
+    bool reboot(const std::string& name, const std::optional<Json::Value>& body)
+    {
+        const auto it = std::find_if(m_hosts.begin(), m_hosts.end(), [&](const auto& host) { return host.name == name; });
+        if (it == m_hosts.end() || !body || (*body)["incarnation"] != Json::UInt64(it->incarnation))
+            return false;
+        Ports::ListedHost host = *it;
+        m_hosts.erase(it);
+        ++host.incarnation;
+        m_loop.after(rebootTime, [this, host] { m_hosts.push_back(host); });
+        return true;
+    }
+
     void answer(const ExchangePtr& exchange, const Route& route, const Json::Value& body)
     {
         ++(m_counters.*route.counter);
