--- a/Source/Core/Kernel/FleetPlanning.cpp
+++ b/Source/Core/Kernel/FleetPlanning.cpp
@@ -178,9 +178,10 @@
 void FleetAgent::advanceMoves(Common::Instant now, const Decision::FleetView& seen)
 {
     std::vector<Decision::LedgerChange> changes;
-    std::set<std::string> reserved;
+    std::set<std::string> reserved; ///< For moves; a host that a wave has taken isn't moved.
+    std::set<std::string> taken;
     for (const auto& entry : m_ledger->reservations()) {
-        reserved.insert(entry.upstream);
+        (entry.phase == Decision::ReservationPhase::Moving ? reserved : taken).insert(entry.upstream);
         const auto* host = seen.find(entry.upstream);
         // Also the ones of a holder that is gone: a host that serves isn't disrupted any more.
         const auto ordered = m_moves.find(entry.upstream);
@@ -192,7 +193,7 @@
         const auto* host = seen.find(item.first);
         const bool arrived = host && host->serving && host->pool == item.second.move.to;
         const bool refused = !reserved.count(item.first) && now - item.second.orderedAt > reservationLimit;
-        return !host || arrived || refused;
+        return !host || arrived || refused || taken.count(item.first);
     });
     for (const auto& [name, ordered] : m_moves) {
         const auto* host = seen.find(name);
--- a/Source/Standins/PlatformStandin.cpp
+++ b/Source/Standins/PlatformStandin.cpp
@@ -186,7 +186,7 @@
     bool reboot(const std::string& name, const std::optional<Json::Value>& body)
     {
         const auto it = std::find_if(m_hosts.begin(), m_hosts.end(), [&](const auto& host) { return host.name == name; });
-        if (it == m_hosts.end() || !body || (*body)["incarnation"] != Json::UInt64(it->incarnation))
+        if (it == m_hosts.end() || !body || !(*body)["incarnation"].isUInt64() || (*body)["incarnation"].asUInt64() != it->incarnation)
             return false;
         Ports::ListedHost host = *it;
         m_hosts.erase(it);
