--- a/Source/Standins/ExecutorStandin.cpp
+++ b/Source/Standins/ExecutorStandin.cpp
@@ -247,7 +247,7 @@
     Adapters::EventLoop& loop, const ExecutorSettings& settings)
 {
     auto state = std::make_unique<Private>(loop, settings);
-    auto server = HttpServer::create(loop, settings.port, [it = state.get()](const auto& exchange) { it->serve(exchange); });
+    auto server = HttpServer::create(loop, settings.port, [it = state.get()](const auto& exchange) { it->serve(exchange); }, settings.address);
     if (!server)
         return server.error();
     state->m_server = server.take();
--- a/Source/Standins/ExecutorStandin.h
+++ b/Source/Standins/ExecutorStandin.h
@@ -33,11 +33,12 @@
 
 /// Settings of one executor.
 struct ExecutorSettings {
-    unsigned port = 0; ///< On 127.0.0.1; zero takes any free one.
+    unsigned port = 0; ///< Zero takes any free one.
     unsigned slots = 8;
     std::chrono::milliseconds runTime { 100 }; ///< A body that is a JSON object may give its own as "runMs".
     double jitter = 0.2; ///< Run times lie within this share of runTime on either side.
     std::uint64_t seed = 1;
+    std::string address = "127.0.0.1"; ///< Of the loopback range.
 };
 
 /// What happened since the start.
--- a/Source/Standins/HttpServer.cpp
+++ b/Source/Standins/HttpServer.cpp
@@ -218,8 +218,9 @@
 
 class HttpServer::Private {
 public:
-    Private(Adapters::EventLoop& loop, unsigned port, Handler handler)
+    Private(Adapters::EventLoop& loop, unsigned port, Handler handler, std::string address)
         : m_port(port)
+        , m_address(std::move(address))
         , m_loop(loop)
         , m_handler(std::move(handler))
     {
@@ -234,7 +235,7 @@
         listener->data = this;
         m_listener = listener;
         sockaddr_in address {};
-        uv_ip4_addr("127.0.0.1", static_cast<int>(m_port), &address);
+        uv_ip4_addr(m_address.c_str(), static_cast<int>(m_port), &address);
         const bool listens = uv_tcp_bind(listener, reinterpret_cast<const sockaddr*>(&address), 0) == 0
             && uv_listen(reinterpret_cast<uv_stream_t*>(listener), listenBacklog, onConnection) == 0;
         if (!listens) {
@@ -260,6 +261,7 @@
     std::size_t connectionCount() const { return m_connections.size(); }
 
     unsigned m_port;
+    const std::string m_address;
 
 private:
     static void onConnection(uv_stream_t* stream, int status)
@@ -285,11 +287,11 @@
 
 HttpServer::~HttpServer() = default;
 
-Common::Result<std::unique_ptr<HttpServer>, StandinError> HttpServer::create(Adapters::EventLoop& loop, unsigned port, Handler handler)
+Common::Result<std::unique_ptr<HttpServer>, StandinError> HttpServer::create(Adapters::EventLoop& loop, unsigned port, Handler handler, const std::string& address)
 {
-    auto state = std::make_unique<Private>(loop, port, std::move(handler));
+    auto state = std::make_unique<Private>(loop, port, std::move(handler), address);
     if (!state->open())
-        return StandinError("can't listen on 127.0.0.1:" + std::to_string(port));
+        return StandinError("can't listen on " + address + ":" + std::to_string(port));
     return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
 }
 
--- a/Source/Standins/HttpServer.h
+++ b/Source/Standins/HttpServer.h
@@ -48,7 +48,7 @@
 class HttpServer {
 public:
     /// Port 0 takes any free one.
-    static Common::Result<std::unique_ptr<HttpServer>, StandinError> create(Adapters::EventLoop&, unsigned port, Handler);
+    static Common::Result<std::unique_ptr<HttpServer>, StandinError> create(Adapters::EventLoop&, unsigned port, Handler, const std::string& address = "127.0.0.1");
     /// Shuts down; on the loop's thread, or with the loop not running.
     ~HttpServer();
 
--- a/Source/Standins/StandinMain.cpp
+++ b/Source/Standins/StandinMain.cpp
@@ -15,6 +15,7 @@
 DEFINE_string(role, "", "platform, executor or load");
 DEFINE_uint32(port, 0, "platform: port of the key-value service and the host list on 127.0.0.1 (0: any free one)");
 DEFINE_uint32(admin_port, 0, "platform: port for faults that stays open while the service is down (0: any free one)");
+DEFINE_string(addresses, "", "executor: addresses in 127.0.0.0/8, as ip:port,ip:port; instead of --ports");
 DEFINE_string(ports, "", "executor: ports on 127.0.0.1, as 18100 or 18100-18111; one executor each");
 DEFINE_uint32(slots, 8, "executor: tasks run at once");
 DEFINE_uint32(run_ms, 100, "executor: mean run time in milliseconds");
@@ -111,13 +112,36 @@
     return 0;
 }
 
+/// Where an executor listens.
+struct ExecutorAddress {
+    std::string address;
+    unsigned port = 0;
+};
+
+std::vector<ExecutorAddress> executorAddresses()
+{
+    std::vector<ExecutorAddress> addresses;
+    if (FLAGS_addresses.empty()) {
+        for (const unsigned port : portsOf(FLAGS_ports))
+            addresses.push_back({ "127.0.0.1", port });
+        return addresses;
+    }
+    for (const auto& it : listOf(FLAGS_addresses)) {
+        const auto colon = it.rfind(':');
+        if (!it.starts_with("127.") || colon == std::string::npos)
+            throw StandinError("--addresses: expected addresses such as 127.0.1.1:18200, not " + it);
+        addresses.push_back({ it.substr(0, colon), static_cast<unsigned>(std::stoul(it.substr(colon + 1))) });
+    }
+    return addresses;
+}
+
 int runExecutors()
 {
     const auto loop = Adapters::EventLoop::create();
     std::vector<std::unique_ptr<Standins::ExecutorStandin>> executors;
-    for (const unsigned port : portsOf(FLAGS_ports)) {
+    for (const auto& [address, port] : executorAddresses()) {
         auto created = Standins::ExecutorStandin::create(*loop,
-            { port, FLAGS_slots, std::chrono::milliseconds(FLAGS_run_ms), FLAGS_jitter, FLAGS_seed + port });
+            { port, FLAGS_slots, std::chrono::milliseconds(FLAGS_run_ms), FLAGS_jitter, FLAGS_seed + port, address });
         if (!created)
             throw created.error();
         executors.push_back(created.take());
@@ -129,7 +153,7 @@
         signals->close();
         loop->stop();
     });
-    std::printf("%zu executors on 127.0.0.1:%s\n", executors.size(), FLAGS_ports.c_str());
+    std::printf("%zu executors on %s%s\n", executors.size(), FLAGS_ports.c_str(), FLAGS_addresses.c_str());
     std::fflush(stdout);
     loop->run();
     return 0;
