--- a/Source/Apps/Marigoldstile/Main.cpp
+++ b/Source/Apps/Marigoldstile/Main.cpp
@@ -19,11 +19,11 @@
 constexpr int exitFailed = 1;
 constexpr int exitUsage = 2;
 
-std::atomic<bool> s_stopAsked { false };
+std::atomic<bool> stopAsked { false };
 
 void askToStop(int)
 {
-    s_stopAsked = true;
+    stopAsked = true;
 }
 
 int serve(const Kernel::Settings& settings)
@@ -39,7 +39,7 @@
         return exitFailed;
     }
     try {
-        host.value()->run(s_stopAsked);
+        host.value()->run(stopAsked);
     } catch (const Kernel::KernelError& e) {
         std::cerr << e.what() << "\n";
         return exitFailed;
--- a/Source/Core/Adapters/Peers/PeerSession.cpp
+++ b/Source/Core/Adapters/Peers/PeerSession.cpp
@@ -19,7 +19,7 @@
     }
 
     /// nghttp2's callbacks; `user` is the connection's private part.
-    template <typename P>
+    template<typename P>
     struct Callbacks {
         static int onHeader(nghttp2_session*, const nghttp2_frame* frame, const std::uint8_t* name, std::size_t nameSize,
             const std::uint8_t* value, std::size_t valueSize, std::uint8_t, void* user)
--- a/Source/Core/Adapters/Peers/UvHandles.h
+++ b/Source/Core/Adapters/Peers/UvHandles.h
@@ -10,14 +10,14 @@
 namespace Adapters {
 
 /// View of a handle of any kind as the base that libuv's functions take.
-template <typename Handle>
+template<typename Handle>
 uv_handle_t* asHandle(Handle& handle) { return reinterpret_cast<uv_handle_t*>(&handle); }
 
 /// View of a socket as a stream.
 inline uv_stream_t* asStream(uv_tcp_t& handle) { return reinterpret_cast<uv_stream_t*>(&handle); }
 
 /// Harmless on a handle that is closing.
-template <typename Handle>
+template<typename Handle>
 void closeHandle(Handle& handle)
 {
     if (!uv_is_closing(asHandle(handle)))
--- a/Source/Core/Kernel/ControlEffects.cpp
+++ b/Source/Core/Kernel/ControlEffects.cpp
@@ -124,12 +124,12 @@
         if (assignment.state == Decision::AssignmentState::Serving)
             pools[assignment.pool].push_back({ name, upstream->second.address, upstream->second.slots });
     }
-    for (const auto& [pool, upstreams] : pools) {
-        auto& applied = appliedUpstreams[pool];
-        if (applied == upstreams)
+    for (const auto& it : pools) {
+        auto& applied = appliedUpstreams[it.first];
+        if (applied == it.second)
             continue;
-        applied = upstreams;
-        requests.run([&](auto& core, Decision::Moment at) { core.setUpstreams(at, pool, upstreams); });
+        applied = it.second;
+        requests.run([&](auto& core, Decision::Moment at) { core.setUpstreams(at, it.first, it.second); });
     }
 }
 
--- a/Source/Core/Kernel/ControlService.cpp
+++ b/Source/Core/Kernel/ControlService.cpp
@@ -39,6 +39,9 @@
         }
         to.heartbeatInterval = settings.limits.heartbeat;
         to.aliveTimeout = settings.limits.suspectAfter;
+        // The lapsed lease is what proves that a member may go; its silence need only be longer than a hiccup.
+        to.removalSilence = settings.limits.suspectAfter;
+        to.removalRetry = settings.limits.heartbeat;
         to.lease.timeToLive = std::chrono::ceil<std::chrono::seconds>(settings.limits.viewLease);
         to.lease.renewInterval = settings.limits.viewLease / 3;
         return to;
@@ -201,8 +204,7 @@
         keeper->handle(now, Decision::ConfigurationOffered { from, *it });
         pump(now);
         return;
-    }
-    else if (const auto* it = std::get_if<Messages::AssignmentQuery>(&message)) {
+    } else if (const auto* it = std::get_if<Messages::AssignmentQuery>(&message)) {
         const std::lock_guard guard(lock);
         assignmentAsked(from, *it);
         pump(now);
--- a/Source/Core/Kernel/Metrics.cpp
+++ b/Source/Core/Kernel/Metrics.cpp
@@ -21,7 +21,7 @@
     constexpr std::array<const char*, 4> waveHostStateNames { "waiting", "draining", "rebooting", "done" };
     constexpr std::array<const char*, 3> ledgerStateNames { "claimed", "finished", "unknown" };
 
-    template <typename Enum, std::size_t count>
+    template<typename Enum, std::size_t count>
     const char* nameOf(const std::array<const char*, count>& names, Enum value)
     {
         return names.at(static_cast<std::size_t>(value));
--- a/Source/Core/Kernel/Settings.cpp
+++ b/Source/Core/Kernel/Settings.cpp
@@ -15,7 +15,7 @@
     std::string defaultText(std::chrono::milliseconds value) { return std::to_string(value.count()); }
     std::string defaultText(bool value) { return value ? "true" : "false"; }
 
-    template <typename Number>
+    template<typename Number>
     std::string defaultText(const Number& value)
     {
         std::ostringstream stream;
@@ -23,7 +23,7 @@
         return stream.str();
     }
 
-    template <typename Section>
+    template<typename Section>
     void appendHelp(std::ostream& stream, const std::string& prefix, const Section& defaults)
     {
         for (const auto& field : fieldsOf<Section>()) {
--- a/Source/Core/Kernel/SettingsFields.cpp
+++ b/Source/Core/Kernel/SettingsFields.cpp
@@ -84,7 +84,7 @@
 
 } // namespace
 
-template <>
+template<>
 const Fields<Settings>& fieldsOf()
 {
     static const Fields<Settings> s_fields {
@@ -96,7 +96,7 @@
     return s_fields;
 }
 
-template <>
+template<>
 const Fields<CallersSection>& fieldsOf()
 {
     static const Fields<CallersSection> s_fields {
@@ -107,7 +107,7 @@
     return s_fields;
 }
 
-template <>
+template<>
 const Fields<PeersSection>& fieldsOf()
 {
     static const Fields<PeersSection> s_fields {
@@ -117,7 +117,7 @@
     return s_fields;
 }
 
-template <>
+template<>
 const Fields<PeerSeed>& fieldsOf()
 {
     static const Fields<PeerSeed> s_fields {
@@ -128,7 +128,7 @@
     return s_fields;
 }
 
-template <>
+template<>
 const Fields<OperatorsSection>& fieldsOf()
 {
     static const Fields<OperatorsSection> s_fields {
@@ -137,7 +137,7 @@
     return s_fields;
 }
 
-template <>
+template<>
 const Fields<OperatorAccount>& fieldsOf()
 {
     static const Fields<OperatorAccount> s_fields {
@@ -147,7 +147,7 @@
     return s_fields;
 }
 
-template <>
+template<>
 const Fields<PlatformSection>& fieldsOf()
 {
     static const Fields<PlatformSection> s_fields {
@@ -159,7 +159,7 @@
     return s_fields;
 }
 
-template <>
+template<>
 const Fields<AdaptersSection>& fieldsOf()
 {
     static const Fields<AdaptersSection> s_fields {
@@ -171,7 +171,7 @@
     return s_fields;
 }
 
-template <>
+template<>
 const Fields<LimitsSection>& fieldsOf()
 {
     using L = LimitsSection;
@@ -191,7 +191,7 @@
     return s_fields;
 }
 
-template <>
+template<>
 const Fields<WeightsSection>& fieldsOf()
 {
     static const Fields<WeightsSection> s_fields {
@@ -202,7 +202,7 @@
     return s_fields;
 }
 
-template <>
+template<>
 const Fields<LoggingSection>& fieldsOf()
 {
     static const Fields<LoggingSection> s_fields {
--- a/Source/Core/Kernel/SettingsFields.h
+++ b/Source/Core/Kernel/SettingsFields.h
@@ -26,7 +26,7 @@
 };
 
 /// The member of a section that a setting fills.
-template <typename Section>
+template<typename Section>
 using FieldMember = std::variant<
     std::string Section::*,
     unsigned Section::*,
@@ -45,7 +45,7 @@
 };
 
 /// One setting of a section.
-template <typename Section>
+template<typename Section>
 struct Field {
     const char* name; ///< In JSON.
     FieldMember<Section> member;
@@ -55,34 +55,34 @@
 };
 
 /// Table of a section, or of the items of a list.
-template <typename Section>
+template<typename Section>
 using Fields = std::vector<Field<Section>>;
 
 /// Table of a type of section; specialised for each one in SettingsFields.cpp.
-template <typename Section>
+template<typename Section>
 const Fields<Section>& fieldsOf();
 
-template <>
+template<>
 const Fields<Settings>& fieldsOf();
-template <>
+template<>
 const Fields<CallersSection>& fieldsOf();
-template <>
+template<>
 const Fields<PeersSection>& fieldsOf();
-template <>
+template<>
 const Fields<PeerSeed>& fieldsOf();
-template <>
+template<>
 const Fields<OperatorsSection>& fieldsOf();
-template <>
+template<>
 const Fields<OperatorAccount>& fieldsOf();
-template <>
+template<>
 const Fields<PlatformSection>& fieldsOf();
-template <>
+template<>
 const Fields<AdaptersSection>& fieldsOf();
-template <>
+template<>
 const Fields<LimitsSection>& fieldsOf();
-template <>
+template<>
 const Fields<WeightsSection>& fieldsOf();
-template <>
+template<>
 const Fields<LoggingSection>& fieldsOf();
 
 /// Names of a section's lists in JSON.
@@ -92,7 +92,7 @@
 } // namespace ListNames
 
 /// Calls visitor(name, section) for each section of the settings, in the order of the file.
-template <typename SettingsType, typename Visitor>
+template<typename SettingsType, typename Visitor>
 void forEachSection(SettingsType& settings, Visitor visitor)
 {
     visitor("callers", settings.callers);
@@ -109,7 +109,7 @@
 std::string acceptedText(const FieldRule&, bool whole);
 
 /// What a setting accepts, in words.
-template <typename Section>
+template<typename Section>
 std::string acceptedText(const Field<Section>& field)
 {
     return acceptedText(field.rule, !std::holds_alternative<double Section::*>(field.member));
--- a/Source/Core/Kernel/SettingsParser.cpp
+++ b/Source/Core/Kernel/SettingsParser.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-    template <typename Section>
+    template<typename Section>
     std::vector<std::string> fieldNames()
     {
         std::vector<std::string> names;
@@ -23,7 +23,7 @@
     }
 
     /// Lists that a type of section holds beside its fields.
-    template <typename Section>
+    template<typename Section>
     std::vector<std::string> listNames()
     {
         if constexpr (std::is_same_v<Section, PeersSection>)
@@ -33,7 +33,7 @@
         return {};
     }
 
-    template <typename Section>
+    template<typename Section>
     std::vector<std::string> knownNames()
     {
         auto names = fieldNames<Section>();
@@ -80,7 +80,7 @@
         return true;
     }
 
-    template <typename Integer>
+    template<typename Integer>
     bool assign(Integer& target, const Json::Value& value, const FieldRule& rule)
     {
         if (!isInRange(value, rule) || !value.isUInt64())
@@ -174,7 +174,7 @@
     checkTogether(root);
 }
 
-template <typename Section>
+template<typename Section>
 void SettingsParser::readSection(const Json::Value& root, const std::string& name, Section& section)
 {
     static const Json::Value s_empty(Json::objectValue);
@@ -192,14 +192,14 @@
     readFields(*found, name + '.', section);
 }
 
-template <typename Section>
+template<typename Section>
 void SettingsParser::readFields(const Json::Value& object, const std::string& prefix, Section& section)
 {
     for (const auto& field : fieldsOf<Section>())
         readField(object, prefix + field.name, field, section);
 }
 
-template <typename Section>
+template<typename Section>
 void SettingsParser::readField(const Json::Value& object, const std::string& fieldPath, const Field<Section>& field, Section& section)
 {
     const auto assignTo = [&](auto member) {
@@ -216,7 +216,7 @@
     std::visit(assignTo, field.member);
 }
 
-template <typename Item>
+template<typename Item>
 void SettingsParser::readList(const Json::Value& section, const std::string& prefix, const char* name, std::vector<Item>& items)
 {
     const Json::Value& list = section[name];
--- a/Source/Core/Kernel/SettingsParser.h
+++ b/Source/Core/Kernel/SettingsParser.h
@@ -30,13 +30,13 @@
     void checkTimings(const Json::Value& root);
     void checkNames(const Json::Value& root);
 
-    template <typename Section>
+    template<typename Section>
     void readSection(const Json::Value& root, const std::string& name, Section&);
-    template <typename Section>
+    template<typename Section>
     void readFields(const Json::Value&, const std::string& prefix, Section&);
-    template <typename Section>
+    template<typename Section>
     void readField(const Json::Value&, const std::string& fieldPath, const Field<Section>&, Section&);
-    template <typename Item>
+    template<typename Item>
     void readList(const Json::Value& section, const std::string& prefix, const char* name, std::vector<Item>&);
     void readLists(const Json::Value& root);
 
--- a/Source/Standins/ExecutorStandin.cpp
+++ b/Source/Standins/ExecutorStandin.cpp
@@ -214,6 +214,9 @@
         value["running"] = m_stats.running;
         value["maximumRunning"] = m_stats.maximumRunning;
         value["maximumConnections"] = Json::UInt64(m_stats.maximumConnections);
+        value["runningBodyHashes"] = Json::Value(Json::arrayValue);
+        for (const auto& [id, task] : m_tasks)
+            value["runningBodyHashes"].append(bodyHash(task.exchange->request().body));
         exchange->reply(jsonResponse(value));
     }
 
@@ -247,7 +250,8 @@
     Adapters::EventLoop& loop, const ExecutorSettings& settings)
 {
     auto state = std::make_unique<Private>(loop, settings);
-    auto server = HttpServer::create(loop, settings.port, [it = state.get()](const auto& exchange) { it->serve(exchange); }, settings.address);
+    auto server = HttpServer::create(
+        loop, settings.port, [it = state.get()](const auto& exchange) { it->serve(exchange); }, settings.address);
     if (!server)
         return server.error();
     state->m_server = server.take();
