--- a/Source/Core/Adapters/Callers/AnswerFormat.cpp
+++ b/Source/Core/Adapters/Callers/AnswerFormat.cpp
@@ -46,6 +46,7 @@
         { Reason::OwnerLost, 503, "The entry host in charge of the pool was lost." },
         { Reason::KeyTooOld, 503, "The Idempotency-Key is older than what is remembered." },
         { Reason::AnswerExpired, 503, "The request ran before, and its answer is no longer kept." },
+        { Reason::StillRunning, 503, "An earlier try of the same Idempotency-Key may still run." },
     };
 
     struct FaultRow {
--- a/Source/Core/Decision/Requests/ClaimRounds.h
+++ b/Source/Core/Decision/Requests/ClaimRounds.h
@@ -19,7 +19,9 @@
     Messages::ClaimKey key;
     std::set<HostId> awaited; ///< Holders without a verdict.
     std::vector<HostId> asked; ///< All holders, this host included.
+    bool allMembers = false; ///< Members that hold no records confirm the view.
     Instant deadline {};
+    std::optional<Messages::ClaimVerdict> refusal; ///< Of a holder, while another may still know the answer.
     std::string upstream; ///< Where a slot is held meanwhile; empty for none.
     std::string team; ///< Whose slot it is.
 };
--- a/Source/Core/Decision/Requests/Door.cpp
+++ b/Source/Core/Decision/Requests/Door.cpp
@@ -54,6 +54,13 @@
     return admitted;
 }
 
+Answer doorAnswer(const Answer& refusal, bool keyed)
+{
+    if (keyed && !isDoorReason(refusal.reason))
+        return unknown(refusal.reason, refusal.retryAfter);
+    return refusal;
+}
+
 bool isDoorReason(Reason reason)
 {
     switch (reason) {
--- a/Source/Core/Decision/Requests/Door.h
+++ b/Source/Core/Decision/Requests/Door.h
@@ -32,6 +32,10 @@
 /// Judges a request by the objects in force. Errors are the answers to give.
 Common::Result<Admitted, Answer> checkAtDoor(const Objects::ObjectSet&, const std::vector<std::string>& dataCentres, WallTime now, std::chrono::milliseconds clockSkew, const DoorRequest&);
 
+/// The answer to give for a refusal at the door: an earlier try of a keyed request may have run, unless the refusal
+/// holds whatever became of it.
+Answer doorAnswer(const Answer& refusal, bool keyed);
+
 /// True for refusals that hold whatever an earlier try of the same key did.
 bool isDoorReason(Reason);
 
--- a/Source/Core/Decision/Requests/FairQueue.cpp
+++ b/Source/Core/Decision/Requests/FairQueue.cpp
@@ -16,9 +16,11 @@
     const std::string lineTeam = m_priorityOrdered ? team : std::string();
     Rank& at = m_ranks[line];
     TeamLine& teamLine = at.teams[lineTeam];
-    if (teamLine.waiting.empty())
+    if (teamLine.waiting.empty()) {
         teamLine.served = std::max(teamLine.served, at.virtualTime);
-    teamLine.share = m_priorityOrdered ? share : TeamShare {};
+        teamLine.share = m_priorityOrdered ? share : TeamShare {};
+        enterOrder(at, lineTeam, teamLine);
+    }
     teamLine.waiting.emplace(number, cost);
     teamLine.queued += cost;
     at.queued += cost;
@@ -26,18 +28,34 @@
     m_entries.emplace(number, Entry { lineTeam, line, cost });
 }
 
-void FairQueue::forget(RequestNumber number, Rank& rank, std::map<std::string, TeamLine>::iterator it)
+void FairQueue::enterOrder(Rank& rank, const std::string& team, const TeamLine& line)
+{
+    rank.order.emplace(line.served, team);
+    rank.waitingWeight += line.share.weight;
+}
+
+void FairQueue::leaveOrder(Rank& rank, const std::string& team, const TeamLine& line)
 {
-    TeamLine& line = it->second;
+    rank.order.erase({ line.served, team });
+    rank.waitingWeight -= line.share.weight;
+}
+
+void FairQueue::forget(RequestNumber number, Rank& rank, const std::string& team)
+{
+    TeamLine& line = rank.teams.at(team);
     const auto waiting = line.waiting.find(number);
     line.queued -= waiting->second;
     rank.queued -= waiting->second;
     line.waiting.erase(waiting);
     --rank.waiting;
-    // An idle team keeps no credit: its line starts at the rank's virtual time when it comes back.
-    if (line.waiting.empty() && line.served <= rank.virtualTime)
-        rank.teams.erase(it);
+    if (line.waiting.empty())
+        leaveOrder(rank, team, line);
     m_entries.erase(number);
+    // What teams were served is forgotten once nobody waits: an idle team keeps neither credit nor debt.
+    if (rank.waiting > 0)
+        return;
+    rank.teams.clear();
+    rank.virtualTime = 0;
 }
 
 bool FairQueue::remove(RequestNumber number)
@@ -45,8 +63,8 @@
     const auto it = m_entries.find(number);
     if (it == m_entries.end())
         return false;
-    Rank& rank = m_ranks[it->second.rank];
-    forget(number, rank, rank.teams.find(it->second.team));
+    const Entry entry = it->second;
+    forget(number, m_ranks[entry.rank], entry.team);
     return true;
 }
 
@@ -57,20 +75,17 @@
 
 std::optional<RequestNumber> FairQueue::popFrom(Rank& rank)
 {
-    auto best = rank.teams.end();
-    for (auto it = rank.teams.begin(); it != rank.teams.end(); ++it) {
-        if (it->second.waiting.empty() || !mayStart(it->first, it->second.share))
-            continue;
-        if (best == rank.teams.end() || it->second.served < best->second.served)
-            best = it;
-    }
-    if (best == rank.teams.end())
+    const auto next = std::find_if(rank.order.begin(), rank.order.end(), [&](const auto& item) { return mayStart(item.second, rank.teams.at(item.second).share); });
+    if (next == rank.order.end())
         return std::nullopt;
-    TeamLine& line = best->second;
+    const std::string team = next->second;
+    TeamLine& line = rank.teams.at(team);
     const auto [number, cost] = *line.waiting.begin();
+    leaveOrder(rank, team, line);
     rank.virtualTime = std::max(rank.virtualTime, line.served);
     line.served += static_cast<double>(cost.count()) / std::max(1u, line.share.weight);
-    forget(number, rank, best);
+    enterOrder(rank, team, line);
+    forget(number, rank, team);
     return number;
 }
 
@@ -121,21 +136,17 @@
 {
     Cost ahead { 0 };
     for (const auto& [at, line] : m_ranks) {
-        if (at < rank) {
+        if (at < rank || !m_priorityOrdered) {
             ahead += line.queued;
             continue;
         }
         if (at > rank)
             break;
         // The team's own backlog is served at its share of the rank, but never later than the whole rank's backlog.
-        unsigned weights = share.weight;
-        Cost own { 0 };
-        for (const auto& [name, other] : line.teams) {
-            if (name == team)
-                own = other.queued;
-            else if (!other.waiting.empty())
-                weights += other.share.weight;
-        }
+        const auto it = line.teams.find(team);
+        const bool waits = it != line.teams.end() && !it->second.waiting.empty();
+        const Cost own = waits ? it->second.queued : Cost(0);
+        const unsigned weights = line.waitingWeight + (waits ? 0 : share.weight);
         ahead += std::min(line.queued, own * weights / std::max(1u, share.weight));
     }
     return ahead;
--- a/Source/Core/Decision/Requests/FairQueue.h
+++ b/Source/Core/Decision/Requests/FairQueue.h
@@ -7,8 +7,10 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 namespace Decision {
 
@@ -43,6 +45,9 @@
     void slotFreed(const std::string& team);
     unsigned slotsOf(const std::string& team) const;
 
+    /// True while the team has less than its quota of slots.
+    bool mayStart(const std::string& team, const TeamShare&) const;
+
     std::size_t size() const { return m_entries.size(); }
 
     /// Run time that is expected to be served before a new request of the team at this rank.
@@ -65,16 +70,22 @@
         TeamShare share;
     };
 
+    /// Teams with waiting requests, the one that is to be served next first.
+    using ServiceOrder = std::set<std::pair<double, std::string>>;
+
     struct Rank {
-        std::map<std::string, TeamLine> teams;
+        std::unordered_map<std::string, TeamLine> teams;
+        ServiceOrder order;
+        unsigned waitingWeight = 0; ///< Of the teams with waiting requests.
         Cost queued { 0 };
         double virtualTime = 0;
         std::size_t waiting = 0;
     };
 
-    bool mayStart(const std::string& team, const TeamShare&) const;
     std::optional<RequestNumber> popFrom(Rank&);
-    void forget(RequestNumber, Rank&, std::map<std::string, TeamLine>::iterator);
+    static void enterOrder(Rank&, const std::string& team, const TeamLine&);
+    static void leaveOrder(Rank&, const std::string& team, const TeamLine&);
+    void forget(RequestNumber, Rank&, const std::string& team);
 
     bool m_priorityOrdered;
     std::map<unsigned, Rank> m_ranks;
--- a/Source/Core/Decision/Requests/HarmfulRequests.h
+++ b/Source/Core/Decision/Requests/HarmfulRequests.h
@@ -19,6 +19,8 @@
     HarmfulRequests(unsigned losses, std::chrono::milliseconds retention);
 
     void lost(Common::Instant, std::uint64_t bodyHash, const std::string& upstream);
+    /// An upstream ran the body whole: what was lost before has other causes.
+    void succeeded(std::uint64_t bodyHash) { m_entries.erase(bodyHash); }
     bool isHarmful(Common::Instant, std::uint64_t bodyHash) const;
 
 private:
--- a/Source/Core/Decision/Requests/Ledger.cpp
+++ b/Source/Core/Decision/Requests/Ledger.cpp
@@ -1,6 +1,7 @@
 #include "Decision/Requests/Ledger.h"
 
 #include "Common/Rendezvous.h"
+#include "Decision/Requests/IdempotencyKey.h"
 
 #include <algorithm>
 #include <utility>
@@ -16,6 +17,13 @@
     constexpr std::size_t answerBytesPerHandover = 2 << 20;
     constexpr unsigned incarnationShift = 32; ///< The upper half of a token names the claimant's start.
 
+    /// Records are kept by the time inside the key, so that every holder drops them at the same time.
+    WallTime issuedOf(const Messages::ClaimKey& key)
+    {
+        const auto parsed = IdempotencyKey::parse(key.idempotencyKey);
+        return parsed ? parsed->issued : WallTime::min();
+    }
+
     std::size_t answerSize(const Answer& answer)
     {
         return answer.body ? answer.body->size() : 0;
@@ -41,13 +49,14 @@
     return std::find(holders.begin(), holders.end(), m_self) != holders.end();
 }
 
-void Ledger::setView(WallTime now, LedgerView view, const std::vector<std::string>& pools)
+void Ledger::setView(WallTime now, LedgerView view, const std::vector<std::string>& pools, bool stayedMember)
 {
     if (m_hasView && view.epoch < m_view.epoch)
         return;
     const bool sameView = m_hasView && view.epoch == m_view.epoch;
-    // Claims of a view that this host never saw were made without it, so its memory has a gap.
-    const bool continuous = m_hasView && view.epoch == m_view.epoch + 1;
+    // A view that this host never saw may have been without it, and claims may then have been made without it. While it
+    // is a member, new holders wait for its hand-over in their own view, so nothing is claimed in a view that it skips.
+    const bool continuous = m_hasView && (view.epoch == m_view.epoch + 1 || (view.epoch > m_view.epoch && stayedMember));
     const LedgerView old = std::exchange(m_view, std::move(view));
     m_hasView = true;
     for (const auto& pool : pools) {
@@ -130,8 +139,6 @@
         entry.bodyHash = record.bodyHash;
         entry.token = record.token;
         entry.claimant = record.claimant;
-        // The key's own time isn't carried along: retention counts anew from the hand-over, which only keeps it longer.
-        entry.issued = now;
         insert(record.key, entry);
         if (record.finished)
             finish(record.key, record.answer);
@@ -161,27 +168,36 @@
     return { ClaimVerdict::Finished, entry.answer };
 }
 
-LedgerVerdict Ledger::look(const Messages::ClaimKey& key, std::uint64_t bodyHash, WallTime issued) const
+bool Ledger::isTooOld(WallTime now, const Messages::ClaimKey& key) const
+{
+    const WallTime issued = issuedOf(key);
+    if (issued + m_limits.claimRetention < now)
+        return true;
+    // The clocks of the caller, of the host that let it in and of this one each may be apart, and both ways add up.
+    const auto began = memoryBegan(key.pool);
+    return !began || issued <= *began + 2 * m_limits.clockSkew;
+}
+
+LedgerVerdict Ledger::look(WallTime now, const Messages::ClaimKey& key, std::uint64_t bodyHash) const
 {
     const auto it = m_entries.find(key);
     if (it != m_entries.end())
         return verdictOf(it->second, bodyHash);
     if (!m_guards.memoryVouched)
         return { ClaimVerdict::Granted, {} };
-    const auto began = memoryBegan(key.pool);
-    if (!began)
+    if (!vouchesFor(key.pool))
         return { ClaimVerdict::StaleView, {} };
-    if (issued <= *began + m_limits.clockSkew)
+    if (isTooOld(now, key))
         return { ClaimVerdict::NotVouched, {} };
     return { ClaimVerdict::Granted, {} };
 }
 
-LedgerVerdict Ledger::claim(WallTime now, const HostId& from, const Messages::ClaimRequest& request, WallTime issued)
+LedgerVerdict Ledger::claim(WallTime now, const HostId& from, const Messages::ClaimRequest& request)
 {
     if (m_guards.viewEpochChecked && request.viewEpoch != m_view.epoch)
         return { ClaimVerdict::StaleView, {} };
-    if (m_guards.viewEpochChecked && !isHolder(request.key.pool))
-        return { ClaimVerdict::StaleView, {} };
+    if (!isHolder(request.key.pool))
+        return { request.allMembers ? ClaimVerdict::Granted : ClaimVerdict::StaleView, {} };
     const auto it = m_entries.find(request.key);
     if (it != m_entries.end()) {
         LedgerEntry& entry = it->second;
@@ -190,18 +206,15 @@
         entry.token = request.token;
         return { ClaimVerdict::Granted, {} };
     }
-    const LedgerVerdict verdict = look(request.key, request.bodyHash, issued);
+    const LedgerVerdict verdict = look(now, request.key, request.bodyHash);
     if (verdict.verdict != ClaimVerdict::Granted)
         return verdict;
-    if (m_guards.memoryVouched && issued + m_limits.claimRetention < now)
-        return { ClaimVerdict::NotVouched, {} };
     if (m_entries.size() >= m_limits.maximumRecords)
         return { ClaimVerdict::Full, {} };
     LedgerEntry entry;
     entry.bodyHash = request.bodyHash;
     entry.token = request.token;
     entry.claimant = from;
-    entry.issued = issued;
     insert(request.key, std::move(entry));
     return { ClaimVerdict::Granted, {} };
 }
@@ -210,7 +223,7 @@
 {
     const auto [it, added] = m_entries.insert_or_assign(key, std::move(entry));
     if (added)
-        m_byIssue.emplace(it->second.issued, key);
+        m_byIssue.emplace(issuedOf(key), key);
 }
 
 void Ledger::finish(const Messages::ClaimKey& key, const Answer& answer)
@@ -249,7 +262,7 @@
     const auto it = m_entries.find(key);
     if (it == m_entries.end() || it->second.finished || it->second.token != token)
         return;
-    const auto [first, last] = m_byIssue.equal_range(it->second.issued);
+    const auto [first, last] = m_byIssue.equal_range(issuedOf(key));
     const auto issue = std::find_if(first, last, [&](const auto& item) { return item.second == key; });
     if (issue != last)
         m_byIssue.erase(issue);
--- a/Source/Core/Decision/Requests/Ledger.h
+++ b/Source/Core/Decision/Requests/Ledger.h
@@ -20,7 +20,6 @@
     std::uint64_t bodyHash = 0;
     std::uint64_t token = 0;
     HostId claimant;
-    WallTime issued {};
     bool finished = false;
     bool answerHeld = false;
     Answer answer;
@@ -43,7 +42,8 @@
     const LedgerView& view() const { return m_view; }
 
     /// Takes a new view; older ones are ignored. Pools whose records this host now keeps are gathered from the other members.
-    void setView(WallTime now, LedgerView, const std::vector<std::string>& pools);
+    /// `stayedMember` means that no view in between can have been without this host.
+    void setView(WallTime now, LedgerView, const std::vector<std::string>& pools, bool stayedMember);
 
     /// Questions to members that haven't handed over yet; to be asked again until they have.
     std::vector<SendPeer> openQueries() const;
@@ -52,10 +52,10 @@
     std::vector<SendPeer> answerQuery(const HostId& from, const Messages::LedgerQuery&) const;
 
     /// Judges and, when granted, records a claim. `from` is the host that will dispatch.
-    LedgerVerdict claim(WallTime now, const HostId& from, const Messages::ClaimRequest&, WallTime issued);
+    LedgerVerdict claim(WallTime now, const HostId& from, const Messages::ClaimRequest&);
 
     /// What this host would say, without recording anything.
-    LedgerVerdict look(const Messages::ClaimKey&, std::uint64_t bodyHash, WallTime issued) const;
+    LedgerVerdict look(WallTime now, const Messages::ClaimKey&, std::uint64_t bodyHash) const;
 
     void finish(const Messages::ClaimKey&, const Answer&);
     void release(const Messages::ClaimKey&, std::uint64_t token);
@@ -87,6 +87,7 @@
     bool isHolder(const std::string& pool) const;
     bool sameClaimant(const LedgerEntry&, const HostId& from, std::uint64_t token) const;
     LedgerVerdict verdictOf(const LedgerEntry&, std::uint64_t bodyHash) const;
+    bool isTooOld(WallTime now, const Messages::ClaimKey&) const;
     void insert(const Messages::ClaimKey&, LedgerEntry);
     void holdAnswer(const Messages::ClaimKey&, LedgerEntry&, const Answer&);
     void dropOldestAnswers();
--- a/Source/Core/Decision/Requests/RequestAttempts.cpp
+++ b/Source/Core/Decision/Requests/RequestAttempts.cpp
@@ -19,6 +19,7 @@
     if (request.attempts++ == 0)
         pool(request.pool).retries.firstAttempt();
     ++m_counts.attempts;
+    rememberRun(request);
     m_attempts.emplace(id, AttemptOut { request.number, request.pool, request.team, request.service, request.upstream, at.now });
     Ports::UpstreamCall call;
     call.attempt = id;
@@ -83,12 +84,14 @@
 void RequestCore::Impl::decide(Moment at, Request& request, const Ports::UpstreamResult& result)
 {
     const bool proved = result.end == AttemptEnd::Refused || result.end == AttemptEnd::NotSent;
-    if (request.cancelled) {
+    if (request.cancelled && result.end != AttemptEnd::Answered) {
         conclude(at, request.number, proved ? notRun(Reason::CancelledByCaller) : unknown(Reason::CancelledByCaller));
         return;
     }
-    const bool failedAnswer = result.end == AttemptEnd::Answered && result.status >= firstServerError && request.idempotent;
+    const bool failedAnswer = result.end == AttemptEnd::Answered && result.status >= firstServerError && request.idempotent && !request.cancelled;
     if (result.end == AttemptEnd::Answered && !(failedAnswer && mayRetry(at, request, false))) {
+        if (result.status < firstServerError)
+            m_harmful.succeeded(request.bodyHash);
         Answer answer;
         answer.outcome = Outcome::Done;
         answer.status = result.status;
--- a/Source/Core/Decision/Requests/RequestCore.cpp
+++ b/Source/Core/Decision/Requests/RequestCore.cpp
@@ -2,7 +2,6 @@
 
 #include "Common/Rendezvous.h"
 #include "Decision/Requests/Door.h"
-#include "Decision/Requests/IdempotencyKey.h"
 #include "Decision/Requests/RequestCoreImpl.h"
 
 #include <algorithm>
@@ -12,7 +11,6 @@
 namespace {
 
     constexpr std::chrono::milliseconds housekeepingInterval { 50 };
-    constexpr std::chrono::milliseconds ownerGrace { 20 }; ///< How long past the deadline an owner's answer is waited for.
     constexpr std::chrono::milliseconds notReadyRetry { 1000 };
 
 } // namespace
@@ -42,7 +40,6 @@
     request.number = m_nextRequest++;
     request.requestId = m_identity.self + "." + std::to_string(m_identity.incarnation) + "." + std::to_string(request.number);
     const RequestNumber number = request.number;
-    m_byRequestId[request.requestId] = number;
     if (const auto* caller = std::get_if<CallerSource>(&request.source))
         m_byCaller[caller->handle] = number;
     else if (const auto* peer = std::get_if<PeerSource>(&request.source))
@@ -63,6 +60,8 @@
 
 void RequestCore::Impl::setGiveUp(Request& request, Instant at)
 {
+    if (request.giveUpAt == at)
+        return;
     m_giveUps.erase({ request.giveUpAt, request.number });
     request.giveUpAt = at;
     m_giveUps.insert({ at, request.number });
@@ -80,14 +79,20 @@
         m_byCaller.erase(caller->handle);
     else if (const auto* peer = std::get_if<PeerSource>(&request.source))
         m_byPeer.erase({ peer->host, peer->requestId });
+    if (!request.key.empty())
+        forgetKey(request);
+    m_requests.erase(it);
+}
+
+void RequestCore::Impl::forgetKey(const Request& request)
+{
     const auto [first, last] = m_byTeamKey.equal_range({ request.team, request.key });
-    const auto named = std::find_if(first, last, [&](const auto& item) { return item.second == number; });
+    const auto named = std::find_if(first, last, [&](const auto& item) { return item.second == request.number; });
     if (named != last)
         m_byTeamKey.erase(named);
     const auto running = m_byKey.find(claimKeyOf(request));
-    if (running != m_byKey.end() && running->second == number)
+    if (running != m_byKey.end() && running->second == request.number)
         m_byKey.erase(running);
-    m_requests.erase(it);
 }
 
 void RequestCore::Impl::arriveFromCaller(Moment at, const Ports::CallerRequest& from)
@@ -103,7 +108,7 @@
     const DoorRequest asked { from.service, from.team, from.priority, from.idempotencyKey, from.idempotent, bodyBytes, from.timeLeft };
     const auto admitted = checkAtDoor(*m_objects, m_dataCentres, at.wall, m_limits.clockSkew, asked);
     if (!admitted) {
-        refuseAtOnce(admitted.error());
+        refuseAtOnce(doorAnswer(admitted.error(), !from.idempotent && !from.idempotencyKey.empty()));
         return;
     }
     Request request;
@@ -120,115 +125,10 @@
     request.deadline = at.now + std::min(from.timeLeft, m_objects->services.at(from.service).maximumDeadline);
     request.body = from.body;
     request.contentType = from.contentType;
-    request.bodyHash = Common::hash64(from.body ? *from.body : std::string(), Common::hash64(from.service));
+    request.bodyHash = Common::hash64(from.body ? std::string_view(*from.body) : std::string_view(), Common::hash64(from.service));
     route(at, add(std::move(request)));
 }
 
-void RequestCore::Impl::abandon(Moment at, Request& request, bool explicitly)
-{
-    // A caller that merely hung up may ask again with its key, so a claimed request goes on and its answer is kept.
-    const bool keepRunning = !explicitly && needsClaim(request) && request.state != RequestState::Queued;
-    switch (request.state) {
-    case RequestState::Forwarded:
-    case RequestState::PassedOn:
-        send(request.forwardedTo, Messages::ForwardCancel { request.requestId });
-        break;
-    case RequestState::Queued:
-        if (!request.joined.empty())
-            return;
-        break;
-    case RequestState::Claiming:
-        request.cancelled = !keepRunning;
-        return;
-    case RequestState::Running:
-        if (keepRunning || !request.joined.empty())
-            return;
-        request.cancelled = true;
-        act(CancelAttempt { request.attempt });
-        return;
-    case RequestState::Joined:
-        break;
-    }
-    if (request.state == RequestState::PassedOn && request.claimed)
-        return;
-    conclude(at, request.number, request.mayHaveRun ? unknown(Reason::CancelledByCaller) : notRun(Reason::CancelledByCaller));
-}
-
-Answer RequestCore::Impl::truthful(const Request& request, Answer answer) const
-{
-    if (answer.outcome != Outcome::NotRun || !m_guards.notRunOnlyIfProved)
-        return answer;
-    if (request.mayHaveRun)
-        return unknown(answer.reason, answer.retryAfter);
-    // An earlier try of the same key may have run: only a holder whose memory is whole can say otherwise.
-    if (request.homeDataCentre.empty() || request.claimed || request.vouched || isDoorReason(answer.reason))
-        return answer;
-    if (request.homeDataCentre != m_identity.dataCentre)
-        return unknown(answer.reason, answer.retryAfter);
-    const auto known = m_ledger.look(claimKeyOf(request), request.bodyHash, IdempotencyKey::parse(request.key)->issued);
-    if (known.verdict == Messages::ClaimVerdict::Granted)
-        return answer;
-    if (known.verdict == Messages::ClaimVerdict::Finished)
-        return known.answer;
-    return unknown(answer.reason, answer.retryAfter);
-}
-
-void RequestCore::Impl::conclude(Moment at, RequestNumber number, Answer answer)
-{
-    Request* request = find(number);
-    if (!request)
-        return;
-    answer = truthful(*request, std::move(answer));
-    settleClaim(*request, answer);
-    if (request->state == RequestState::Queued) {
-        const auto it = m_pools.find(request->pool);
-        if (it != m_pools.end())
-            it->second.queue.remove(number);
-    }
-    reply(*request, answer);
-    const auto joined = std::move(request->joined);
-    erase(number);
-    for (const auto later : joined)
-        conclude(at, later, answer);
-}
-
-void RequestCore::Impl::reply(const Request& request, const Answer& answer)
-{
-    if (const auto* caller = std::get_if<CallerSource>(&request.source))
-        act(AnswerCaller { caller->handle, answer });
-    else if (const auto* peer = std::get_if<PeerSource>(&request.source))
-        send(peer->host, Messages::ForwardAnswer { peer->requestId, answer });
-}
-
-void RequestCore::Impl::giveUp(Moment at, Request& request)
-{
-    switch (request.state) {
-    case RequestState::Queued:
-        conclude(at, request.number, notRun(Reason::DeadlineCannotBeMet, retryTime(std::chrono::microseconds(0))));
-        return;
-    case RequestState::Joined:
-        conclude(at, request.number, unknown(Reason::DeadlinePassed));
-        return;
-    case RequestState::Claiming:
-        claimRefused(at, request.claimToken, { Messages::ClaimVerdict::StaleView, {} });
-        return;
-    case RequestState::Running:
-        act(CancelAttempt { request.attempt });
-        request.mayHaveRun = true;
-        conclude(at, request.number, unknown(Reason::DeadlinePassed));
-        return;
-    case RequestState::Forwarded:
-    case RequestState::PassedOn:
-        if (at.now < request.deadline + ownerGrace) {
-            setGiveUp(request, request.deadline + ownerGrace);
-            return;
-        }
-        request.mayHaveRun = true;
-        conclude(at, request.number, unknown(Reason::OwnerLost));
-        return;
-    }
-}
-
 void RequestCore::Impl::tick(Moment at)
 {
     while (!m_giveUps.empty() && m_giveUps.begin()->first <= at.now) {
@@ -239,13 +139,13 @@
         }
         giveUp(at, *request);
     }
-    for (const auto token : m_rounds.expired(at.now))
-        claimRefused(at, token, { Messages::ClaimVerdict::StaleView, {} });
+    expireClaims(at);
     if (at.now < m_nextHousekeeping)
         return;
     m_nextHousekeeping = at.now + housekeepingInterval;
     m_ledger.prune(at.wall);
-    askHandovers();
+    forgetRuns(at.wall);
+    askHandovers(at.now);
     for (auto& [name, state] : m_pools)
         pump(at, name);
 }
@@ -274,8 +174,9 @@
     }
     for (const auto& [name, pool] : m_impl->m_objects->pools)
         m_impl->m_poolNames.push_back(name);
-    m_impl->m_ledger.setView(at.wall, m_impl->m_ledger.view(), m_impl->m_poolNames);
-    m_impl->askHandovers();
+    m_impl->m_ledger.setView(at.wall, m_impl->m_ledger.view(), m_impl->m_poolNames, false);
+    m_impl->m_nextQueries = at.now;
+    m_impl->askHandovers(at.now);
 }
 
 void RequestCore::setUpstreams(Moment at, const std::string& pool, const std::vector<PoolUpstream>& upstreams)
@@ -291,13 +192,25 @@
 
 void RequestCore::setView(Moment at, const LedgerView& view)
 {
-    m_impl->m_ledger.setView(at.wall, view, m_impl->m_poolNames);
-    m_impl->askHandovers();
+    const bool stayed = m_impl->m_stayedMember && m_impl->m_vouchUntil && at.now <= *m_impl->m_vouchUntil;
+    m_impl->m_ledger.setView(at.wall, view, m_impl->m_poolNames, stayed);
+    m_impl->m_stayedMember = true;
+    m_impl->m_nextQueries = at.now;
+    m_impl->askHandovers(at.now);
+}
+
+void RequestCore::setVouchUntil(Instant now, Instant until)
+{
+    auto& known = m_impl->m_vouchUntil;
+    if (!known || now > *known)
+        m_impl->m_stayedMember = false;
+    known = until;
 }
 
 void RequestCore::setAlive(Moment, std::vector<HostId> hosts)
 {
     m_impl->m_alive = std::move(hosts);
+    m_impl->m_owners.clear();
 }
 
 void RequestCore::setRemote(const std::string& dataCentre, std::vector<HostId> hosts)
@@ -371,7 +284,7 @@
         if (std::find(holders.begin(), holders.end(), m_impl->m_identity.self) == holders.end())
             continue;
         const auto began = m_impl->m_ledger.memoryBegan(pool);
-        if (!began || now <= *began + m_impl->m_limits.clockSkew)
+        if (!began || now <= *began + 2 * m_impl->m_limits.clockSkew)
             return false;
     }
     return true;
--- a/Source/Core/Decision/Requests/RequestCore.h
+++ b/Source/Core/Decision/Requests/RequestCore.h
@@ -54,9 +54,13 @@
     /// Which upstreams may be used; asked right before each attempt. All may be, by default.
     void setMayDispatch(MayDispatch);
 
-    /// The agreed members of the own data centre, for claims.
+    /// The agreed members of the own data centre, for claims. Only views that hold this incarnation may be set.
     void setView(Moment, const LedgerView&);
 
+    /// Until when this host surely isn't taken out of the agreed members, by its lease or by what its removal needs
+    /// besides. Past it, the host neither grants claims nor speaks for its records. For ever until first set.
+    void setVouchUntil(Instant now, Instant until);
+
     /// Hosts of the own data centre that answer heartbeats and aren't leaving, this one included; for ownership of pools.
     void setAlive(Moment, std::vector<HostId>);
 
--- a/Source/Core/Decision/Requests/RequestCoreImpl.h
+++ b/Source/Core/Decision/Requests/RequestCoreImpl.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// State and steps of the request core. The steps are spread over files by job:
-/// RequestCore.cpp (events), RequestRouting.cpp (owners, peers), RequestPools.cpp (admission, queue, slots),
+/// RequestCore.cpp (events), RequestAnswers.cpp (the one answer), RequestRouting.cpp (owners, peers), RequestPools.cpp (admission, queue, slots),
 /// RequestAttempts.cpp (ends and retries), RequestClaims.cpp (at most once).
 
 #include "Decision/Requests/ClaimRounds.h"
@@ -30,6 +30,7 @@
         FairQueue queue;
         SlotTable slots;
         RetryBudget retries;
+        bool pumping = false; ///< Keeps the pump from running inside itself.
     };
 
     /// An attempt that is out, kept until it ends even when its request was answered before.
@@ -60,20 +61,25 @@
     Request* find(RequestNumber);
     void setGiveUp(Request&, Instant);
     void arriveFromCaller(Moment, const Ports::CallerRequest&);
+    void erase(RequestNumber);
+    void forgetKey(const Request&);
+    void tick(Moment);
+
+    // Answers (RequestAnswers.cpp).
     void abandon(Moment, Request&, bool explicitly);
     void conclude(Moment, RequestNumber, Answer);
-    Answer truthful(const Request&, Answer) const;
+    Answer truthful(Moment, const Request&, Answer) const;
     void reply(const Request&, const Answer&);
-    void erase(RequestNumber);
     void giveUp(Moment, Request&);
-    void tick(Moment);
 
     // Routing (RequestRouting.cpp).
     void route(Moment, Request&);
     void forward(Moment, Request&, const HostId&);
     HostId ownerOf(const std::string& pool) const;
     void arriveFromPeer(Moment, const HostId&, const Messages::ForwardRequest&);
-    void answerFromPeer(Moment, const Messages::ForwardAnswer&);
+    void answerFromPeer(Moment, const HostId&, const Messages::ForwardAnswer&);
+    void cancelFromPeer(Moment, const HostId&, const Messages::ForwardCancel&);
+    void lostForwarded(Moment, Request&);
     void heartbeat(Moment, const HostId&, const Messages::Heartbeat&);
     void peerLost(Moment, const HostId&);
     std::optional<HostId> helpElsewhere(Moment, const Request&, std::chrono::microseconds ownWait) const;
@@ -92,7 +98,9 @@
     WaitEstimate waitOf(Instant now, const Request&, PoolState&) const;
     TeamShare shareOf(const std::string& team) const;
     std::chrono::microseconds declaredRunTime(const std::string& service) const;
+    std::chrono::microseconds longestRunTime(const std::string& pool) const;
     std::chrono::milliseconds retryTime(std::chrono::microseconds wait);
+    void giveUpQueued(Moment, Request&);
 
     // Attempts (RequestAttempts.cpp).
     void dispatch(Moment, Request&);
@@ -107,14 +115,26 @@
     bool needsClaim(const Request&) const;
     Messages::ClaimKey claimKeyOf(const Request&) const;
     void beginClaim(Moment, Request&);
+    void askHolders(Moment, ClaimRound);
+    LedgerVerdict judgeClaim(Moment, const HostId& from, const Messages::ClaimRequest&);
+    bool askAllMembers(Moment, ClaimRound&, Messages::ClaimVerdict);
     void claimVerdict(Moment, const HostId& from, std::uint64_t token, const LedgerVerdict&);
     void claimRefused(Moment, std::uint64_t token, const LedgerVerdict&);
     void claimGranted(Moment, std::uint64_t token);
+    void claimTurnedDown(Moment, std::uint64_t token, Messages::ClaimVerdict);
+    void tellFinished(const ClaimRound&, const Answer&);
+    LedgerVerdict lookUp(Moment, const Request&) const;
+    bool mayVouch(Instant now) const;
+    bool holdersAreSlow(const std::string& pool) const;
+    void expireClaims(Moment);
+    bool runsForHome(const Request&) const;
     void dropClaim(const ClaimRound&, std::uint64_t token);
-    void freeHeldSlot(const ClaimRound&);
+    void freeHeldSlot(ClaimRound&);
     void settleClaim(const Request&, const Answer&);
+    void rememberRun(const Request&);
+    void forgetRuns(WallTime now);
     void claimAsked(Moment, const HostId&, const Messages::ClaimRequest&);
-    void askHandovers();
+    void askHandovers(Instant now);
 
     void act(RequestAction action) { m_actions.push_back(std::move(action)); }
     void send(const HostId& to, Messages::PeerMessage message) { act(SendPeer { to, std::move(message) }); }
@@ -130,12 +150,19 @@
     MayDispatch m_mayDispatch;
 
     std::vector<HostId> m_alive;
+    mutable std::unordered_map<std::string, HostId> m_owners; ///< By pool, as m_alive makes it.
     std::map<std::string, RemoteState> m_remotes;
     Ledger m_ledger;
     ClaimRounds m_rounds;
+    std::set<Messages::ClaimKey> m_ran; ///< Claimed keys that this start of the host has dispatched or passed on.
+    std::multimap<WallTime, Messages::ClaimKey> m_ranByIssue;
+    std::set<HostId> m_silentHolders; ///< Let a claim expire and have answered none since.
+    std::optional<Instant> m_vouchUntil;
+    bool m_stayedMember = false; ///< m_vouchUntil hasn't lapsed since the view was set.
     RunTimes m_runTimes;
     HarmfulRequests m_harmful;
     std::map<std::string, PoolState> m_pools;
+    std::pair<const std::string, PoolState>* m_latestPool = nullptr; ///< Of m_pools, which never drops one.
 
     std::unordered_map<RequestNumber, Request> m_requests;
     std::set<std::pair<Instant, RequestNumber>> m_giveUps;
@@ -148,6 +175,7 @@
     RequestNumber m_nextRequest = 1;
     AttemptId m_nextAttempt = 1;
     Instant m_nextHousekeeping {};
+    Instant m_nextQueries {};
     std::vector<RequestAction> m_actions;
     RequestCounts m_counts;
 };
--- a/Source/Core/Decision/Requests/RequestPools.cpp
+++ b/Source/Core/Decision/Requests/RequestPools.cpp
@@ -1,4 +1,3 @@
-#include "Decision/Requests/IdempotencyKey.h"
 #include "Decision/Requests/RequestCoreImpl.h"
 
 #include <algorithm>
@@ -12,19 +11,21 @@
 
 namespace {
 
-    constexpr milliseconds joinRetry { 1000 }; ///< When to ask again for a request that still runs.
     constexpr milliseconds noUpstreamRetry { 2000 };
     constexpr microseconds defaultRunTime { 100000 };
-    constexpr unsigned spreadDivisor = 2; ///< Returning callers are spread over half as long again as the wait.
 
 } // namespace
 
 RequestCore::Impl::PoolState& RequestCore::Impl::pool(const std::string& name)
 {
-    const auto it = m_pools.find(name);
-    if (it != m_pools.end())
-        return it->second;
-    return m_pools.emplace(std::piecewise_construct, std::forward_as_tuple(name), std::forward_as_tuple(name, m_limits, m_guards)).first->second;
+    // The steps of an event all ask for the same pool.
+    if (m_latestPool && m_latestPool->first == name)
+        return m_latestPool->second;
+    auto it = m_pools.find(name);
+    if (it == m_pools.end())
+        it = m_pools.emplace(std::piecewise_construct, std::forward_as_tuple(name), std::forward_as_tuple(name, m_limits, m_guards)).first;
+    m_latestPool = &*it;
+    return it->second;
 }
 
 microseconds RequestCore::Impl::declaredRunTime(const std::string& service) const
@@ -33,6 +34,18 @@
     return it == m_objects->services.end() ? defaultRunTime : microseconds(it->second.expectedRunTime);
 }
 
+microseconds RequestCore::Impl::longestRunTime(const std::string& pool) const
+{
+    microseconds longest { 0 };
+    if (!m_objects)
+        return longest;
+    for (const auto& [name, service] : m_objects->services) {
+        if (service.pool == pool)
+            longest = std::max(longest, m_runTimes.expected(name, service.expectedRunTime));
+    }
+    return longest;
+}
+
 TeamShare RequestCore::Impl::shareOf(const std::string& team) const
 {
     const auto it = m_objects->teams.find(team);
@@ -43,10 +56,11 @@
 
 milliseconds RequestCore::Impl::retryTime(microseconds wait)
 {
-    // Uniform over half as long again as the wait, so that callers refused together come back apart.
-    const auto base = std::max<milliseconds>(m_limits.retryBase, std::chrono::duration_cast<milliseconds>(wait));
-    std::uniform_int_distribution<milliseconds::rep> spread(0, base.count() / spreadDivisor);
-    return std::min(m_limits.retryMaximum, base + milliseconds(spread(m_random)));
+    // Uniform around the wait, so that callers refused together come back apart and the first
+    // of them find the queue not yet empty.
+    const auto mean = std::min(m_limits.retryMaximum, std::max<milliseconds>(2 * m_limits.retryBase, std::chrono::duration_cast<milliseconds>(wait)));
+    std::uniform_int_distribution<milliseconds::rep> spread(mean.count() * 3 / 4, mean.count() * 7 / 4);
+    return std::min(m_limits.retryMaximum, milliseconds(spread(m_random)));
 }
 
 bool RequestCore::Impl::joinEarlier(Moment at, Request& request)
@@ -69,13 +83,14 @@
 {
     if (!m_ledger.vouchesFor(request.pool))
         return false;
-    const auto known = m_ledger.look(claimKeyOf(request), request.bodyHash, IdempotencyKey::parse(request.key)->issued);
+    const auto known = lookUp(at, request);
     switch (known.verdict) {
     case Messages::ClaimVerdict::Finished:
         conclude(at, request.number, known.answer);
         return true;
     case Messages::ClaimVerdict::Running:
-        conclude(at, request.number, unknown(Reason::OwnerLost, joinRetry));
+        // The other holder may know that it has finished.
+        beginClaim(at, request);
         return true;
     case Messages::ClaimVerdict::OtherBody:
         conclude(at, request.number, notRun(Reason::KeyReusedWithOtherBody));
@@ -97,19 +112,29 @@
         return;
     }
     if (needsClaim(request)) {
-        if (joinEarlier(at, request) || answeredByLedger(at, request))
+        if (joinEarlier(at, request))
             return;
         m_byKey[claimKeyOf(request)] = request.number;
+        if (answeredByLedger(at, request))
+            return;
+        // Claims that may wait for a silent holder take no slots from requests that need none.
+        if (!request.claimed && holdersAreSlow(request.pool)) {
+            beginClaim(at, request);
+            return;
+        }
     }
     admit(at, request);
 }
 
 RequestCore::Impl::WaitEstimate RequestCore::Impl::waitOf(Instant now, const Request& request, PoolState& state) const
 {
-    const unsigned slots = std::max(1u, state.slots.usableSlots(now, m_mayDispatch));
     const TeamShare share = shareOf(request.team);
     WaitEstimate estimate;
-    if (state.slots.busy() >= slots || state.queue.size() > 0)
+    if (state.queue.size() == 0 && state.queue.mayStart(request.team, share))
+        return estimate;
+    const unsigned slots = std::max(1u, state.slots.usableSlots(now, m_mayDispatch));
+    // While a slot is free, what still waits is held back by quotas and is in nobody else's way.
+    if (!state.slots.hasFreeSlot(now, m_mayDispatch))
         estimate.wait = state.queue.costAhead(request.team, request.rank, share) / slots;
     if (share.slotQuota == 0 || share.slotQuota >= slots)
         return estimate;
@@ -131,6 +156,12 @@
     conclude(at, request.number, notRun(reason, retryTime(wait)));
 }
 
+void RequestCore::Impl::giveUpQueued(Moment at, Request& request)
+{
+    const auto estimate = waitOf(at.now, request, pool(request.pool));
+    conclude(at, request.number, notRun(Reason::DeadlineCannotBeMet, retryTime(estimate.wait)));
+}
+
 void RequestCore::Impl::admit(Moment at, Request& request)
 {
     PoolState& state = pool(request.pool);
@@ -140,7 +171,7 @@
         return;
     }
     const auto estimate = waitOf(at.now, request, state);
-    const auto run = m_runTimes.expected(request.service, declaredRunTime(request.service));
+    const auto run = m_runTimes.cautious(request.service, declaredRunTime(request.service));
     if (m_guards.deadlineAware && at.now + estimate.wait + run > request.deadline) {
         refuse(at, request, estimate.quotaBound ? Reason::QuotaExceeded : Reason::DeadlineCannotBeMet, estimate.wait);
         return;
@@ -153,6 +184,10 @@
         }
         conclude(at, *victim, notRun(Reason::QueueFull, retryTime(estimate.wait)));
     }
+    if (state.queue.size() == 0 && state.queue.mayStart(request.team, shareOf(request.team)) && state.slots.hasFreeSlot(at.now, m_mayDispatch)) {
+        startNext(at, state, request);
+        return;
+    }
     enqueue(request);
     pump(at, request.pool);
 }
@@ -160,31 +195,36 @@
 void RequestCore::Impl::enqueue(Request& request)
 {
     const auto run = m_runTimes.expected(request.service, declaredRunTime(request.service));
+    const auto cautious = m_runTimes.cautious(request.service, declaredRunTime(request.service));
     request.state = RequestState::Queued;
-    // From then on it couldn't end in time, so it is answered then and not at its deadline.
-    setGiveUp(request, m_guards.deadlineAware ? std::max(request.arrived, request.deadline - run) : request.deadline);
+    // From then on it would hardly end in time, so it is answered then and not at its deadline.
+    setGiveUp(request, m_guards.deadlineAware ? std::max(request.arrived, request.deadline - cautious) : request.deadline);
     pool(request.pool).queue.push(request.number, request.team, request.rank, run, shareOf(request.team));
 }
 
 void RequestCore::Impl::pump(Moment at, const std::string& name)
 {
     PoolState& state = pool(name);
+    // A claim that is refused at once frees its slot inside this loop, which then goes on with it.
+    if (std::exchange(state.pumping, true))
+        return;
     while (state.queue.size() > 0 && state.slots.hasFreeSlot(at.now, m_mayDispatch)) {
         const auto number = state.queue.pop();
         if (!number)
-            return;
+            break;
         if (Request* request = find(*number))
             startNext(at, state, *request);
     }
+    state.pumping = false;
 }
 
 void RequestCore::Impl::startNext(Moment at, PoolState& state, Request& request)
 {
     if (m_guards.deadlineAware && request.giveUpAt < at.now) {
-        conclude(at, request.number, notRun(Reason::DeadlineCannotBeMet, m_limits.retryBase));
+        giveUpQueued(at, request);
         return;
     }
-    const PoolUpstream* upstream = state.slots.take(at.now, m_mayDispatch, request.tried);
+    const PoolUpstream* upstream = state.slots.take(at.now, m_mayDispatch, request.tried, request.idempotent && request.tried.empty());
     if (!upstream) {
         enqueue(request);
         return;
--- a/Source/Core/Decision/Requests/RequestRouting.cpp
+++ b/Source/Core/Decision/Requests/RequestRouting.cpp
@@ -24,7 +24,10 @@
 {
     if (m_alive.empty())
         return m_identity.self;
-    return Common::rendezvousTop(pool, m_alive, 1).front();
+    const auto known = m_owners.find(pool);
+    if (known != m_owners.end())
+        return known->second;
+    return m_owners.emplace(pool, Common::rendezvousTop(pool, m_alive, 1).front()).first->second;
 }
 
 void RequestCore::Impl::route(Moment at, Request& request)
@@ -63,6 +66,7 @@
     message.hops = request.hops + 1;
     request.state = request.claimed ? RequestState::PassedOn : RequestState::Forwarded;
     request.forwardedTo = to;
+    m_byRequestId[request.requestId] = request.number;
     ++m_counts.forwards;
     send(to, std::move(message));
 }
@@ -82,7 +86,7 @@
     const DoorRequest asked { message.service, message.team, message.priority, message.idempotencyKey, message.idempotent, bodyBytes, message.timeLeft };
     const auto admitted = checkAtDoor(*m_objects, m_dataCentres, at.wall, m_limits.clockSkew, asked);
     if (!admitted) {
-        refuseAtOnce(admitted.error());
+        refuseAtOnce(doorAnswer(admitted.error(), !message.homeDataCentre.empty()));
         return;
     }
     Request request;
@@ -99,11 +103,11 @@
     request.deadline = at.now + message.timeLeft;
     request.body = message.body;
     request.contentType = message.contentType;
-    request.bodyHash = Common::hash64(message.body ? *message.body : std::string(), Common::hash64(message.service));
+    request.bodyHash = Common::hash64(message.body ? std::string_view(*message.body) : std::string_view(), Common::hash64(message.service));
     request.hops = message.hops;
     Request& added = add(std::move(request));
     // Its home passed it on with the claim made there: it runs here, under the home's record.
-    const bool passedOn = !added.homeDataCentre.empty() && added.homeDataCentre != m_identity.dataCentre;
+    const bool passedOn = runsForHome(added);
     const HostId owner = ownerOf(added.pool);
     if (owner == m_identity.self || added.hops >= m_limits.maximumHops || owner == from)
         own(at, added);
@@ -113,7 +117,7 @@
         route(at, added);
 }
 
-void RequestCore::Impl::answerFromPeer(Moment at, const Messages::ForwardAnswer& message)
+void RequestCore::Impl::answerFromPeer(Moment at, const HostId& from, const Messages::ForwardAnswer& message)
 {
     const auto it = m_byRequestId.find(message.requestId);
     if (it == m_byRequestId.end())
@@ -121,6 +125,9 @@
     Request* request = find(it->second);
     if (!request || (request->state != RequestState::Forwarded && request->state != RequestState::PassedOn))
         return;
+    // An owner that was given up on may still have the result; what else it says is overtaken by the next owner.
+    if (request->forwardedTo != from && message.answer.outcome != Outcome::Done)
+        return;
     request->vouched = true;
     conclude(at, request->number, message.answer);
 }
@@ -143,6 +150,9 @@
 void RequestCore::Impl::peerLost(Moment at, const HostId& host)
 {
     std::erase(m_alive, host);
+    m_owners.clear();
+    for (auto& [name, state] : m_pools)
+        state.slots.peerLost(at.now, host, longestRunTime(name));
     for (auto& [name, remote] : m_remotes)
         std::erase(remote.hosts, host);
     for (const auto token : m_rounds.waitingFor(host))
@@ -159,17 +169,8 @@
     std::sort(sent.begin(), sent.end());
     std::sort(taken.begin(), taken.end());
     for (const auto number : sent) {
-        Request* lost = find(number);
-        if (!lost)
-            continue;
-        Request& request = *lost;
-        request.mayHaveRun = true;
-        // Idempotent ones may run again; keyed ones are safe because the holders refuse a second claim.
-        const bool safe = request.idempotent || (request.state == RequestState::Forwarded && !request.homeDataCentre.empty());
-        if (safe && ++request.attempts < m_limits.maximumAttempts)
-            route(at, request);
-        else
-            conclude(at, number, unknown(Reason::OwnerLost));
+        if (Request* request = find(number))
+            lostForwarded(at, *request);
     }
     for (const auto number : taken) {
         if (Request* request = find(number))
@@ -177,6 +178,26 @@
     }
 }
 
+void RequestCore::Impl::lostForwarded(Moment at, Request& request)
+{
+    request.mayHaveRun = true;
+    // Idempotent ones may run again; keyed ones are safe where the holders refuse a second claim. What runs here under
+    // the claim of another data centre has no claim of its own, so nothing would stop a second run.
+    const bool claimGuards = request.state == RequestState::Forwarded && !request.homeDataCentre.empty() && !runsForHome(request);
+    if ((request.idempotent || claimGuards) && ++request.attempts < m_limits.maximumAttempts)
+        route(at, request);
+    else
+        conclude(at, request.number, unknown(Reason::OwnerLost));
+}
+
+void RequestCore::Impl::cancelFromPeer(Moment at, const HostId& from, const Messages::ForwardCancel& message)
+{
+    const auto number = m_byPeer.find({ from, message.requestId });
+    Request* request = number == m_byPeer.end() ? nullptr : find(number->second);
+    if (request)
+        abandon(at, *request, message.explicitly);
+}
+
 std::optional<HostId> RequestCore::Impl::helpElsewhere(Moment at, const Request& request, std::chrono::microseconds ownWait) const
 {
     const bool alreadyAway = !request.homeDataCentre.empty() && request.homeDataCentre != m_identity.dataCentre;
@@ -216,13 +237,10 @@
     if (const auto* it = std::get_if<Messages::ForwardRequest>(&message))
         m_impl->arriveFromPeer(at, from, *it);
     else if (const auto* it = std::get_if<Messages::ForwardAnswer>(&message))
-        m_impl->answerFromPeer(at, *it);
-    else if (const auto* it = std::get_if<Messages::ForwardCancel>(&message)) {
-        const auto number = m_impl->m_byPeer.find({ from, it->requestId });
-        Request* request = number == m_impl->m_byPeer.end() ? nullptr : m_impl->find(number->second);
-        if (request)
-            m_impl->abandon(at, *request, false);
-    } else if (const auto* it = std::get_if<Messages::ClaimRequest>(&message))
+        m_impl->answerFromPeer(at, from, *it);
+    else if (const auto* it = std::get_if<Messages::ForwardCancel>(&message))
+        m_impl->cancelFromPeer(at, from, *it);
+    else if (const auto* it = std::get_if<Messages::ClaimRequest>(&message))
         m_impl->claimAsked(at, from, *it);
     else if (const auto* it = std::get_if<Messages::ClaimReply>(&message))
         m_impl->claimVerdict(at, from, it->token, { it->verdict, it->answer });
--- a/Source/Core/Decision/Requests/RequestTypes.h
+++ b/Source/Core/Decision/Requests/RequestTypes.h
@@ -35,6 +35,8 @@
     bool claimBeforeDispatch = true; ///< Non-idempotent requests are claimed before they are dispatched.
     bool allHoldersAnswer = true; ///< A claim needs both holders, not just the first.
     bool viewEpochChecked = true; ///< Holders refuse claims of another view.
+    bool vouchTimeChecked = true; ///< A holder speaks for its records only while it surely stands in the view.
+    bool claimantRemembers = true; ///< A claimant never dispatches a key a second time.
     bool memoryVouched = true; ///< Holders answer only for keys issued after their memory began.
     bool notRunOnlyIfProved = true; ///< A request that may have run is never answered with NotRun.
     bool retryOnlyIfSafe = true; ///< Non-idempotent requests are retried only when proved not run.
--- a/Source/Core/Decision/Requests/SlotTable.cpp
+++ b/Source/Core/Decision/Requests/SlotTable.cpp
@@ -1,6 +1,7 @@
 #include "Decision/Requests/SlotTable.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace Decision {
@@ -37,19 +38,38 @@
     for (const auto& use : uses) {
         const auto it = m_upstreams.find(use.upstream);
         if (it != m_upstreams.end() && use.inFlight > 0)
-            it->second.foreign[peer] = Foreign { use.inFlight, now + retention };
+            it->second.foreign[peer] = Foreign { use.inFlight, now + retention, std::chrono::microseconds(0) };
     }
 }
 
+void SlotTable::peerLost(Instant now, const HostId& peer, std::chrono::microseconds runTime)
+{
+    for (auto& [name, entry] : m_upstreams) {
+        const auto it = entry.foreign.find(peer);
+        if (it == entry.foreign.end() || it->second.fading.count() > 0)
+            continue;
+        it->second.until = std::min(it->second.until, now + runTime);
+        it->second.fading = runTime;
+    }
+}
+
+unsigned SlotTable::slotsLeft(const Foreign& foreign, Instant now)
+{
+    if (now >= foreign.until)
+        return 0;
+    if (foreign.fading.count() == 0)
+        return foreign.slots;
+    const auto left = std::min(foreign.fading, foreign.until - now);
+    return static_cast<unsigned>((foreign.slots * left.count() + foreign.fading.count() - 1) / foreign.fading.count());
+}
+
 unsigned SlotTable::foreignSlots(const Entry& entry, Instant now) const
 {
     if (!m_guards.foreignUseCounted)
         return 0;
     unsigned slots = 0;
-    for (const auto& [peer, foreign] : entry.foreign) {
-        if (now < foreign.until)
-            slots += foreign.slots;
-    }
+    for (const auto& [peer, foreign] : entry.foreign)
+        slots += slotsLeft(foreign, now);
     return slots;
 }
 
@@ -67,16 +87,17 @@
     return used >= limit ? 0 : limit - used;
 }
 
-const PoolUpstream* SlotTable::take(Instant now, const MayDispatch& mayDispatch, const std::vector<std::string>& avoid)
+const PoolUpstream* SlotTable::take(Instant now, const MayDispatch& mayDispatch, const std::vector<std::string>& avoid, bool mayProbe)
 {
     Entry* best = nullptr;
-    std::pair<bool, unsigned> bestScore;
+    std::tuple<bool, bool, unsigned> bestScore;
     for (auto& [name, entry] : m_upstreams) {
         const unsigned spare = freeSlots(entry, now);
         if (spare == 0 || !mayDispatch(name, m_pool, now))
             continue;
         const bool fresh = std::find(avoid.begin(), avoid.end(), name) == avoid.end();
-        const std::pair<bool, unsigned> score { fresh, spare };
+        const bool probing = entry.health.state(now) == UpstreamHealth::State::Probing;
+        const std::tuple score { fresh, probing == mayProbe, spare };
         if (best && score <= bestScore)
             continue;
         best = &entry;
--- a/Source/Core/Decision/Requests/SlotTable.h
+++ b/Source/Core/Decision/Requests/SlotTable.h
@@ -27,8 +27,12 @@
     /// Slots that a peer reported in use on the pool's upstreams, replacing its earlier report.
     void setForeignUse(Instant now, const HostId& peer, const std::vector<Messages::UpstreamUse>&, std::chrono::milliseconds retention);
 
+    /// The peer is gone and can't say when its attempts end: its slots come free evenly over `runTime`.
+    void peerLost(Instant now, const HostId& peer, std::chrono::microseconds runTime);
+
     /// Takes a slot on the best upstream that isn't in `avoid`, or on any when all are; nothing when none is free.
-    const PoolUpstream* take(Instant now, const MayDispatch&, const std::vector<std::string>& avoid);
+    /// Upstreams that are being probed come first for a request that may probe, and last for others.
+    const PoolUpstream* take(Instant now, const MayDispatch&, const std::vector<std::string>& avoid, bool mayProbe);
 
     /// Gives a slot back.
     void release(const std::string& upstream);
@@ -57,6 +61,7 @@
     struct Foreign {
         unsigned slots = 0;
         Instant until {};
+        std::chrono::microseconds fading { 0 }; ///< Time before `until` during which slots come free; zero for none.
     };
 
     struct Entry {
@@ -68,6 +73,7 @@
         std::map<HostId, Foreign> foreign;
     };
 
+    static unsigned slotsLeft(const Foreign&, Instant now);
     unsigned foreignSlots(const Entry&, Instant now) const;
     unsigned freeSlots(const Entry&, Instant now) const;
     void considerEjection(Instant now, Entry&);
--- a/Source/Core/Kernel/ControlEffects.cpp
+++ b/Source/Core/Kernel/ControlEffects.cpp
@@ -202,7 +202,8 @@
 void ControlService::Impl::applyMembership(Common::Instant now)
 {
     updatePeers();
-    if (membership->epoch() != appliedEpoch) {
+    // A view that this host isn't in gives it no part in claims.
+    if (membership->isMember() && membership->epoch() != appliedEpoch) {
         appliedEpoch = membership->epoch();
         Decision::LedgerView view { appliedEpoch, {} };
         for (const auto& member : membership->currentView().members)
@@ -211,6 +212,8 @@
         metrics.setViewMembers(view.members.size());
         requests.run([&](auto& core, Decision::Moment at) { core.setView(at, view); });
     }
+    const auto leaseEnd = membership->leaseValidUntil();
+    requests.run([&](auto& core, Decision::Moment at) { core.setVouchUntil(at.now, leaseEnd); });
     auto alive = readyMembers(now);
     if (alive != appliedAlive) {
         appliedAlive = alive;
--- a/Source/Core/Messages/Codec.cpp
+++ b/Source/Core/Messages/Codec.cpp
@@ -17,7 +17,7 @@
 
     constexpr std::size_t headerBytes = 2;
 
-    template <typename T>
+    template<typename T>
     concept Enumeration = std::is_enum_v<T>;
 
     const char* describe(Kind kind)
@@ -40,13 +40,13 @@
     /// Counts the scalars of a message, for the array header.
     class FieldCounter {
     public:
-        template <typename... Fields>
+        template<typename... Fields>
         void operator()(const Fields&... fields) { (count(fields), ...); }
 
         std::uint32_t total() const { return m_total; }
 
     private:
-        template <typename T>
+        template<typename T>
         void count(const T& field)
         {
             if constexpr (requires { visitFields(*this, field); })
@@ -55,7 +55,7 @@
                 ++m_total;
         }
 
-        template <typename T>
+        template<typename T>
         void count(const std::vector<T>& fields)
         {
             ++m_total;
@@ -87,7 +87,7 @@
         {
         }
 
-        template <typename... Fields>
+        template<typename... Fields>
         void operator()(const Fields&... fields) { (write(fields), ...); }
 
     private:
@@ -115,7 +115,7 @@
             m_packer.pack_bin_body(field->data(), static_cast<std::uint32_t>(field->size()));
         }
 
-        template <typename T>
+        template<typename T>
         void write(const std::vector<T>& fields)
         {
             m_packer.pack_uint64(fields.size());
@@ -123,7 +123,7 @@
                 write(field);
         }
 
-        template <typename T>
+        template<typename T>
         void write(const T& field) requires requires(FieldWriter& writer) { visitFields(writer, field); }
         {
             visitFields(*this, field);
@@ -220,7 +220,7 @@
         {
         }
 
-        template <typename... Fields>
+        template<typename... Fields>
         void operator()(Fields&... fields) { (read(fields), ...); }
 
         bool isWhole() const { return m_good && m_next == m_tokens.size(); }
@@ -272,7 +272,7 @@
         void read(std::chrono::milliseconds& field) { field = std::chrono::milliseconds(takeSigned()); }
         void read(Common::WallTime& field) { field = Common::WallTime(std::chrono::milliseconds(takeSigned())); }
 
-        template <Enumeration E>
+        template<Enumeration E>
         void read(E& field) { field = static_cast<E>(takeUnsigned(static_cast<std::uint64_t>(lastValue(E {})))); }
 
         void read(std::string& field)
@@ -295,7 +295,7 @@
                 field = std::make_shared<const std::string>(token->data, token->size);
         }
 
-        template <typename T>
+        template<typename T>
         void read(std::vector<T>& fields)
         {
             const auto count = takeUnsigned(m_tokens.size() - m_next);
@@ -303,7 +303,7 @@
                 read(fields.emplace_back());
         }
 
-        template <typename T>
+        template<typename T>
         void read(T& field) requires requires(FieldReader& reader) { visitFields(reader, field); }
         {
             visitFields(*this, field);
@@ -317,7 +317,7 @@
     using Decoded = Common::Result<PeerMessage, CodecError>;
     using Decoder = Decoded (*)(const std::vector<Token>&);
 
-    template <std::size_t index>
+    template<std::size_t index>
     Decoded decodeFields(const std::vector<Token>& tokens)
     {
         PeerMessage message { std::in_place_index<index> };
@@ -328,7 +328,7 @@
         return message;
     }
 
-    template <std::size_t... indexes>
+    template<std::size_t... indexes>
     constexpr std::array<Decoder, sizeof...(indexes)> makeDecoders(std::index_sequence<indexes...>)
     {
         return { &decodeFields<indexes>... };
--- a/Source/Core/Messages/PeerMessages.h
+++ b/Source/Core/Messages/PeerMessages.h
@@ -41,9 +41,10 @@
     Answer answer;
 };
 
-/// The caller of a forwarded request has gone.
+/// The caller of a forwarded request has gone, or has cancelled it.
 struct ForwardCancel {
     std::string requestId;
+    bool explicitly = false; ///< Cancelled by its key; the caller still waits for the answer.
 };
 
 /// Names a non-idempotent request: the team, its key, and the pool whose holders keep the record.
@@ -61,6 +62,7 @@
     ClaimKey key;
     std::uint64_t bodyHash = 0;
     std::uint64_t viewEpoch = 0;
+    bool allMembers = false; ///< Every member of the view is asked, so that a holder needs no lease to grant.
 };
 
 /// What a holder says to a claim.
--- a/Source/Core/Ports/CallerPort.cpp
+++ b/Source/Core/Ports/CallerPort.cpp
@@ -55,6 +55,8 @@
         return "key-too-old";
     case Reason::AnswerExpired:
         return "answer-expired";
+    case Reason::StillRunning:
+        return "still-running";
     }
     return "none";
 }
--- a/Source/Core/Ports/CallerPort.h
+++ b/Source/Core/Ports/CallerPort.h
@@ -66,6 +66,7 @@
     OwnerLost,
     KeyTooOld,
     AnswerExpired,
+    StillRunning,
 };
 
 /// Lower-case, hyphenated name of a reason as callers and metrics see it, for example "queue-full".
--- a/Source/UnitTests/Adapters/CallersTest.cpp
+++ b/Source/UnitTests/Adapters/CallersTest.cpp
@@ -99,7 +99,7 @@
         { Reason::ShuttingDown, 503 }, { Reason::NotReady, 503 }, { Reason::ClaimUnavailable, 503 },
         { Reason::CancelledByCaller, 503 }, { Reason::UpstreamRefused, 503 }, { Reason::UpstreamLost, 503 },
         { Reason::AnswerTruncated, 503 }, { Reason::RetryBudgetSpent, 503 }, { Reason::OwnerLost, 503 },
-        { Reason::KeyTooOld, 503 }, { Reason::AnswerExpired, 503 }
+        { Reason::KeyTooOld, 503 }, { Reason::AnswerExpired, 503 }, { Reason::StillRunning, 503 }
     };
     Ports::Answer answer;
     Rig* self = nullptr;
--- a/Source/UnitTests/Messages/CodecTest.cpp
+++ b/Source/UnitTests/Messages/CodecTest.cpp
@@ -30,7 +30,7 @@
     std::vector<PeerMessage> all {
         ForwardRequest { "r1", "book", "t", "urgent", "k", true, 5000ms, "application/json", bytes("body"), 12, "imlil", 2 },
         ForwardAnswer { "r1", sampleAnswer() },
-        ForwardCancel { "r1" },
+        ForwardCancel { "r1", true },
         ClaimRequest { 4, key, 77, 3 },
         ClaimReply { 4, ClaimVerdict::Full, 3, sampleAnswer() },
         ClaimFinished { key, sampleAnswer() },
