Cut idle control: one watch per data centre, records read when they changed, coarser ticks

Cause: docs/CAPACITY.md: every host kept a watch (a starting host took itself for the only one alive), read the assignment record each 5 s and the host list each second, and ticked each 5 and 50 ms. Ruled out: no watch at all (the store would be polled). Change: nobody watches before it had time to hear its peers; the record is read when a heartbeat shows a later version (each 60 s else); the host list each 2 s (a leaving upstream has 3 s); ticks each 20 and 100 ms.

--- a/Source/Core/Kernel/AssignmentAgent.cpp
+++ b/Source/Core/Kernel/AssignmentAgent.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-    constexpr std::chrono::milliseconds refreshInterval { 5000 };
+    /// Later versions are learnt from heartbeats; this is for a host that hears no peer.
+    constexpr std::chrono::milliseconds refreshInterval { 60000 };
     constexpr std::chrono::milliseconds retryInterval { 300 };
 
 } // namespace
--- a/Source/Core/Kernel/ControlEffects.cpp
+++ b/Source/Core/Kernel/ControlEffects.cpp
@@ -193,6 +193,19 @@
     return members;
 }
 
+std::vector<Ports::HostId> ControlService::Impl::settledMembers(Common::Instant now)
+{
+    if (!membership->isMember()) {
+        memberSince.reset();
+        return {};
+    }
+    if (!memberSince)
+        memberSince = now;
+    if (now - *memberSince < settings.limits.suspectAfter)
+        return {};
+    return membership->aliveMembers(now);
+}
+
 bool ControlService::Impl::gone(const Ports::HostId& host, Common::Instant now) const
 {
     const auto it = disconnected.find(host);
--- a/Source/Core/Kernel/ControlService.cpp
+++ b/Source/Core/Kernel/ControlService.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-    constexpr std::chrono::milliseconds hostListInterval { 1000 };
+    constexpr std::chrono::milliseconds hostListInterval { 2000 }; ///< A leaving upstream gets nothing new within 3 s.
 
     template<typename Pointer, typename Error>
     Pointer orThrow(Common::Result<Pointer, Error> result)
@@ -159,7 +159,7 @@
 {
     updateHeartbeat(now);
     membership->tick(now);
-    keeper->tick(now, membership->aliveMembers(now));
+    keeper->tick(now, settledMembers(now));
     publisher->tick(now);
     auditTrail->tick(now);
     assignments.tick(now, viewLease(now));
--- a/Source/Core/Kernel/ControlServiceImpl.h
+++ b/Source/Core/Kernel/ControlServiceImpl.h
@@ -45,6 +45,8 @@
     void finishPublications();
     void record(const std::string& who, const std::string& what, const std::string& why);
     std::vector<Ports::HostId> readyMembers(Common::Instant now) const;
+    /// Alive members, but nobody until this host had time to hear them: else each one that starts takes itself for the only one.
+    std::vector<Ports::HostId> settledMembers(Common::Instant now);
     bool gone(const Ports::HostId&, Common::Instant now) const;
     std::optional<Decision::ViewLease> viewLease(Common::Instant now) const;
 
@@ -78,6 +80,7 @@
     std::vector<Ports::HostId> appliedAlive;
     std::map<std::string, std::vector<Decision::PoolUpstream>> appliedUpstreams;
     Common::Instant nextHostList {};
+    std::optional<Common::Instant> memberSince;
     bool draining = false;
     bool ready = false;
     std::vector<std::string> notReadyBecause;
--- a/Source/Core/Kernel/EntryHost.cpp
+++ b/Source/Core/Kernel/EntryHost.cpp
@@ -17,8 +17,8 @@
 
 namespace {
 
-    constexpr milliseconds requestTickInterval { 5 };
-    constexpr milliseconds controlTickInterval { 50 };
+    constexpr milliseconds requestTickInterval { 20 }; ///< Answers at deadlines come at most this late.
+    constexpr milliseconds controlTickInterval { 100 };
     constexpr milliseconds balancerGrace { 1000 }; ///< For the balancer and the peers to see that this host isn't ready.
     constexpr milliseconds leaveLimit { 3000 };
     constexpr unsigned connectionsPerUpstream = 64;
--- a/Source/Core/Kernel/OperatorApi.cpp
+++ b/Source/Core/Kernel/OperatorApi.cpp
@@ -1,5 +1,6 @@
 #include "Kernel/OperatorApi.h"
 
+#include "Common/CompactJson.h"
 #include "Objects/ObjectSetLoader.h"
 #include "Objects/ObjectWriter.h"
 
@@ -23,16 +24,9 @@
     constexpr int unprocessable = 422;
     constexpr int unavailable = 503;
 
-    std::string text(const Json::Value& value)
-    {
-        Json::StreamWriterBuilder builder;
-        builder["indentation"] = "";
-        return Json::writeString(builder, value) + "\n";
-    }
-
     void sendJson(const Ports::OperatorReplyCallback& reply, int status, const Json::Value& value)
     {
-        reply({ status, "application/json", text(value) });
+        reply({ status, "application/json", Common::compactJson(value) + "\n" });
     }
 
     void sendError(const Ports::OperatorReplyCallback& reply, int status, const std::string& message)
