--- a/Source/Apps/Marigoldctl/ApiCodec.cpp
+++ b/Source/Apps/Marigoldctl/ApiCodec.cpp
@@ -1,5 +1,7 @@
 #include "ApiCodec.h"
 
+#include "Common/CompactJson.h"
+
 #include <json/json.h>
 #include <memory>
 #include <sstream>
@@ -22,13 +24,6 @@
         return value;
     }
 
-    std::string compact(const Json::Value& value)
-    {
-        Json::StreamWriterBuilder builder;
-        builder["indentation"] = "";
-        return Json::writeString(builder, value);
-    }
-
     std::vector<std::string> strings(const Json::Value& list)
     {
         std::vector<std::string> items;
@@ -90,7 +85,7 @@
     value["changeId"] = call.changeId;
     value["document"] = call.document;
     value["reason"] = call.reason;
-    return compact(value);
+    return Common::compactJson(value);
 }
 
 std::string encodeMove(const MoveCall& call)
@@ -98,7 +93,7 @@
     Json::Value value;
     value["upstream"] = call.upstream;
     value["target"] = call.target;
-    return compact(value);
+    return Common::compactJson(value);
 }
 
 FleetStatus decodeStatus(const std::string& text)
--- a/Source/Apps/Marigoldstile/Main.cpp
+++ b/Source/Apps/Marigoldstile/Main.cpp
@@ -8,10 +8,10 @@
 #include <csignal>
 #include <gflags/gflags.h>
 #include <iostream>
+#include <string>
 
 DEFINE_string(settings, "", "file with the settings of this host, JSON with comments");
 DEFINE_bool(check, false, "check the settings, print every error and exit");
-DEFINE_bool(explain_settings, false, "print every setting with its default and accepted values, and exit");
 
 namespace {
 
@@ -26,6 +26,50 @@
     stopAsked = true;
 }
 
+/// One topic of the help.
+struct HelpTopic {
+    const char* name;
+    std::string (*text)();
+};
+
+std::string usageText()
+{
+    return "Runs one entry host.\n\n"
+           "  marigoldstile --settings FILE          serve until SIGTERM or SIGINT\n"
+           "  marigoldstile --settings FILE --check  check the settings, print every error and exit\n"
+           "  marigoldstile --help TOPIC             one of: usage, settings, exit-codes, signals\n";
+}
+
+std::string exitCodesText()
+{
+    return "0  stopped as asked, or the settings are fine\n"
+           "1  could not run, for example because an address is taken\n"
+           "2  wrong command line or settings\n";
+}
+
+std::string signalsText()
+{
+    return "SIGTERM, SIGINT  leave the balancer, finish what is in flight, leave the view, exit\n";
+}
+
+int help(const std::string& topic)
+{
+    static const HelpTopic s_topics[] = {
+        { "usage", usageText },
+        { "settings", Kernel::Settings::help },
+        { "exit-codes", exitCodesText },
+        { "signals", signalsText },
+    };
+    for (const auto& it : s_topics) {
+        if (topic == it.name || topic.empty()) {
+            std::cout << it.text();
+            return exitOk;
+        }
+    }
+    std::cerr << "no help on " << topic << "; topics: usage, settings, exit-codes, signals\n";
+    return exitUsage;
+}
+
 int serve(const Kernel::Settings& settings)
 {
     auto logging = Kernel::Logging::create(settings.logging);
@@ -51,12 +95,10 @@
 
 int main(int argc, char** argv)
 {
-    gflags::SetUsageMessage("runs one entry host\n\n  marigoldstile --settings FILE [--check]\n  marigoldstile --explain_settings");
+    if (argc > 1 && (std::string(argv[1]) == "--help" || std::string(argv[1]) == "help"))
+        return help(argc > 2 ? argv[2] : "");
+    gflags::SetUsageMessage("runs one entry host; see marigoldstile --help");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    if (FLAGS_explain_settings) {
-        std::cout << Kernel::Settings::help();
-        return exitOk;
-    }
     if (FLAGS_settings.empty()) {
         std::cerr << "needed: --settings FILE\n";
         return exitUsage;
