--- a/Source/Core/Decision/Requests/FairQueue.cpp
+++ b/Source/Core/Decision/Requests/FairQueue.cpp
@@ -13,43 +13,43 @@
 {
     // Without priorities every request stands in one line of one rank.
     const unsigned line = m_priorityOrdered ? rank : 0;
-    const std::string lineTeam = m_priorityOrdered ? team : std::string();
     Rank& at = m_ranks[line];
-    TeamLine& teamLine = at.teams[lineTeam];
+    auto& waitingTeam = *at.teams.try_emplace(m_priorityOrdered ? team : std::string()).first;
+    TeamLine& teamLine = waitingTeam.second;
     if (teamLine.waiting.empty()) {
         teamLine.served = std::max(teamLine.served, at.virtualTime);
         teamLine.share = m_priorityOrdered ? share : TeamShare {};
-        enterOrder(at, lineTeam, teamLine);
+        enterOrder(at, waitingTeam);
     }
     teamLine.waiting.emplace(number, cost);
     teamLine.queued += cost;
     at.queued += cost;
     ++at.waiting;
-    m_entries.emplace(number, Entry { lineTeam, line, cost });
+    m_entries.emplace(number, Entry { &at, &waitingTeam });
 }
 
-void FairQueue::enterOrder(Rank& rank, const std::string& team, const TeamLine& line)
+void FairQueue::enterOrder(Rank& rank, TeamLines::value_type& team)
 {
-    rank.order.emplace(line.served, team);
-    rank.waitingWeight += line.share.weight;
+    rank.order.insert(&team);
+    rank.waitingWeight += team.second.share.weight;
 }
 
-void FairQueue::leaveOrder(Rank& rank, const std::string& team, const TeamLine& line)
+void FairQueue::leaveOrder(Rank& rank, TeamLines::value_type& team)
 {
-    rank.order.erase({ line.served, team });
-    rank.waitingWeight -= line.share.weight;
+    rank.order.erase(&team);
+    rank.waitingWeight -= team.second.share.weight;
 }
 
-void FairQueue::forget(RequestNumber number, Rank& rank, const std::string& team)
+void FairQueue::forget(RequestNumber number, Rank& rank, TeamLines::value_type& team)
 {
-    TeamLine& line = rank.teams.at(team);
+    TeamLine& line = team.second;
     const auto waiting = line.waiting.find(number);
     line.queued -= waiting->second;
     rank.queued -= waiting->second;
     line.waiting.erase(waiting);
     --rank.waiting;
     if (line.waiting.empty())
-        leaveOrder(rank, team, line);
+        leaveOrder(rank, team);
     m_entries.erase(number);
     // What teams were served is forgotten once nobody waits: an idle team keeps neither credit nor debt.
     if (rank.waiting > 0)
@@ -64,7 +64,7 @@
     if (it == m_entries.end())
         return false;
     const Entry entry = it->second;
-    forget(number, m_ranks[entry.rank], entry.team);
+    forget(number, *entry.rank, *entry.team);
     return true;
 }
 
@@ -75,16 +75,16 @@
 
 std::optional<RequestNumber> FairQueue::popFrom(Rank& rank)
 {
-    const auto next = std::find_if(rank.order.begin(), rank.order.end(), [&](const auto& item) { return mayStart(item.second, rank.teams.at(item.second).share); });
+    const auto next = std::find_if(rank.order.begin(), rank.order.end(), [&](const auto* team) { return mayStart(team->first, team->second.share); });
     if (next == rank.order.end())
         return std::nullopt;
-    const std::string team = next->second;
-    TeamLine& line = rank.teams.at(team);
+    TeamLines::value_type& team = **next;
+    TeamLine& line = team.second;
     const auto [number, cost] = *line.waiting.begin();
-    leaveOrder(rank, team, line);
+    leaveOrder(rank, team);
     rank.virtualTime = std::max(rank.virtualTime, line.served);
     line.served += static_cast<double>(cost.count()) / std::max(1u, line.share.weight);
-    enterOrder(rank, team, line);
+    enterOrder(rank, team);
     forget(number, rank, team);
     return number;
 }
--- a/Source/Core/Decision/Requests/FairQueue.h
+++ b/Source/Core/Decision/Requests/FairQueue.h
@@ -9,8 +9,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
-#include <utility>
 
 namespace Decision {
 
@@ -57,12 +57,6 @@
     Cost costOf(const std::string& team) const;
 
 private:
-    struct Entry {
-        std::string team;
-        unsigned rank = 0;
-        Cost cost { 0 };
-    };
-
     struct TeamLine {
         std::map<RequestNumber, Cost> waiting; ///< Numbers grow with arrival.
         Cost queued { 0 };
@@ -70,11 +64,22 @@
         TeamShare share;
     };
 
-    /// Teams with waiting requests, the one that is to be served next first.
-    using ServiceOrder = std::set<std::pair<double, std::string>>;
+    using TeamLines = std::unordered_map<std::string, TeamLine>;
+
+    /// The team served least goes first; the name settles ties.
+    struct ServedLess {
+        bool operator()(const TeamLines::value_type* left, const TeamLines::value_type* right) const
+        {
+            return std::tie(left->second.served, left->first) < std::tie(right->second.served, right->first);
+        }
+    };
+
+    /// Teams with waiting requests, the one that is to be served next first. A team's served time only changes while
+    /// the team is out of the set.
+    using ServiceOrder = std::set<TeamLines::value_type*, ServedLess>;
 
     struct Rank {
-        std::unordered_map<std::string, TeamLine> teams;
+        TeamLines teams;
         ServiceOrder order;
         unsigned waitingWeight = 0; ///< Of the teams with waiting requests.
         Cost queued { 0 };
@@ -82,10 +87,16 @@
         std::size_t waiting = 0;
     };
 
+    /// Where a request waits. Its rank and its team's line stay as long as it does.
+    struct Entry {
+        Rank* rank = nullptr;
+        TeamLines::value_type* team = nullptr;
+    };
+
     std::optional<RequestNumber> popFrom(Rank&);
-    static void enterOrder(Rank&, const std::string& team, const TeamLine&);
-    static void leaveOrder(Rank&, const std::string& team, const TeamLine&);
-    void forget(RequestNumber, Rank&, const std::string& team);
+    static void enterOrder(Rank&, TeamLines::value_type&);
+    static void leaveOrder(Rank&, TeamLines::value_type&);
+    void forget(RequestNumber, Rank&, TeamLines::value_type&);
 
     bool m_priorityOrdered;
     std::map<unsigned, Rank> m_ranks;
--- a/Source/Core/Decision/Requests/RequestAttempts.cpp
+++ b/Source/Core/Decision/Requests/RequestAttempts.cpp
@@ -57,6 +57,8 @@
         slots.refused(at.now, attempt.upstream);
         return;
     case AttemptEnd::NotSent:
+        slots.unreachable(at.now, attempt.upstream);
+        return;
     case AttemptEnd::Lost:
     case AttemptEnd::Truncated:
         slots.failed(at.now, attempt.upstream);
@@ -124,7 +126,8 @@
 {
     if (!proved && !request.idempotent && m_guards.retryOnlyIfSafe)
         return false;
-    if (request.attempts >= m_limits.maximumAttempts)
+    // What surely wasn't run costs nothing to repeat; the deadline and the budget bound it.
+    if (!proved && request.attempts >= m_limits.maximumAttempts)
         return false;
     if (m_guards.harmfulSetAside && m_harmful.isHarmful(at.now, request.bodyHash))
         return false;
--- a/Source/Core/Decision/Requests/RequestCore.cpp
+++ b/Source/Core/Decision/Requests/RequestCore.cpp
@@ -47,8 +47,8 @@
     if (!request.key.empty())
         m_byTeamKey.emplace(std::make_pair(request.team, request.key), number);
     Request& added = m_requests.emplace(number, std::move(request)).first->second;
-    added.giveUpAt = Instant::max();
-    setGiveUp(added, added.deadline);
+    added.giveUpAt = added.deadline;
+    added.giveUpEntry = m_giveUps.emplace_hint(m_giveUps.end(), added.giveUpAt, number);
     return added;
 }
 
@@ -62,9 +62,11 @@
 {
     if (request.giveUpAt == at)
         return;
-    m_giveUps.erase({ request.giveUpAt, request.number });
+    // The node is used again, and most changes go to about the latest time of all.
+    auto node = m_giveUps.extract(request.giveUpEntry);
+    node.value().first = at;
     request.giveUpAt = at;
-    m_giveUps.insert({ at, request.number });
+    request.giveUpEntry = m_giveUps.insert(m_giveUps.end(), std::move(node));
 }
 
 void RequestCore::Impl::erase(RequestNumber number)
@@ -73,7 +75,7 @@
     if (it == m_requests.end())
         return;
     const Request& request = it->second;
-    m_giveUps.erase({ request.giveUpAt, number });
+    m_giveUps.erase(request.giveUpEntry);
     m_byRequestId.erase(request.requestId);
     if (const auto* caller = std::get_if<CallerSource>(&request.source))
         m_byCaller.erase(caller->handle);
@@ -132,12 +134,8 @@
 void RequestCore::Impl::tick(Moment at)
 {
     while (!m_giveUps.empty() && m_giveUps.begin()->first <= at.now) {
-        Request* request = find(m_giveUps.begin()->second);
-        if (!request) {
-            m_giveUps.erase(m_giveUps.begin());
-            continue;
-        }
-        giveUp(at, *request);
+        // Every entry belongs to an open request.
+        giveUp(at, m_requests.at(m_giveUps.begin()->second));
     }
     expireClaims(at);
     if (at.now < m_nextHousekeeping)
--- a/Source/Core/Decision/Requests/RequestCoreImpl.h
+++ b/Source/Core/Decision/Requests/RequestCoreImpl.h
@@ -95,7 +95,7 @@
     void enqueue(Request&);
     void pump(Moment, const std::string& pool);
     void startNext(Moment, PoolState&, Request&);
-    WaitEstimate waitOf(Instant now, const Request&, PoolState&) const;
+    WaitEstimate waitOf(Instant now, const Request&, const PoolState&, unsigned usableSlots) const;
     TeamShare shareOf(const std::string& team) const;
     std::chrono::microseconds declaredRunTime(const std::string& service) const;
     std::chrono::microseconds longestRunTime(const std::string& pool) const;
@@ -165,7 +165,7 @@
     std::pair<const std::string, PoolState>* m_latestPool = nullptr; ///< Of m_pools, which never drops one.
 
     std::unordered_map<RequestNumber, Request> m_requests;
-    std::set<std::pair<Instant, RequestNumber>> m_giveUps;
+    GiveUps m_giveUps;
     std::unordered_map<CallerHandle, RequestNumber> m_byCaller;
     std::unordered_map<std::string, RequestNumber> m_byRequestId; ///< Forwarded from here, by the id sent along.
     std::map<std::pair<HostId, std::string>, RequestNumber> m_byPeer; ///< Forwarded to here.
--- a/Source/Core/Decision/Requests/RequestPools.cpp
+++ b/Source/Core/Decision/Requests/RequestPools.cpp
@@ -126,13 +126,13 @@
     admit(at, request);
 }
 
-RequestCore::Impl::WaitEstimate RequestCore::Impl::waitOf(Instant now, const Request& request, PoolState& state) const
+RequestCore::Impl::WaitEstimate RequestCore::Impl::waitOf(Instant now, const Request& request, const PoolState& state, unsigned usableSlots) const
 {
     const TeamShare share = shareOf(request.team);
     WaitEstimate estimate;
     if (state.queue.size() == 0 && state.queue.mayStart(request.team, share))
         return estimate;
-    const unsigned slots = std::max(1u, state.slots.usableSlots(now, m_mayDispatch));
+    const unsigned slots = std::max(1u, usableSlots);
     // While a slot is free, what still waits is held back by quotas and is in nobody else's way.
     if (!state.slots.hasFreeSlot(now, m_mayDispatch))
         estimate.wait = state.queue.costAhead(request.team, request.rank, share) / slots;
@@ -158,7 +158,8 @@
 
 void RequestCore::Impl::giveUpQueued(Moment at, Request& request)
 {
-    const auto estimate = waitOf(at.now, request, pool(request.pool));
+    const PoolState& state = pool(request.pool);
+    const auto estimate = waitOf(at.now, request, state, state.slots.usableSlots(at.now, m_mayDispatch));
     conclude(at, request.number, notRun(Reason::DeadlineCannotBeMet, retryTime(estimate.wait)));
 }
 
@@ -170,7 +171,7 @@
         refuse(at, request, Reason::NoUpstream, noUpstreamRetry);
         return;
     }
-    const auto estimate = waitOf(at.now, request, state);
+    const auto estimate = waitOf(at.now, request, state, slots);
     const auto run = m_runTimes.cautious(request.service, declaredRunTime(request.service));
     if (m_guards.deadlineAware && at.now + estimate.wait + run > request.deadline) {
         refuse(at, request, estimate.quotaBound ? Reason::QuotaExceeded : Reason::DeadlineCannotBeMet, estimate.wait);
@@ -194,8 +195,9 @@
 
 void RequestCore::Impl::enqueue(Request& request)
 {
-    const auto run = m_runTimes.expected(request.service, declaredRunTime(request.service));
-    const auto cautious = m_runTimes.cautious(request.service, declaredRunTime(request.service));
+    const auto declared = declaredRunTime(request.service);
+    const auto run = m_runTimes.expected(request.service, declared);
+    const auto cautious = m_runTimes.cautious(request.service, declared);
     request.state = RequestState::Queued;
     // From then on it would hardly end in time, so it is answered then and not at its deadline.
     setGiveUp(request, m_guards.deadlineAware ? std::max(request.arrived, request.deadline - cautious) : request.deadline);
--- a/Source/Core/Decision/Requests/RequestTypes.h
+++ b/Source/Core/Decision/Requests/RequestTypes.h
@@ -10,7 +10,9 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -88,6 +90,9 @@
     PassedOn, ///< Another data centre runs it for this one.
 };
 
+/// Open requests by the time at which each is given up, earliest first.
+using GiveUps = std::set<std::pair<Instant, RequestNumber>>;
+
 /// A request from arrival to its one answer.
 struct Request {
     RequestNumber number = 0;
@@ -105,6 +110,7 @@
     Instant arrived {};
     Instant deadline {};
     Instant giveUpAt {}; ///< When it is answered without a result: the deadline, or earlier while it still waits.
+    GiveUps::iterator giveUpEntry {}; ///< Its place among the give-ups of the core that holds it.
     Bytes body;
     std::string contentType;
     std::uint64_t bodyHash = 0;
--- a/Source/Core/Decision/Requests/SlotTable.cpp
+++ b/Source/Core/Decision/Requests/SlotTable.cpp
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr std::chrono::milliseconds refusalPause { 20 };
+    constexpr std::chrono::milliseconds unreachablePause { 250 };
     constexpr std::size_t ejectedShareDivisor = 3; ///< At most a third of a pool's upstreams is ejected at once.
 
 } // namespace
@@ -75,7 +76,8 @@
 
 unsigned SlotTable::freeSlots(const Entry& entry, Instant now) const
 {
-    if (!entry.listed || now < entry.fullUntil)
+    // In a busy pool most end here; what else lowers the limit then changes nothing.
+    if (!entry.listed || entry.inFlight >= std::max(1u, entry.upstream.slots) || now < entry.fullUntil)
         return 0;
     unsigned limit = entry.upstream.slots;
     const auto state = entry.health.state(now);
@@ -121,6 +123,14 @@
         m_upstreams.erase(it);
 }
 
+void SlotTable::unreachable(Instant now, const std::string& upstream)
+{
+    failed(now, upstream);
+    const auto it = m_upstreams.find(upstream);
+    if (it != m_upstreams.end())
+        it->second.fullUntil = now + unreachablePause;
+}
+
 void SlotTable::refused(Instant now, const std::string& upstream)
 {
     const auto it = m_upstreams.find(upstream);
--- a/Source/Core/Decision/Requests/SlotTable.h
+++ b/Source/Core/Decision/Requests/SlotTable.h
@@ -40,6 +40,9 @@
     /// The upstream said that its slots are full: it gets nothing for a moment.
     void refused(Instant now, const std::string& upstream);
 
+    /// No connection could be made: a failure, and the upstream gets nothing for a while.
+    void unreachable(Instant now, const std::string& upstream);
+
     void succeeded(const std::string& upstream);
     void failed(Instant now, const std::string& upstream);
 
--- a/Source/UnitTests/Requests/PolicyUpstreamTest.cpp
+++ b/Source/UnitTests/Requests/PolicyUpstreamTest.cpp
@@ -104,3 +104,36 @@
         uncounted.ask("batch", 60s);
     CHECK(uncounted.out.size() == 8);
 }
+
+TEST_CASE("requests of an upstream that died wait for the others and aren't spent on connects to it")
+{
+    BedSettings settings = settingsOf(2, true);
+    settings.declaredRunTime = 100ms;
+    PolicyBed bed(settings);
+    std::vector<Ports::CallerHandle> handles;
+    for (int i = 0; i < 16; ++i)
+        handles.push_back(bed.ask("batch", 60s));
+    REQUIRE(bed.out.size() == 16);
+    // Fewer in flight than failures in a row would eject it for.
+    for (int spare = 5; spare > 0; --spare) {
+        const auto call = *std::find_if(bed.out.begin(), bed.out.end(), [](const auto& it) { return it.upstream == "desk-0"; });
+        bed.end(call);
+    }
+    std::map<Ports::AttemptId, std::chrono::milliseconds> age;
+    bool died = false;
+    for (auto passed = 0ms; passed < 10s; passed += 1ms) {
+        bed.pass(1ms);
+        const auto calls = bed.out;
+        for (const auto& call : calls) {
+            if (call.upstream == "desk-0")
+                bed.end(call, died ? Ports::AttemptEnd::NotSent : Ports::AttemptEnd::Lost);
+            else if ((age[call.attempt] += 1ms) >= 100ms)
+                bed.end(call);
+        }
+        died = true;
+    }
+    for (const auto handle : handles) {
+        REQUIRE(bed.answerOf(handle));
+        CHECK(bed.answerOf(handle)->answer.outcome == Ports::Outcome::Done);
+    }
+}
