--- a/Source/Core/Adapters/Callers/AnswerFormat.cpp
+++ b/Source/Core/Adapters/Callers/AnswerFormat.cpp
@@ -1,5 +1,7 @@
 #include "Adapters/Callers/AnswerFormat.h"
 
+#include "Common/CompactJson.h"
+
 #include <chrono>
 #include <json/json.h>
 
@@ -89,9 +91,7 @@
 
     Ports::Bytes jsonBody(const Json::Value& value)
     {
-        Json::StreamWriterBuilder builder;
-        builder["indentation"] = "";
-        return std::make_shared<const std::string>(Json::writeString(builder, value) + "\n");
+        return std::make_shared<const std::string>(Common::compactJson(value) + "\n");
     }
 
     Reply makeRefusal(const char* outcome, int status, const std::string& reason, const char* message, std::chrono::milliseconds retryAfter)
--- a/Source/Core/Adapters/Platform/EtcdCodec.cpp
+++ b/Source/Core/Adapters/Platform/EtcdCodec.cpp
@@ -3,10 +3,10 @@
 #include "Adapters/Platform/EtcdCodec.h"
 
 #include "Adapters/Platform/Base64.h"
+#include "Common/CompactJson.h"
 
 #include <charconv>
 #include <json/json.h>
-#include <memory>
 
 namespace Adapters::EtcdCodec {
 
@@ -17,28 +17,6 @@
 
     constexpr int notFoundCode = 5; ///< Status code of gRPC.
 
-    std::string textOf(const Json::Value& value)
-    {
-        Json::StreamWriterBuilder builder;
-        builder["indentation"] = "";
-        return Json::writeString(builder, value);
-    }
-
-    std::optional<Json::Value> parseObject(std::string_view text)
-    {
-        Json::CharReaderBuilder builder;
-        Json::CharReaderBuilder::strictMode(&builder.settings_);
-        const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-        Json::Value value;
-        try {
-            if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr) || !value.isObject())
-                return std::nullopt;
-        } catch (const Json::Exception&) {
-            return std::nullopt;
-        }
-        return value;
-    }
-
     /// 64-bit numbers are strings in the mapping, and zero ones may be left out.
     std::optional<std::int64_t> numberOf(const Json::Value& value)
     {
@@ -143,7 +121,7 @@
 
 std::string encodeRange(const std::string& key, bool prefix)
 {
-    return textOf(encodeRangeFields(key, prefix));
+    return Common::compactJson(encodeRangeFields(key, prefix));
 }
 
 std::string encodeTransaction(const Ports::Transaction& transaction)
@@ -172,21 +150,21 @@
         operation["request_delete_range"]["key"] = encodeBase64(it);
         value["success"].append(operation);
     }
-    return textOf(value);
+    return Common::compactJson(value);
 }
 
 std::string encodeGrant(std::chrono::seconds timeToLive)
 {
     Json::Value value;
     value["TTL"] = std::to_string(timeToLive.count());
-    return textOf(value);
+    return Common::compactJson(value);
 }
 
 std::string encodeLease(Ports::LeaseId id)
 {
     Json::Value value;
     value["ID"] = std::to_string(id);
-    return textOf(value);
+    return Common::compactJson(value);
 }
 
 std::string encodeWatch(const std::string& prefix, std::int64_t fromRevision)
@@ -195,12 +173,12 @@
     value["create_request"] = encodeRangeFields(prefix, true);
     if (fromRevision)
         value["create_request"]["start_revision"] = std::to_string(fromRevision);
-    return textOf(value);
+    return Common::compactJson(value);
 }
 
 std::optional<PlatformReply> decodeRange(std::string_view text)
 {
-    const auto value = parseObject(text);
+    const auto value = Common::parseJsonObject(text);
     auto reply = value ? replyOf(*value) : std::nullopt;
     if (!reply)
         return std::nullopt;
@@ -218,7 +196,7 @@
 
 std::optional<PlatformReply> decodeTransaction(std::string_view text)
 {
-    const auto value = parseObject(text);
+    const auto value = Common::parseJsonObject(text);
     auto reply = value ? replyOf(*value) : std::nullopt;
     if (!reply)
         return std::nullopt;
@@ -232,26 +210,26 @@
 
 std::optional<PlatformReply> decodeGrant(std::string_view text)
 {
-    const auto value = parseObject(text);
+    const auto value = Common::parseJsonObject(text);
     return value ? leaseReplyOf(*value) : std::nullopt;
 }
 
 std::optional<PlatformReply> decodeRenewal(std::string_view text)
 {
     // Renewal is a stream in the mapping: its answer stands inside "result".
-    const auto value = parseObject(text);
+    const auto value = Common::parseJsonObject(text);
     return value ? leaseReplyOf((*value)["result"]) : std::nullopt;
 }
 
 std::optional<PlatformReply> decodeRevocation(std::string_view text)
 {
-    const auto value = parseObject(text);
+    const auto value = Common::parseJsonObject(text);
     return value ? replyOf(*value) : std::nullopt;
 }
 
 std::optional<WatchLine> decodeWatchLine(std::string_view text)
 {
-    const auto value = parseObject(text);
+    const auto value = Common::parseJsonObject(text);
     if (!value)
         return std::nullopt;
     WatchLine line;
@@ -269,13 +247,13 @@
 
 bool isLeaseNotFound(std::string_view errorBody)
 {
-    const auto value = parseObject(errorBody);
+    const auto value = Common::parseJsonObject(errorBody);
     return value && (*value)["code"].isInt() && (*value)["code"].asInt() == notFoundCode;
 }
 
 std::optional<std::vector<Ports::ListedHost>> decodeHostList(std::string_view text)
 {
-    const auto value = parseObject(text);
+    const auto value = Common::parseJsonObject(text);
     if (!value || !(*value)["hosts"].isArray())
         return std::nullopt;
     std::vector<Ports::ListedHost> hosts;
--- a/Source/Core/Decision/Membership/RecordText.cpp
+++ b/Source/Core/Common/CompactJson.cpp
@@ -1,20 +1,20 @@
-#include "Decision/Membership/RecordText.h"
+#include "Common/CompactJson.h"
 
 #include <json/reader.h>
 #include <json/writer.h>
 
 #include <memory>
 
-namespace Decision {
+namespace Common {
 
-std::string recordText(const Json::Value& value)
+std::string compactJson(const Json::Value& value)
 {
     Json::StreamWriterBuilder builder;
     builder["indentation"] = "";
     return Json::writeString(builder, value);
 }
 
-std::optional<Json::Value> parseRecord(std::string_view text)
+std::optional<Json::Value> parseJsonObject(std::string_view text)
 {
     Json::CharReaderBuilder builder;
     Json::CharReaderBuilder::strictMode(&builder.settings_);
@@ -29,4 +29,4 @@
     return value;
 }
 
-} // namespace Decision
+} // namespace Common
--- a/Source/Core/Decision/Assignment/AssignmentCodec.cpp
+++ b/Source/Core/Decision/Assignment/AssignmentCodec.cpp
@@ -1,5 +1,7 @@
 #include "Decision/Assignment/AssignmentCodec.h"
 
+#include "Common/CompactJson.h"
+
 #include <array>
 #include <json/json.h>
 #include <memory>
@@ -103,9 +105,7 @@
     Json::Value& upstreams = root["upstreams"] = Json::Value(Json::objectValue);
     for (const auto& [name, assignment] : record.upstreams)
         upstreams[name] = encodeUpstream(assignment);
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, root);
+    return Common::compactJson(root);
 }
 
 Common::Result<AssignmentRecord, AssignmentError> decodeAssignments(std::string_view text)
--- a/Source/Core/Decision/Audit/AuditTrail.cpp
+++ b/Source/Core/Decision/Audit/AuditTrail.cpp
@@ -1,6 +1,6 @@
 #include "Decision/Audit/AuditTrail.h"
 
-#include "Decision/Membership/RecordText.h"
+#include "Common/CompactJson.h"
 
 #include <algorithm>
 #include <array>
@@ -22,12 +22,12 @@
         root["revision"] = Json::UInt64(record.revision);
         root["host"] = record.host;
         root["sequence"] = Json::UInt64(record.sequence);
-        return recordText(root) + "\n";
+        return Common::compactJson(root) + "\n";
     }
 
     std::optional<AuditRecord> decodeRecord(std::string_view line)
     {
-        const auto root = parseRecord(line);
+        const auto root = Common::parseJsonObject(line);
         if (!root)
             return std::nullopt;
         try {
--- a/Source/Core/Decision/Configuration/HeadRecord.cpp
+++ b/Source/Core/Decision/Configuration/HeadRecord.cpp
@@ -1,7 +1,7 @@
 #include "Decision/Configuration/HeadRecord.h"
 
+#include "Common/CompactJson.h"
 #include "Common/Rendezvous.h"
-#include "Decision/Membership/RecordText.h"
 
 #include <algorithm>
 #include <array>
@@ -79,12 +79,12 @@
         entry["documentHash"] = change.documentHash;
         root["recent"].append(entry);
     }
-    return recordText(root);
+    return Common::compactJson(root);
 }
 
 std::optional<HeadRecord> decodeHead(std::string_view text)
 {
-    const auto root = parseRecord(text);
+    const auto root = Common::parseJsonObject(text);
     if (!root)
         return std::nullopt;
     try {
--- a/Source/Core/Decision/Membership/Duty.cpp
+++ b/Source/Core/Decision/Membership/Duty.cpp
@@ -1,7 +1,7 @@
 #include "Decision/Membership/Duty.h"
 
+#include "Common/CompactJson.h"
 #include "Common/Rendezvous.h"
-#include "Decision/Membership/RecordText.h"
 
 #include <algorithm>
 #include <utility>
@@ -27,12 +27,12 @@
     root["incarnation"] = Json::UInt64(record.incarnation);
     root["fence"] = Json::UInt64(record.fence);
     root["lease"] = Json::Int64(record.lease);
-    return recordText(root);
+    return Common::compactJson(root);
 }
 
 std::optional<DutyRecord> decodeDuty(std::string_view text)
 {
-    const auto root = parseRecord(text);
+    const auto root = Common::parseJsonObject(text);
     if (!root)
         return std::nullopt;
     try {
--- a/Source/Core/Decision/Membership/ViewRecord.cpp
+++ b/Source/Core/Decision/Membership/ViewRecord.cpp
@@ -1,6 +1,6 @@
 #include "Decision/Membership/ViewRecord.h"
 
-#include "Decision/Membership/RecordText.h"
+#include "Common/CompactJson.h"
 
 #include <algorithm>
 
@@ -34,12 +34,12 @@
         entry["peerAddress"] = member.peerAddress;
         root["members"].append(entry);
     }
-    return recordText(root);
+    return Common::compactJson(root);
 }
 
 std::optional<View> decodeView(std::string_view text)
 {
-    const auto root = parseRecord(text);
+    const auto root = Common::parseJsonObject(text);
     if (!root)
         return std::nullopt;
     try {
@@ -58,12 +58,12 @@
     Json::Value root;
     root["incarnation"] = Json::UInt64(record.incarnation);
     root["lease"] = Json::Int64(record.lease);
-    return recordText(root);
+    return Common::compactJson(root);
 }
 
 std::optional<MemberRecord> decodeMember(std::string_view text)
 {
-    const auto root = parseRecord(text);
+    const auto root = Common::parseJsonObject(text);
     if (!root)
         return std::nullopt;
     try {
--- a/Source/Core/Decision/Waves/BudgetLedger.cpp
+++ b/Source/Core/Decision/Waves/BudgetLedger.cpp
@@ -248,6 +248,7 @@
             unique.emplace(it.upstream, it);
     }
     std::vector<Reservation> reservations;
+    reservations.reserve(unique.size());
     for (auto& [name, it] : unique)
         reservations.push_back(std::move(it));
     return reservations;
--- a/Source/Core/Decision/Waves/BudgetRecord.cpp
+++ b/Source/Core/Decision/Waves/BudgetRecord.cpp
@@ -1,5 +1,7 @@
 #include "Decision/Waves/BudgetRecord.h"
 
+#include "Common/CompactJson.h"
+
 #include <array>
 #include <json/json.h>
 #include <memory>
@@ -10,13 +12,6 @@
 
     constexpr std::array phaseNames { "draining", "rebooting", "returning", "moving" };
 
-    std::string write(const Json::Value& value)
-    {
-        Json::StreamWriterBuilder builder;
-        builder["indentation"] = "";
-        return Json::writeString(builder, value);
-    }
-
     Json::Value parse(const std::string& text)
     {
         Json::CharReaderBuilder builder;
@@ -124,7 +119,7 @@
     value["reserved"] = Json::arrayValue;
     for (const auto& it : record.reserved)
         value["reserved"].append(toJson(it));
-    return write(value);
+    return Common::compactJson(value);
 }
 
 Common::Result<BudgetRecord, WaveError> decodeBudgetRecord(const std::string& text)
@@ -139,7 +134,7 @@
     value["done"] = Json::arrayValue;
     for (const auto& it : record.done)
         value["done"].append(it);
-    return write(value);
+    return Common::compactJson(value);
 }
 
 Common::Result<WaveRackRecord, WaveError> decodeWaveRackRecord(const std::string& text)
--- a/Source/Core/Decision/Waves/WavePlanner.cpp
+++ b/Source/Core/Decision/Waves/WavePlanner.cpp
@@ -246,7 +246,7 @@
         return WaveError("a wave needs a name and a pool");
     if (settings.holder.empty())
         return WaveError("a wave planner needs a holder");
-    auto state = std::unique_ptr<Private>(new Private { std::move(settings), std::move(wave), ledger, {}, {}, {}, {}, {}, {} });
+    auto state = std::make_unique<Private>(Private { std::move(settings), std::move(wave), ledger, {}, {}, {}, {}, {}, {} });
     return std::unique_ptr<WavePlanner>(new WavePlanner(std::move(state)));
 }
 
--- a/Source/Core/Decision/Waves/WaveSelection.cpp
+++ b/Source/Core/Decision/Waves/WaveSelection.cpp
@@ -153,6 +153,7 @@
     if (!allowsAny(tally, waiting, required))
         return {};
     std::vector<MoveHost> loans;
+    loans.reserve(lent.size());
     for (const auto* host : lent)
         loans.push_back({ host->name, host->pool, pool });
     return loans;
--- a/Source/Core/Objects/Diff.cpp
+++ b/Source/Core/Objects/Diff.cpp
@@ -1,10 +1,9 @@
 #include "Objects/Diff.h"
 
+#include "Common/CompactJson.h"
 #include "Objects/FieldCodec.h"
 #include "Objects/FieldTable.h"
 
-#include <json/writer.h>
-
 namespace Objects {
 
 namespace {
@@ -12,9 +11,7 @@
     template<typename T>
     std::string fieldText(const Field<T>& field, const T& object)
     {
-        Json::StreamWriterBuilder builder;
-        builder["indentation"] = "";
-        return Json::writeString(builder, visitField(object, field, [](const auto& value) { return encode(value); }));
+        return Common::compactJson(visitField(object, field, [](const auto& value) { return encode(value); }));
     }
 
     template<typename T>
--- a/Source/Core/Objects/ObjectWriter.cpp
+++ b/Source/Core/Objects/ObjectWriter.cpp
@@ -1,21 +1,13 @@
 #include "Objects/ObjectWriter.h"
 
+#include "Common/CompactJson.h"
 #include "Objects/FieldCodec.h"
 #include "Objects/FieldTable.h"
 
-#include <json/writer.h>
-
 namespace Objects {
 
 namespace {
 
-    std::string compactText(const Json::Value& json)
-    {
-        Json::StreamWriterBuilder builder;
-        builder["indentation"] = "";
-        return Json::writeString(builder, json);
-    }
-
     /// One object on a line, its fields in the order of the table; an empty optional text is left out.
     template<typename T>
     std::string writeObject(const KindTable<T>& table, const T& object)
@@ -25,7 +17,7 @@
             const auto json = visitField(object, field, [](const auto& value) { return encode(value); });
             if (field.presence == Presence::Optional && json.isString() && json.asString().empty())
                 continue;
-            text += (text.size() > 1 ? ", \"" : "\"") + std::string(field.name) + "\": " + compactText(json);
+            text += (text.size() > 1 ? ", \"" : "\"") + std::string(field.name) + "\": " + Common::compactJson(json);
         }
         return text + "}";
     }
--- a/Source/Standins/PlatformJson.cpp
+++ b/Source/Standins/PlatformJson.cpp
@@ -3,6 +3,7 @@
 #include "Standins/PlatformJson.h"
 
 #include "Adapters/Platform/Base64.h"
+#include "Common/CompactJson.h"
 #include "Standins/StandinJson.h"
 
 namespace Standins {
@@ -57,7 +58,7 @@
         event["kv"] = pairJson(it.pair);
         line["result"]["events"].append(event);
     }
-    return jsonText(line) + "\n";
+    return Common::compactJson(line) + "\n";
 }
 
 std::string watchStateLine(std::int64_t revision, const char* state)
@@ -65,7 +66,7 @@
     Json::Value line;
     line["result"]["header"] = headerOf(revision);
     line["result"][state] = true;
-    return jsonText(line) + "\n";
+    return Common::compactJson(line) + "\n";
 }
 
 Ports::Transaction transactionOf(const Json::Value& body)
--- a/Source/Standins/StandinJson.cpp
+++ b/Source/Standins/StandinJson.cpp
@@ -2,18 +2,13 @@
 
 #include "Standins/StandinJson.h"
 
+#include "Common/CompactJson.h"
+
 #include <charconv>
 #include <memory>
 
 namespace Standins {
 
-std::string jsonText(const Json::Value& value)
-{
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, value);
-}
-
 std::optional<Json::Value> parseJsonObject(const std::string& text)
 {
     const Json::CharReaderBuilder builder;
@@ -30,7 +25,7 @@
 
 Response jsonResponse(const Json::Value& value, int status)
 {
-    return { status, { { "Content-Type", "application/json" } }, jsonText(value) };
+    return { status, { { "Content-Type", "application/json" } }, Common::compactJson(value) };
 }
 
 std::int64_t jsonNumber(const Json::Value& value, std::int64_t fallback)
--- a/Source/Standins/StandinJson.h
+++ b/Source/Standins/StandinJson.h
@@ -10,9 +10,6 @@
 
 namespace Standins {
 
-/// One line without indentation.
-std::string jsonText(const Json::Value&);
-
 /// Nothing when the text isn't a JSON object.
 std::optional<Json::Value> parseJsonObject(const std::string&);
 
--- a/Source/UnitTests/Adapters/CallersTest.cpp
+++ b/Source/UnitTests/Adapters/CallersTest.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 struct Rig {
-    explicit Rig(Ports::CallerSettings settings, std::function<void(Ports::CallerRequest)> onRequest = {}, Adapters::CallerGuards guards = {})
+    explicit Rig(const Ports::CallerSettings& settings, std::function<void(Ports::CallerRequest)> onRequest = {}, Adapters::CallerGuards guards = {})
         : port(Adapters::PistacheCallers::create(settings, guards).take())
     {
         sink.onRequest = std::move(onRequest);
@@ -282,6 +282,7 @@
     rig.port->answer(second, doneAnswer("to second"));
     rig.port->answer(first, doneAnswer("to first"));
     std::vector<std::string> bodies;
+    bodies.reserve(2);
     for (int i = 0; i < 2; ++i)
         bodies.push_back(socket.read().value_or(HttpMessage()).body);
     return bodies;
--- a/Source/UnitTests/Adapters/PeerAdapterTest.cpp
+++ b/Source/UnitTests/Adapters/PeerAdapterTest.cpp
@@ -73,11 +73,13 @@
 {
     constexpr int threadCount = 8;
     constexpr int framesEach = 500;
+    constexpr std::size_t framesInAll = std::size_t { threadCount } * framesEach;
     Host a(settingsOf("a"));
     Host b(settingsOf("b"));
     Host c(settingsOf("c"));
     a.peers->setPeers({ b.address(), c.address() });
     std::vector<std::thread> threads;
+    threads.reserve(threadCount);
     for (int n = 0; n < threadCount; ++n)
         threads.emplace_back([&a, n] {
             sendNumbered(a, "b", std::to_string(n) + ":", framesEach);
@@ -86,7 +88,7 @@
     for (auto& thread : threads)
         thread.join();
     for (auto* host : { &b, &c }) {
-        REQUIRE(waitUntil([&] { return host->sink.countFrom("a") == threadCount * framesEach; }));
+        REQUIRE(waitUntil([&] { return host->sink.countFrom("a") == framesInAll; }));
         std::map<std::string, int> next;
         for (const auto& frame : host->sink.framesFrom("a")) {
             const auto colon = frame.find(':');
--- a/Source/UnitTests/Adapters/PeerTestSupport.cpp
+++ b/Source/UnitTests/Adapters/PeerTestSupport.cpp
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <poll.h>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -113,7 +114,8 @@
 {
     auto address = loopback(0);
     socklen_t size = sizeof(address);
-    ::bind(m_listener, reinterpret_cast<sockaddr*>(&address), size);
+    if (::bind(m_listener, reinterpret_cast<sockaddr*>(&address), size) != 0)
+        throw std::runtime_error("the relay can't bind its port");
     ::listen(m_listener, 16);
     ::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size);
     m_port = ntohs(address.sin_port);
--- a/Source/UnitTests/Moves/MarginPolicyTest.cpp
+++ b/Source/UnitTests/Moves/MarginPolicyTest.cpp
@@ -1,6 +1,7 @@
 /// The margin policy in virtual time: peaks, give-back, budgets, weights.
 
 #include "Decision/Moves/MarginPolicy.h"
+#include "Waves/HostViews.h"
 
 #include <doctest/doctest.h>
 
@@ -41,13 +42,8 @@
 
     void addHost(const std::string& pool, int index)
     {
-        HostView host;
-        host.name = pool + "-" + std::to_string(index);
-        host.pool = host.homePool = pool;
-        host.rack = "rack-" + std::to_string(index);
-        host.health = HostHealth::Up;
-        host.serving = true;
-        view.hosts.push_back(std::move(host));
+        const auto number = std::to_string(index);
+        view.hosts.push_back(Fakes::makeHost(pool + "-" + number, pool, "rack-" + number));
     }
 
     std::vector<MoveHost> step()
@@ -57,7 +53,7 @@
         for (const auto& [pool, slots] : offered)
             input.demands.push_back({ pool, false, slots, 0, 8, 0 });
         input.demands.push_back({ "backoffice", true, 0, 0, 8, 0 });
-        const auto moves = policy->decide(Instant(now), input);
+        auto moves = policy->decide(Instant(now), input);
         for (const auto& move : moves) {
             for (auto& host : view.hosts) {
                 if (host.name == move.upstream)
--- a/Source/UnitTests/Waves/BudgetLedgerTest.cpp
+++ b/Source/UnitTests/Waves/BudgetLedgerTest.cpp
@@ -2,6 +2,7 @@
 
 #include "Decision/Waves/BudgetLedger.h"
 #include "Decision/Waves/WaveSelection.h"
+#include "Waves/HostViews.h"
 
 #include <doctest/doctest.h>
 
@@ -11,17 +12,6 @@
 
 namespace {
 
-HostView makeHost(const std::string& name, const std::string& rack)
-{
-    HostView host;
-    host.name = name;
-    host.pool = host.homePool = "desk";
-    host.rack = rack;
-    host.health = HostHealth::Up;
-    host.serving = true;
-    return host;
-}
-
 /// Six hosts, one to a rack; two services share the pool and the stricter one needs three.
 struct LedgerFixture {
     FleetView view;
@@ -30,7 +20,7 @@
     LedgerFixture()
     {
         for (int i = 0; i < 6; ++i)
-            view.hosts.push_back(makeHost("desk-" + std::to_string(i), "rack-" + std::to_string(i)));
+            view.hosts.push_back(Fakes::makeHost("desk-" + std::to_string(i), "desk", "rack-" + std::to_string(i)));
         ledger = BudgetLedger::create({ "imlil", "entry-0", { { "booking", "desk", 50 }, { "rosters", "desk", 20 } }, {} }).take();
         answerLoad({});
     }
@@ -54,6 +44,7 @@
     std::vector<PlatformAction> reserve(const std::vector<std::string>& hosts)
     {
         std::vector<LedgerChange> changes;
+        changes.reserve(hosts.size());
         for (const auto& name : hosts)
             changes.push_back({ LedgerChange::Kind::Reserve, { name, "kernel", "entry-0", ReservationPhase::Draining, 1, false, {} }, "desk", "", false });
         return ledger->submit(view, changes);
--- a/Source/UnitTests/Waves/WavePlannerTest.cpp
+++ b/Source/UnitTests/Waves/WavePlannerTest.cpp
@@ -2,6 +2,7 @@
 
 #include "Decision/Waves/WavePlanner.h"
 #include "Decision/Waves/DrainMeasures.h"
+#include "Waves/HostViews.h"
 
 #include <doctest/doctest.h>
 
@@ -39,13 +40,8 @@
 
     void addHost(const std::string& pool, unsigned index)
     {
-        HostView host;
-        host.name = pool + "-" + std::to_string(index);
-        host.pool = host.homePool = pool;
-        host.rack = "rack-" + std::to_string(index);
-        host.health = HostHealth::Up;
-        host.serving = true;
-        view.hosts.push_back(std::move(host));
+        const auto number = std::to_string(index);
+        view.hosts.push_back(Fakes::makeHost(pool + "-" + number, pool, "rack-" + number));
     }
 
     std::vector<WaveDecision> tick()
