Fill the wave, move and backlog metrics; a failing tick doesn't end the host

Cause: declared metrics stayed at nothing, and an exception in the main thread's tick would have ended the process. Ruled out: dropping the metrics that aren't filled yet (they are named so in the operators' page). Change: metrics from the control side at each scrape; ticks log what fails, as workers do. Conclusion: three metrics are left to fill.

--- a/Source/Core/Kernel/ControlEffects.cpp
+++ b/Source/Core/Kernel/ControlEffects.cpp
@@ -173,8 +173,11 @@
     fleet.tick(now, Common::wallNow(), context);
     if (fleet.wantsRead())
         assignments.readSoon();
-    for (const auto& step : fleet.takeNotes())
+    for (const auto& step : fleet.takeNotes()) {
+        if (step.starts_with("move "))
+            metrics.countMove();
         record(settings.host, step, "");
+    }
 }
 
 const std::vector<Messages::PoolLoad>& ControlService::Impl::ownLoads(Common::Instant now)
--- a/Source/Core/Kernel/EntryHost.cpp
+++ b/Source/Core/Kernel/EntryHost.cpp
@@ -7,6 +7,7 @@
 #include "Ports/OperatorPort.h"
 #include "Ports/PortError.h"
 
+#include <exception>
 #include <random>
 #include <thread>
 #include <utility>
@@ -46,6 +47,7 @@
     void serve(const std::atomic<bool>& stopAsked);
     void drain();
     void tickUntil(Common::Instant, const std::function<bool()>& done);
+    void tick(Common::Instant now);
     void stopPorts();
 
     Settings settings;
@@ -90,15 +92,25 @@
 void EntryHost::Private::tickUntil(Common::Instant until, const std::function<bool()>& done)
 {
     for (auto now = Common::BootClock::now(); now < until && !done(); now = Common::BootClock::now()) {
-        requests->run([](auto& core, Decision::Moment at) { core.tick(at); });
-        if (now >= nextControlTick) {
-            nextControlTick = now + controlTickInterval;
-            control->tick();
+        try {
+            tick(now);
+        } catch (const std::exception& e) {
+            // One bad event must not take the host down, as in the workers.
+            Logging::write(LogLevel::Error, "kernel", std::string("a tick failed: ") + e.what());
         }
         std::this_thread::sleep_for(requestTickInterval);
     }
 }
 
+void EntryHost::Private::tick(Common::Instant now)
+{
+    requests->run([](auto& core, Decision::Moment at) { core.tick(at); });
+    if (now < nextControlTick)
+        return;
+    nextControlTick = now + controlTickInterval;
+    control->tick();
+}
+
 void EntryHost::Private::serve(const std::atomic<bool>& stopAsked)
 {
     platform->start();
--- a/Source/Core/Kernel/OperatorApi.cpp
+++ b/Source/Core/Kernel/OperatorApi.cpp
@@ -162,9 +162,22 @@
 void OperatorApi::metrics(Call& call)
 {
     m_requests.publishMetrics();
+    publishControlMetrics();
     call.reply({ ok, "text/plain; version=0.0.4", m_metrics.exposition() });
 }
 
+void OperatorApi::publishControlMetrics()
+{
+    m_metrics.setAuditBacklog(m_control.status().auditWaiting);
+    for (const auto& [name, progress] : m_control.waves()) {
+        const unsigned away = progress.draining + progress.rebooting + progress.returning;
+        m_metrics.setWaveHosts(name, WaveHostState::Done, progress.done);
+        m_metrics.setWaveHosts(name, WaveHostState::Draining, progress.draining);
+        m_metrics.setWaveHosts(name, WaveHostState::Rebooting, progress.rebooting + progress.returning);
+        m_metrics.setWaveHosts(name, WaveHostState::Waiting, progress.total - std::min(progress.total, progress.done + away));
+    }
+}
+
 void OperatorApi::status(Call& call)
 {
     const auto status = m_control.status();
--- a/Source/Core/Kernel/OperatorApi.h
+++ b/Source/Core/Kernel/OperatorApi.h
@@ -51,6 +51,7 @@
     void waves(Call&);
     void pauseWave(Call&);
     void resumeWave(Call&);
+    void publishControlMetrics();
     void editWave(Call&, bool paused);
     void publishDocument(Call&, Decision::PublishRequest);
 
--- a/Source/Core/Objects/Types.h
+++ b/Source/Core/Objects/Types.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// The operators' objects as typed values. Parsing and validation live in ObjectSet.h and Validator.h.
+/// The operators' objects as typed values. Parsing and validation live in ObjectParser.h and Validator.h.
 
 #include "Common/Time.h"
 
