Write twice-made steps once: arrivals of requests, results of factories

Cause: reading the whole change again: callers' and peers' requests were filled in field by field in two places, and three places of the kernel turned a factory's error into KernelError each by itself. Ruled out: one function for both arrivals whole (their keys, homes and deadlines differ on purpose). Change: RequestCore::Impl::requestFrom and Kernel::valueOrThrow; behaviour as before, no test touched. The process tests and the demo were not run again after this. Conclusion: no behaviour changed.

--- a/Source/Core/Decision/Requests/RequestCore.cpp
+++ b/Source/Core/Decision/Requests/RequestCore.cpp
@@ -113,21 +113,11 @@
         refuseAtOnce(doorAnswer(admitted.error(), !from.idempotent && !from.idempotencyKey.empty()));
         return;
     }
-    Request request;
+    Request request = requestFrom(at, from, admitted.value());
     request.source = CallerSource { from.handle };
-    request.service = from.service;
-    request.pool = admitted.value().pool;
-    request.team = from.team;
-    request.priority = from.priority;
-    request.rank = admitted.value().rank;
     request.key = from.idempotent ? std::string() : from.idempotencyKey;
     request.homeDataCentre = admitted.value().homeDataCentre;
-    request.idempotent = from.idempotent;
-    request.arrived = at.now;
     request.deadline = at.now + std::min(from.timeLeft, serviceOf(from.service)->maximumDeadline);
-    request.body = from.body;
-    request.contentType = from.contentType;
-    request.bodyHash = Common::hash64(from.body ? std::string_view(*from.body) : std::string_view(), Common::hash64(from.service));
     route(at, add(std::move(request)));
 }
 
--- a/Source/Core/Decision/Requests/RequestCoreImpl.h
+++ b/Source/Core/Decision/Requests/RequestCoreImpl.h
@@ -4,7 +4,9 @@
 /// RequestCore.cpp (events), RequestAnswers.cpp (the one answer), RequestRouting.cpp (owners, peers), RequestPools.cpp (admission, queue, slots),
 /// RequestAttempts.cpp (ends and retries), RequestClaims.cpp (at most once).
 
+#include "Common/Rendezvous.h"
 #include "Decision/Requests/ClaimRounds.h"
+#include "Decision/Requests/Door.h"
 #include "Decision/Requests/FairQueue.h"
 #include "Decision/Requests/HarmfulRequests.h"
 #include "Decision/Requests/Ledger.h"
@@ -60,6 +62,9 @@
     Request& add(Request);
     Request* find(RequestNumber);
     void setGiveUp(Request&, Instant);
+    /// What a caller's and a peer's request have in common; `arrival` is one of the two.
+    template<typename Arrival>
+    static Request requestFrom(Moment, const Arrival&, const Admitted&);
     void arriveFromCaller(Moment, const Ports::CallerRequest&);
     void erase(RequestNumber);
     void forgetKey(const Request&);
@@ -182,4 +187,22 @@
     RequestCounts m_counts;
 };
 
+template<typename Arrival>
+Request RequestCore::Impl::requestFrom(Moment at, const Arrival& arrival, const Admitted& admitted)
+{
+    Request request;
+    request.service = arrival.service;
+    request.pool = admitted.pool;
+    request.team = arrival.team;
+    request.priority = arrival.priority;
+    request.rank = admitted.rank;
+    request.idempotent = arrival.idempotent;
+    request.arrived = at.now;
+    request.body = arrival.body;
+    request.contentType = arrival.contentType;
+    const auto body = arrival.body ? std::string_view(*arrival.body) : std::string_view();
+    request.bodyHash = Common::hash64(body, Common::hash64(arrival.service));
+    return request;
+}
+
 } // namespace Decision
--- a/Source/Core/Decision/Requests/RequestRouting.cpp
+++ b/Source/Core/Decision/Requests/RequestRouting.cpp
@@ -89,21 +89,11 @@
         refuseAtOnce(doorAnswer(admitted.error(), !message.homeDataCentre.empty()));
         return;
     }
-    Request request;
+    Request request = requestFrom(at, message, admitted.value());
     request.source = PeerSource { from, message.requestId };
-    request.service = message.service;
-    request.pool = admitted.value().pool;
-    request.team = message.team;
-    request.priority = message.priority;
-    request.rank = admitted.value().rank;
     request.key = message.idempotencyKey;
     request.homeDataCentre = message.homeDataCentre;
-    request.idempotent = message.idempotent;
-    request.arrived = at.now;
     request.deadline = at.now + message.timeLeft;
-    request.body = message.body;
-    request.contentType = message.contentType;
-    request.bodyHash = Common::hash64(message.body ? std::string_view(*message.body) : std::string_view(), Common::hash64(message.service));
     request.hops = message.hops;
     Request& added = add(std::move(request));
     // Its home passed it on with the claim made there: it runs here, under the home's record.
--- a/Source/Core/Kernel/ControlService.cpp
+++ b/Source/Core/Kernel/ControlService.cpp
@@ -17,14 +17,6 @@
 
     constexpr std::chrono::milliseconds hostListInterval { 2000 }; ///< A leaving upstream gets nothing new within 3 s.
 
-    template<typename Pointer, typename Error>
-    Pointer orThrow(Common::Result<Pointer, Error> result)
-    {
-        if (!result)
-            throw KernelError(result.error().what());
-        return result.take();
-    }
-
     Decision::MembershipSettings membershipSettings(const Settings& settings, std::uint64_t incarnation)
     {
         Decision::MembershipSettings to;
@@ -75,10 +67,10 @@
     , workers(workers)
     , metrics(metrics)
     , runner(ports.platform, workers, metrics)
-    , membership(orThrow(Decision::Membership::create(membershipSettings(settings, incarnation))))
-    , keeper(orThrow(Decision::ConfigurationKeeper::create(keeperSettings(settings, incarnation), validator)))
-    , publisher(orThrow(Decision::ConfigurationPublisher::create({}, validator)))
-    , auditTrail(orThrow(Decision::AuditTrail::create(auditSettings(settings, incarnation))))
+    , membership(valueOrThrow(Decision::Membership::create(membershipSettings(settings, incarnation))))
+    , keeper(valueOrThrow(Decision::ConfigurationKeeper::create(keeperSettings(settings, incarnation), validator)))
+    , publisher(valueOrThrow(Decision::ConfigurationPublisher::create({}, validator)))
+    , auditTrail(valueOrThrow(Decision::AuditTrail::create(auditSettings(settings, incarnation))))
     , assignments(settings.dataCentre, { settings.host, incarnation })
     , fleet(settings, incarnation)
 {
--- a/Source/Core/Kernel/FleetAgent.cpp
+++ b/Source/Core/Kernel/FleetAgent.cpp
@@ -15,14 +15,6 @@
     constexpr std::chrono::milliseconds planInterval { 1000 };
     constexpr std::chrono::milliseconds queryInterval { 500 };
 
-    template<typename Value, typename Error>
-    Value orThrow(Common::Result<Value, Error> result)
-    {
-        if (!result)
-            throw KernelError(result.error().what());
-        return result.take();
-    }
-
     Decision::DutySettings dutySettings(const Settings& settings, std::uint64_t incarnation)
     {
         Decision::DutySettings to;
@@ -58,9 +50,9 @@
 FleetAgent::FleetAgent(const Settings& settings, std::uint64_t incarnation)
     : m_settings(settings)
     , m_self { settings.host, incarnation }
-    , m_duty(orThrow(Decision::DutyHolder::create(dutySettings(settings, incarnation))))
-    , m_coordinator(orThrow(Decision::MoveCoordinator::create({})))
-    , m_policy(orThrow(Decision::MarginPolicy::create(marginSettings(settings))))
+    , m_duty(valueOrThrow(Decision::DutyHolder::create(dutySettings(settings, incarnation))))
+    , m_coordinator(valueOrThrow(Decision::MoveCoordinator::create({})))
+    , m_policy(valueOrThrow(Decision::MarginPolicy::create(marginSettings(settings))))
 {
 }
 
@@ -84,7 +76,7 @@
         if (budget.dataCentre == m_settings.dataCentre && service != m_objects->services.end())
             ledger.budgets.push_back({ budget.service, service->second.pool, budget.minimumAvailablePercent });
     }
-    m_ledger = orThrow(Decision::BudgetLedger::create(ledger));
+    m_ledger = valueOrThrow(Decision::BudgetLedger::create(ledger));
     Decision::WavePlannerSettings planner;
     planner.dataCentre = m_settings.dataCentre;
     planner.holder = ledger.holder;
@@ -97,7 +89,7 @@
     for (const auto& [name, wave] : m_objects->waves) {
         const auto& places = wave.dataCentres;
         if (places.empty() || std::find(places.begin(), places.end(), m_settings.dataCentre) != places.end())
-            m_planners[name] = orThrow(Decision::WavePlanner::create(planner, wave, *m_ledger));
+            m_planners[name] = valueOrThrow(Decision::WavePlanner::create(planner, wave, *m_ledger));
     }
     std::erase_if(m_pending, [](const auto& item) { return item.second.part == Part::Ledger; });
 }
--- a/Source/Core/Kernel/RequestService.cpp
+++ b/Source/Core/Kernel/RequestService.cpp
@@ -29,10 +29,7 @@
     {
         Decision::AssignmentTableSettings settings;
         settings.incarnation = incarnation;
-        auto table = Decision::AssignmentTable::create(settings);
-        if (!table)
-            throw KernelError(table.error().what());
-        return table.take();
+        return valueOrThrow(Decision::AssignmentTable::create(settings));
     }
 
     const char* outcomeName(Ports::Outcome outcome)
