Hold the frozen host in its process test until a caller gave up on it

Then every caller that waited on the frozen host was answered after it woke up, and nothing was broken. Ruled out: a broken promise (doubled, falsely not run, lost, strange were 0 in that run), and the count itself. Change: the freeze goes on until a caller has given up; the check on the sum stays as it is, and a new one fails when no caller ever gives up.

--- a/Source/UnitTests/Process/EntryHostProcessTest.cpp
+++ b/Source/UnitTests/Process/EntryHostProcessTest.cpp
@@ -60,8 +60,11 @@
         return std::all_of(fleet.hosts().begin(), fleet.hosts().end(), [&](const auto& it) { return it.name == frozen.name || !inView(it, frozen.name); });
     });
     CHECK(load.more(40));
+    // The freeze lasts until a caller gave up on the frozen host, however fast the others removed it.
+    const bool abandoned = eventually([&] { return load.broken() > 0; });
     frozen.process.signal(SIGCONT);
     CHECK(removed);
+    CHECK(abandoned);
     CHECK(load.more(200));
     CHECK(eventually([&] { return fleet.ready(frozen); }));
     const auto asked = load.stop();
--- a/Source/UnitTests/Process/FleetLoad.cpp
+++ b/Source/UnitTests/Process/FleetLoad.cpp
@@ -75,6 +75,7 @@
             asked.tries.push_back(asked.booking.ask(*m_hosts[(turn + asked.tries.size()) % m_hosts.size()]));
             if (asked.tries.back().done())
                 break;
+            m_broken += !asked.tries.back().whole;
             std::this_thread::sleep_for(retryPause);
         }
         const std::lock_guard lock(m_mutex);
--- a/Source/UnitTests/Process/FleetLoad.h
+++ b/Source/UnitTests/Process/FleetLoad.h
@@ -70,6 +70,8 @@
     std::vector<Asked> stop();
     /// Waits until `n` more requests have been answered.
     bool more(std::size_t n) const;
+    /// Tries so far whose connection broke or whose caller gave up.
+    std::size_t broken() const { return m_broken; }
 
 private:
     void run(unsigned thread);
@@ -78,6 +80,7 @@
     std::vector<Question> m_questions;
     std::atomic<bool> m_stop { false };
     std::atomic<std::size_t> m_answered { 0 };
+    std::atomic<std::size_t> m_broken { 0 };
     std::mutex m_mutex; ///< Guards m_asked.
     std::vector<Asked> m_asked;
     std::vector<std::thread> m_threads;
