Decide events of the request path on the thread that brings them

A request woke caller thread, worker, upstream loop, worker and caller thread; a forwarded one two workers more, of which there are two and which control jobs use as well. Ruled out: slots refused by the executors and new connections (none), the executor's own timer (the direct calls have it too), and the size of the core's step (microseconds). Change: arrivals, results and peers' messages about requests are decided on the adapter's thread. What an adapter reports from within a call under the lock still goes through the workers; a test hangs without that.

--- a/Source/Core/Kernel/ControlService.cpp
+++ b/Source/Core/Kernel/ControlService.cpp
@@ -168,48 +168,47 @@
     pump(now);
 }
 
-void ControlService::Impl::frameArrived(const Ports::HostId& from, const std::string& frame)
+void ControlService::Impl::controlMessage(const Ports::HostId& from, const Messages::PeerMessage& message)
 {
-    auto decoded = Messages::decode(frame);
-    if (!decoded) {
-        Logging::write(LogLevel::Warn, "peers", "a frame from " + from + " can't be read: " + decoded.error().what());
-        return;
-    }
-    const Messages::PeerMessage message = decoded.take();
     const auto now = Common::BootClock::now();
-    if (const auto* it = std::get_if<Messages::Heartbeat>(&message)) {
-        const std::lock_guard guard(lock);
-        disconnected.erase(from);
-        const Decision::HeartbeatReceived event { from, *it };
-        membership->handle(now, event);
-        keeper->handle(now, event);
-        if (it->dataCentre == settings.dataCentre)
-            assignments.hint(it->assignmentVersion);
-        pump(now);
-    } else if (const auto* it = std::get_if<Messages::ConfigurationRequest>(&message)) {
-        const std::lock_guard guard(lock);
+    const std::lock_guard guard(lock);
+    if (const auto* it = std::get_if<Messages::Heartbeat>(&message))
+        heartbeat(now, from, *it);
+    else if (const auto* it = std::get_if<Messages::ConfigurationRequest>(&message))
         keeper->handle(now, Decision::ConfigurationAsked { from, *it });
-        pump(now);
-        return;
-    } else if (const auto* it = std::get_if<Messages::ConfigurationOffer>(&message)) {
-        const std::lock_guard guard(lock);
+    else if (const auto* it = std::get_if<Messages::ConfigurationOffer>(&message))
         keeper->handle(now, Decision::ConfigurationOffered { from, *it });
-        pump(now);
-        return;
-    } else if (const auto* it = std::get_if<Messages::AssignmentQuery>(&message)) {
-        const std::lock_guard guard(lock);
+    else if (const auto* it = std::get_if<Messages::AssignmentQuery>(&message))
         assignmentAsked(from, *it);
-        pump(now);
-        return;
-    } else if (const auto* it = std::get_if<Messages::AssignmentAnswer>(&message)) {
-        const std::lock_guard guard(lock);
+    else if (const auto* it = std::get_if<Messages::AssignmentAnswer>(&message))
         fleet.answered(from, *it);
-        pump(now);
-        return;
-    }
-    requests.peerMessage(from, message);
+    pump(now);
+    if (std::holds_alternative<Messages::Heartbeat>(message))
+        requests.peerMessage(from, message);
 }
 
+void ControlService::Impl::heartbeat(Common::Instant now, const Ports::HostId& from, const Messages::Heartbeat& message)
+{
+    disconnected.erase(from);
+    const Decision::HeartbeatReceived event { from, message };
+    membership->handle(now, event);
+    keeper->handle(now, event);
+    if (message.dataCentre == settings.dataCentre)
+        assignments.hint(message.assignmentVersion);
+}
+
+namespace {
+
+    bool isControl(const Messages::PeerMessage& message)
+    {
+        using namespace Messages;
+        return std::holds_alternative<Heartbeat>(message) || std::holds_alternative<ConfigurationRequest>(message)
+            || std::holds_alternative<ConfigurationOffer>(message) || std::holds_alternative<AssignmentQuery>(message)
+            || std::holds_alternative<AssignmentAnswer>(message);
+    }
+
+} // namespace
+
 ControlService::ControlService(std::unique_ptr<Impl> impl)
     : m_impl(std::move(impl))
 {
@@ -224,17 +223,26 @@
 
 void ControlService::frameArrived(const Ports::HostId& from, std::string frame)
 {
-    m_impl->workers.post([this, from, frame = std::move(frame)] { m_impl->frameArrived(from, frame); });
+    auto decoded = Messages::decode(frame);
+    if (!decoded) {
+        Logging::write(LogLevel::Warn, "peers", "a frame from " + from + " can't be read: " + decoded.error().what());
+        return;
+    }
+    auto message = decoded.take();
+    if (isControl(message))
+        m_impl->workers.post([this, from, message = std::move(message)] { m_impl->controlMessage(from, message); });
+    else
+        m_impl->requests.peerMessage(from, message);
 }
 
 void ControlService::peerDisconnected(const Ports::HostId& host)
 {
+    m_impl->requests.peerLost(host);
     m_impl->workers.post([this, host] {
         const std::lock_guard guard(m_impl->lock);
         const auto now = Common::BootClock::now();
         m_impl->disconnected[host] = now;
         m_impl->membership->handle(now, Decision::PeerDisconnected { host });
-        m_impl->requests.run([&](auto& core, Decision::Moment at) { core.peerLost(at, host); });
         m_impl->pump(now);
     });
 }
--- a/Source/Core/Kernel/ControlServiceImpl.h
+++ b/Source/Core/Kernel/ControlServiceImpl.h
@@ -21,7 +21,9 @@
     Impl(const Settings&, std::uint64_t incarnation, const ControlPorts&, RequestService&, WorkerPool&, Metrics&);
 
     // Events (ControlService.cpp).
-    void frameArrived(const Ports::HostId&, const std::string& frame);
+    /// Takes a message between the control services of two hosts; the request core sees heartbeats too.
+    void controlMessage(const Ports::HostId&, const Messages::PeerMessage&);
+    void heartbeat(Common::Instant now, const Ports::HostId&, const Messages::Heartbeat&);
     void tick(Common::Instant now);
     void pump(Common::Instant now);
     template<typename Core>
--- a/Source/Core/Kernel/RequestService.cpp
+++ b/Source/Core/Kernel/RequestService.cpp
@@ -4,6 +4,7 @@
 #include "Kernel/Logging.h"
 #include "Messages/Codec.h"
 
+#include <exception>
 #include <utility>
 
 namespace Kernel {
@@ -81,6 +82,16 @@
     }
 }
 
+void RequestService::runForAdapter(const Step& step)
+{
+    try {
+        run(step);
+    } catch (const std::exception& e) {
+        // As in the workers: what the event belonged to runs into its deadline.
+        Logging::write(LogLevel::Error, "requests", std::string("a step failed: ") + e.what());
+    }
+}
+
 void RequestService::withTable(const std::function<void(Decision::AssignmentTable&)>& use)
 {
     const std::lock_guard guard(m_lock);
@@ -95,7 +106,7 @@
         const std::string frame = Messages::encode(it->message);
         // A frame that surely wasn't sent is as good as a broken connection: what waited for it is decided anew.
         if (!m_ports.peers.send(it->to, frame))
-            m_workers.post([this, host = it->to] { run([&](auto& core, Moment at) { core.peerLost(at, host); }); });
+            m_workers.post([this, host = it->to] { peerLost(host); });
     } else if (auto* it = std::get_if<Decision::DispatchAttempt>(&action))
         dispatch(*it);
     else if (auto* it = std::get_if<Decision::CancelAttempt>(&action))
@@ -142,11 +153,9 @@
 
 void RequestService::requestArrived(Ports::CallerRequest request)
 {
-    m_workers.post([this, request = std::move(request)] {
-        run([&](auto& core, Moment at) {
-            m_asked[request.handle] = { at.now };
-            core.requestArrived(at, request);
-        });
+    runForAdapter([&](auto& core, Moment at) {
+        m_asked[request.handle] = { at.now };
+        core.requestArrived(at, request);
     });
 }
 
@@ -169,17 +178,29 @@
 
 void RequestService::attemptEnded(Ports::UpstreamResult result)
 {
-    m_workers.post([this, result = std::move(result)] {
-        run([&](auto& core, Moment at) {
-            noteEnd(result);
-            core.attemptEnded(at, result);
-        });
+    // An attempt that wasn't sent may be reported from within dispatch(), under the lock.
+    if (result.end == Ports::AttemptEnd::NotSent)
+        m_workers.post([this, result = std::move(result)] { takeResult(result); });
+    else
+        takeResult(result);
+}
+
+void RequestService::takeResult(const Ports::UpstreamResult& result)
+{
+    runForAdapter([&](auto& core, Moment at) {
+        noteEnd(result);
+        core.attemptEnded(at, result);
     });
 }
 
 void RequestService::peerMessage(const Ports::HostId& from, const Messages::PeerMessage& message)
 {
-    run([&](auto& core, Moment at) { core.peerMessage(at, from, message); });
+    runForAdapter([&](auto& core, Moment at) { core.peerMessage(at, from, message); });
+}
+
+void RequestService::peerLost(const Ports::HostId& host)
+{
+    runForAdapter([&](auto& core, Moment at) { core.peerLost(at, host); });
 }
 
 void RequestService::setReady(bool ready)
--- a/Source/Core/Kernel/RequestService.h
+++ b/Source/Core/Kernel/RequestService.h
@@ -31,6 +31,8 @@
 };
 
 /// Owns the request core and the assignment table, guards them by one lock and carries their actions out in order.
+/// Arrivals, results and peers' messages are decided on the thread that brings them: each hand-over to another
+/// thread costs a wake-up. What an adapter may report from within a call of this service goes through the workers.
 class RequestService : public Ports::CallerSink, public Ports::UpstreamSink {
 public:
     /// A change to the core, made under the lock; its actions are carried out before the lock is given up.
@@ -50,6 +52,8 @@
     void withTable(const std::function<void(Decision::AssignmentTable&)>&);
 
     void peerMessage(const Ports::HostId& from, const Messages::PeerMessage&);
+    /// The connection to a peer broke: what waited for its answer is decided anew.
+    void peerLost(const Ports::HostId&);
     void setReady(bool);
     std::vector<Messages::PoolLoad> loads();
     bool memoryWhole();
@@ -63,6 +67,9 @@
     };
 
     RequestService(const Settings&, std::uint64_t incarnation, const RequestPorts&, WorkerPool&, Metrics&);
+    /// Runs a step on a thread of an adapter, which an exception must not reach.
+    void runForAdapter(const Step&);
+    void takeResult(const Ports::UpstreamResult&);
     void carryOut(Decision::RequestAction&);
     void answer(const Decision::AnswerCaller&);
     void dispatch(Decision::DispatchAttempt&);
--- /dev/null
+++ b/Source/UnitTests/Kernel/RequestServiceTest.cpp
@@ -0,0 +1,151 @@
+/// Which thread decides, and that an adapter may report from within a call: the service must not wait for itself.
+
+#include "Kernel/RequestService.h"
+
+#include <doctest/doctest.h>
+#include <future>
+#include <optional>
+#include <thread>
+
+using namespace Kernel;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto viewLease = 1h;
+constexpr Ports::LeaseId lease = 7;
+
+/// Keeps the answers and the thread that gave the last one.
+class FakeCallers final : public Ports::CallerPort {
+public:
+    void start(Ports::CallerSink&) override { }
+    void answer(Ports::CallerHandle, const Ports::Answer& answer) override
+    {
+        thread = std::this_thread::get_id();
+        answered.set_value(answer);
+    }
+    std::size_t unanswered() const override { return 0; }
+    void stop() override { }
+
+    std::promise<Ports::Answer> answered;
+    std::thread::id thread;
+};
+
+/// Keeps calls; ends them at once, from within dispatch(), where an end is set.
+class FakeUpstreams final : public Ports::UpstreamPort {
+public:
+    void start(Ports::UpstreamSink& to) override { sink = &to; }
+    void dispatch(Ports::UpstreamCall call) override
+    {
+        thread = std::this_thread::get_id();
+        last = call.attempt;
+        if (endAtOnce)
+            sink->attemptEnded({ call.attempt, *endAtOnce, 0, {}, nullptr });
+    }
+    void cancel(Ports::AttemptId) override { }
+    void stop() override { }
+
+    Ports::UpstreamSink* sink = nullptr;
+    std::optional<Ports::AttemptEnd> endAtOnce;
+    std::optional<Ports::AttemptId> last;
+    std::thread::id thread;
+};
+
+class FakePeers final : public Ports::PeerPort {
+public:
+    void start(Ports::PeerSink&) override { }
+    void setPeers(std::vector<Ports::PeerAddress>) override { }
+    bool send(const Ports::HostId&, std::string) override { return false; }
+    void stop() override { }
+};
+
+std::shared_ptr<const Objects::ObjectSet> objects()
+{
+    auto set = std::make_shared<Objects::ObjectSet>();
+    set->domains["imlil"] = { "imlil", Objects::DomainLevel::DataCentre, "atlas" };
+    set->pools["desk"].name = "desk";
+    auto& service = set->services["booking"];
+    service.name = "booking";
+    service.pool = "desk";
+    service.expectedRunTime = 50ms;
+    set->priorities["normal"] = { "normal", 0 };
+    set->teams["hotels"] = { "hotels", { "normal" }, 0, 1 };
+    return set;
+}
+
+/// One host that owns the pool desk with one upstream.
+struct ServiceBed {
+    ServiceBed()
+    {
+        Settings settings;
+        settings.host = "imlil-1";
+        settings.dataCentre = "imlil";
+        service = RequestService::create(settings, 1, { callers, upstreams, peers }, *workers, *metrics);
+        upstreams.start(*service);
+        service->withTable([](auto& table) {
+            Decision::AssignmentRecord record;
+            record.version = 1;
+            record.upstreams["desk-1"].pool = "desk";
+            table.leaseAnswered({ lease, Common::BootClock::now(), viewLease }, Common::BootClock::now());
+            table.recordRead(record, lease);
+        });
+        service->run([](auto& core, Decision::Moment at) {
+            core.setConfiguration(at, objects(), 1);
+            core.setUpstreams(at, "desk", { { "desk-1", "127.0.0.1:1", 8 } });
+        });
+    }
+
+    ~ServiceBed() { workers->stop(); }
+
+    void ask()
+    {
+        Ports::CallerRequest request;
+        request.handle = 1;
+        request.service = "booking";
+        request.team = "hotels";
+        request.priority = "normal";
+        request.timeLeft = 1h;
+        request.body = std::make_shared<const std::string>("body");
+        service->requestArrived(request);
+    }
+
+    FakeCallers callers;
+    FakeUpstreams upstreams;
+    FakePeers peers;
+    std::unique_ptr<WorkerPool> workers = WorkerPool::create(1);
+    std::unique_ptr<Metrics> metrics = Metrics::create();
+    std::unique_ptr<RequestService> service;
+};
+
+} // namespace
+
+TEST_CASE("a request and its result are decided on the threads that bring them")
+{
+    ServiceBed bed;
+    bed.ask();
+    REQUIRE(bed.upstreams.last);
+    CHECK(bed.upstreams.thread == std::this_thread::get_id());
+    std::thread::id loop;
+    std::thread([&] {
+        loop = std::this_thread::get_id();
+        bed.service->attemptEnded({ *bed.upstreams.last, Ports::AttemptEnd::Answered, 200, "text/plain", std::make_shared<const std::string>("whole") });
+    }).join();
+    const auto answer = bed.callers.answered.get_future().get();
+    CHECK(answer.outcome == Ports::Outcome::Done);
+    CHECK(*answer.body == "whole");
+    CHECK(bed.callers.thread == loop);
+    CHECK(bed.service->open() == 0);
+}
+
+TEST_CASE("an attempt that ends unsent from within dispatch() is decided by a worker, and its request waits for another try")
+{
+    ServiceBed bed;
+    bed.upstreams.endAtOnce = Ports::AttemptEnd::NotSent;
+    bed.ask();
+    bed.workers->stop(); // Ends once its jobs are done.
+    bed.service->run([](auto& core, Decision::Moment) {
+        CHECK(core.counts().attempts == 1);
+        CHECK(core.attemptsOut() == 0);
+        CHECK(core.open() == 1);
+    });
+}
