Count pools once in a step of the wave planner

The profile has 46% in comparing strings: each pool was counted by a pass over all hosts of its own, two to four times over, each with a new set of the reserved names, and each reservation was looked up by a scan. Ruled out: encoding of records and the reservations themselves (not in the profile). Change: PoolStanding::countAll counts every pool in one pass; HostIndex finds hosts by name; the rack look-ahead takes no copy of the counts. Waves, moves and the ledger's checks use them. No test touched.

--- a/Source/Core/Decision/Moves/MovePlan.cpp
+++ b/Source/Core/Decision/Moves/MovePlan.cpp
@@ -38,10 +38,10 @@
     for (const auto& host : input.view.hosts) {
         if (countsAsPresent(host) && !m_moving.contains(host.name))
             ++m_present[host.pool];
-        if (!m_tallies.contains(host.pool)) {
-            m_tallies.emplace(host.pool, input.ledger.tally(input.view, host.pool));
-            m_required[host.pool] = input.ledger.required(input.view, host.pool);
-        }
+    }
+    for (const auto& [pool, standing] : input.ledger.standings(input.view)) {
+        m_tallies.emplace(pool, standing.tally);
+        m_required[pool] = standing.required;
     }
 }
 
@@ -59,9 +59,7 @@
 
 bool MovePlan::mayLeave(const HostView& host) const
 {
-    PoolTally after = m_tallies.at(host.pool);
-    after.remove(host.rack);
-    return after.afterWorstRack() >= m_required.at(host.pool);
+    return m_tallies.at(host.pool).afterWorstRackWithout(host.rack) >= m_required.at(host.pool);
 }
 
 void MovePlan::move(const HostView& host, const std::string& to)
--- a/Source/Core/Decision/Waves/BudgetArithmetic.cpp
+++ b/Source/Core/Decision/Waves/BudgetArithmetic.cpp
@@ -47,6 +47,21 @@
     return m_available - worst;
 }
 
+unsigned PoolTally::afterWorstRackWithout(const std::string& rack) const
+{
+    const auto it = m_byRack.find(rack);
+    if (it == m_byRack.end() || !it->second)
+        return afterWorstRack();
+    if (!m_lookAhead)
+        return m_available - 1;
+    unsigned worst = it->second - 1;
+    for (const auto& [name, hosts] : m_byRack) {
+        if (name != rack)
+            worst = std::max(worst, hosts);
+    }
+    return m_available - 1 - worst;
+}
+
 unsigned PoolTally::availableIn(const std::string& rack) const
 {
     const auto it = m_byRack.find(rack);
@@ -81,6 +96,41 @@
     --m_available;
 }
 
+PoolStanding PoolStanding::create(const WaveGuards& guards)
+{
+    PoolStanding standing;
+    standing.tally.m_lookAhead = standing.own.m_lookAhead = standing.atHome.m_lookAhead = guards.lookAheadRack;
+    return standing;
+}
+
+PoolStandings PoolStanding::countAll(
+    const FleetView& view, const std::set<std::string>& reserved, const std::vector<ServiceBudget>& budgets, const WaveGuards& guards)
+{
+    PoolStandings standings;
+    const auto standingOf = [&](const std::string& pool) -> PoolStanding& {
+        const auto it = standings.find(pool);
+        return it != standings.end() ? it->second : standings.emplace(pool, create(guards)).first->second;
+    };
+    for (const auto& host : view.hosts) {
+        auto& home = standingOf(host.homePool);
+        ++home.tally.m_published;
+        if (host.health == HostHealth::Up)
+            home.atHome.add(host.rack);
+        auto& serves = host.pool == host.homePool ? home : standingOf(host.pool);
+        if (!isAvailable(host, reserved, guards))
+            continue;
+        serves.tally.add(host.rack);
+        if (&serves == &home)
+            serves.own.add(host.rack);
+    }
+    for (const auto& budget : budgets) {
+        const auto it = standings.find(budget.pool);
+        if (it != standings.end())
+            it->second.required = std::max(it->second.required, requiredHosts(it->second.tally.published(), budget.minimumAvailablePercent));
+    }
+    return standings;
+}
+
 unsigned requiredOfPool(const std::string& pool, unsigned publishedHosts, const std::vector<ServiceBudget>& budgets)
 {
     unsigned required = 0;
--- a/Source/Core/Decision/Waves/BudgetArithmetic.h
+++ b/Source/Core/Decision/Waves/BudgetArithmetic.h
@@ -39,6 +39,8 @@
     unsigned available() const { return m_available; }
     /// Available hosts that remain when the rack that holds most of them is lost; all of them with the guard off.
     unsigned afterWorstRack() const;
+    /// The same with one host of `rack` away.
+    unsigned afterWorstRackWithout(const std::string& rack) const;
     /// Available hosts of the pool in a rack.
     unsigned availableIn(const std::string& rack) const;
     /// Rack that holds most of the available hosts; empty when there are none.
@@ -48,12 +50,31 @@
     void remove(const std::string& rack);
 
 private:
+    friend struct PoolStanding;
+
     bool m_lookAhead = true;
     unsigned m_published = 0;
     unsigned m_available = 0;
     std::map<std::string, unsigned> m_byRack;
 };
 
+/// Where a pool stands against its budgets.
+struct PoolStanding {
+    PoolTally tally; ///< Available hosts, guests included.
+    PoolTally own; ///< Those of them that were published in the pool.
+    PoolTally atHome; ///< Hosts published in the pool that are up, wherever they serve.
+    unsigned required = 0;
+
+    /// Every pool that a host of the view serves or was published in, counted in one pass.
+    static std::map<std::string, PoolStanding> countAll(
+        const FleetView&, const std::set<std::string>& reserved, const std::vector<ServiceBudget>&, const WaveGuards&);
+
+private:
+    static PoolStanding create(const WaveGuards&);
+};
+
+using PoolStandings = std::map<std::string, PoolStanding>;
+
 /// The highest requirement among the budgets of a pool, in hosts.
 unsigned requiredOfPool(const std::string& pool, unsigned publishedHosts, const std::vector<ServiceBudget>&);
 
--- a/Source/Core/Decision/Waves/BudgetLedger.cpp
+++ b/Source/Core/Decision/Waves/BudgetLedger.cpp
@@ -25,9 +25,8 @@
 
     bool fits(const PoolTally& tally, const std::string& rack, unsigned required, unsigned floor)
     {
-        PoolTally after = tally;
-        after.remove(rack);
-        return after.afterWorstRack() >= required && after.available() >= floor;
+        const unsigned left = tally.available() - (tally.availableIn(rack) ? 1 : 0);
+        return tally.afterWorstRackWithout(rack) >= required && left >= floor;
     }
 
     bool eraseEntry(BudgetRecord& record, const std::string& upstream)
@@ -284,6 +283,11 @@
     return requiredOfPool(pool, tally(view, pool).published(), m_private->settings.budgets);
 }
 
+PoolStandings BudgetLedger::standings(const FleetView& view) const
+{
+    return PoolStanding::countAll(view, reservedHosts(), m_private->settings.budgets, m_private->settings.guards);
+}
+
 bool BudgetLedger::mayReserve(const FleetView& view, const HostView& host) const
 {
     if (!host.serving || host.health != HostHealth::Up || reservedHosts().contains(host.name))
@@ -301,19 +305,20 @@
     if (isBusy() || !isLoaded())
         return {};
     m_private->pending = {};
-    std::map<std::string, PoolTally> tallies;
+    const HostIndex hosts(view);
+    auto standings = this->standings(view);
     std::set<std::string> taken = reservedHosts();
     for (const auto& change : changes) {
         if (m_private->pending.budgets.size() + m_private->pending.racks.size() + 1 >= maximumRecordsPerWrite)
             break;
         if (change.kind == LedgerChange::Kind::Reserve) {
-            const auto* host = view.find(change.entry.upstream);
+            const auto* host = hosts.find(change.entry.upstream);
             if (!host || !host->serving || host->health != HostHealth::Up || !taken.insert(host->name).second)
                 continue;
-            auto& tally = tallies.try_emplace(change.pool, this->tally(view, change.pool)).first->second;
-            if (!fits(tally, host->rack, required(view, change.pool), floorOf(view, change.pool)))
+            auto& standing = standings[change.pool];
+            if (!fits(standing.tally, host->rack, standing.required, floorOf(view, change.pool)))
                 continue;
-            tally.remove(host->rack);
+            standing.tally.remove(host->rack);
         }
         m_private->apply(change);
     }
--- a/Source/Core/Decision/Waves/BudgetLedger.h
+++ b/Source/Core/Decision/Waves/BudgetLedger.h
@@ -64,6 +64,8 @@
     /// Counts of a pool with the reserved hosts taken off.
     PoolTally tally(const FleetView&, const std::string& pool) const;
     unsigned required(const FleetView&, const std::string& pool) const;
+    /// Both of every pool; one pass over the hosts, where many pools are looked at.
+    PoolStandings standings(const FleetView&) const;
 
     /// Writes the changes in one transaction, leaving out reservations that a budget forbids and what exceeds the size
     /// of a transaction. Changes take effect in the cache when the store has answered.
--- a/Source/Core/Decision/Waves/FleetView.h
+++ b/Source/Core/Decision/Waves/FleetView.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace Decision {
@@ -54,4 +56,25 @@
     }
 };
 
+/// Finds hosts of a view by name; the view must outlive it unchanged.
+class HostIndex {
+public:
+    explicit HostIndex(const FleetView& view)
+    {
+        m_hosts.reserve(view.hosts.size());
+        for (const auto& host : view.hosts)
+            m_hosts.emplace(host.name, &host);
+    }
+
+    /// Null when no host has that name.
+    const HostView* find(const std::string& name) const
+    {
+        const auto it = m_hosts.find(name);
+        return it == m_hosts.end() ? nullptr : it->second;
+    }
+
+private:
+    std::unordered_map<std::string_view, const HostView*> m_hosts;
+};
+
 } // namespace Decision
--- a/Source/Core/Decision/Waves/WavePlanner.cpp
+++ b/Source/Core/Decision/Waves/WavePlanner.cpp
@@ -17,6 +17,30 @@
     constexpr unsigned overdueFactor = 2;
     constexpr double newCycleWeight = 0.2; // of a measured cycle in the moving mean
 
+    using HostsByPool = std::map<std::string, std::vector<const HostView*>>;
+
+    /// True when the pool's own hosts, all at home, could spare one: then it needs no loan, only its hosts back.
+    bool suffices(const PoolStanding& standing)
+    {
+        return safeConcurrency(standing.atHome, standing.required) > 0;
+    }
+
+    HostsByPool guestsByPool(const FleetView& view)
+    {
+        HostsByPool guests;
+        for (const auto& host : view.hosts) {
+            if (host.homePool != host.pool)
+                guests[host.pool].push_back(&host);
+        }
+        return guests;
+    }
+
+    std::vector<const HostView*> hostsOf(const HostsByPool& hosts, const std::string& pool)
+    {
+        const auto it = hosts.find(pool);
+        return it == hosts.end() ? std::vector<const HostView*> {} : it->second;
+    }
+
     /// A decision that was given out and whose effect is awaited.
     struct Issued {
         ReservationPhase phase = ReservationPhase::Draining;
@@ -52,10 +76,11 @@
     LedgerChange change(LedgerChange::Kind, Reservation, ReservationPhase, WallTime) const;
     void reserve(Instant, WallTime, const FleetView&, WaveOutput&, std::vector<LedgerChange>&);
     void release(Instant, const Reservation&);
-    std::map<std::string, unsigned> deficits(const FleetView&) const;
+    std::map<std::string, unsigned> deficits(const FleetView&, const HostIndex&) const;
     std::optional<std::chrono::seconds> forecast(const FleetView&) const;
-    unsigned concurrency(const std::string& pool, const FleetView&) const;
-    bool suffices(const std::string& pool, const FleetView&) const;
+    unsigned concurrency(const std::string& pool, const PoolStanding&, const HostIndex&) const;
+    std::vector<const HostView*> spareHosts(const FleetView&) const;
+    HostsByPool waitingByPool(const FleetView&) const;
 };
 
 bool WavePlanner::Private::isInWave(const HostView& host) const
@@ -160,19 +185,15 @@
 }
 
 /// Hosts that each pool is short of its budgets, less those on their way back.
-std::map<std::string, unsigned> WavePlanner::Private::deficits(const FleetView& view) const
+std::map<std::string, unsigned> WavePlanner::Private::deficits(const FleetView& view, const HostIndex& hosts) const
 {
     std::map<std::string, unsigned> result;
-    for (const auto& entry : own()) {
-        const auto* host = view.find(entry.upstream);
-        if (!host || result.contains(host->pool))
-            continue;
-        const auto available = ledger.tally(view, host->pool).available();
-        const auto required = ledger.required(view, host->pool);
-        result[host->pool] = required > available ? required - available : 0;
+    for (const auto& [pool, standing] : ledger.standings(view)) {
+        const auto available = standing.tally.available();
+        result[pool] = standing.required > available ? standing.required - available : 0;
     }
     for (const auto& entry : own()) {
-        const auto* host = view.find(entry.upstream);
+        const auto* host = hosts.find(entry.upstream);
         if (host && entry.phase == ReservationPhase::Returning && result[host->pool])
             --result[host->pool];
     }
@@ -207,27 +228,37 @@
     meanCycle = first ? cycle : meanCycle * (1 - newCycleWeight) + cycle * newCycleWeight;
 }
 
-unsigned WavePlanner::Private::concurrency(const std::string& pool, const FleetView& view) const
+unsigned WavePlanner::Private::concurrency(const std::string& pool, const PoolStanding& standing, const HostIndex& hosts) const
 {
-    auto tally = ledger.tally(view, pool);
+    auto tally = standing.tally;
     for (const auto& entry : own()) {
-        const auto* host = view.find(entry.upstream);
+        const auto* host = hosts.find(entry.upstream);
         if (host && host->pool == pool)
             tally.add(host->rack);
     }
-    auto atOnce = safeConcurrency(tally, ledger.required(view, pool));
+    auto atOnce = safeConcurrency(tally, standing.required);
     return settings.maximumAtOnce ? std::min(atOnce, settings.maximumAtOnce) : atOnce;
 }
 
-/// True when the pool's own hosts, all at home, could spare one: then it needs no loan, only its hosts back.
-bool WavePlanner::Private::suffices(const std::string& pool, const FleetView& view) const
+/// Hosts of spare pools that may be lent.
+std::vector<const HostView*> WavePlanner::Private::spareHosts(const FleetView& view) const
 {
-    PoolTally atHome;
+    const auto reserved = ledger.reservedHosts();
+    std::vector<const HostView*> spare;
     for (const auto& host : view.hosts) {
-        if (host.homePool == pool && host.health == HostHealth::Up)
-            atHome.add(host.rack);
+        if (settings.sparePools.contains(host.pool) && host.health == HostHealth::Up && !reserved.contains(host.name))
+            spare.push_back(&host);
     }
-    return safeConcurrency(atHome, ledger.required(view, pool)) > 0;
+    return spare;
+}
+
+/// A host is missed where it serves, be it a guest there.
+HostsByPool WavePlanner::Private::waitingByPool(const FleetView& view) const
+{
+    HostsByPool hosts;
+    for (const auto* host : waiting(view))
+        hosts[host->pool].push_back(host);
+    return hosts;
 }
 
 std::optional<std::chrono::seconds> WavePlanner::Private::forecast(const FleetView& view) const
@@ -240,14 +271,19 @@
     }
     const std::chrono::duration<double> guess = settings.expectedDrain + wave.rebootTime + settings.healthySettle;
     const auto cycle = meanCycle.count() > 0 ? meanCycle : guess;
+    const HostIndex hosts(view);
+    const auto standings = ledger.standings(view);
+    const auto waiting = waitingByPool(view);
+    const auto guests = guestsByPool(view);
     unsigned rounds = 0;
-    for (const auto& [pool, hosts] : left) {
-        auto atOnce = concurrency(pool, view);
-        if (!atOnce && !findLoans(pool, view, ledger, waiting(view), {}).empty())
+    for (const auto& [pool, count] : left) {
+        const auto& standing = standings.at(pool);
+        auto atOnce = concurrency(pool, standing, hosts);
+        if (!atOnce && !findLoans(pool, standing, hostsOf(waiting, pool), hostsOf(guests, pool), {}).empty())
             atOnce = 1;
         if (!atOnce)
             return std::nullopt;
-        rounds = std::max(rounds, (hosts + atOnce - 1) / atOnce);
+        rounds = std::max(rounds, (count + atOnce - 1) / atOnce);
     }
     return std::chrono::ceil<std::chrono::seconds>(cycle * rounds);
 }
@@ -294,9 +330,10 @@
     if (!state.ledger.isLoaded())
         return output;
     std::vector<LedgerChange> changes;
-    auto deficits = state.deficits(view);
+    const HostIndex hosts(view);
+    auto deficits = state.deficits(view, hosts);
     for (const auto& entry : state.own()) {
-        const auto* host = view.find(entry.upstream);
+        const auto* host = hosts.find(entry.upstream);
         if (!host)
             continue;
         state.issue(now, entry, *host, output.decisions);
@@ -348,35 +385,31 @@
 std::vector<MoveHost> WavePlanner::loans(const FleetView& view) const
 {
     const auto& state = *m_private;
-    std::vector<MoveHost> loans;
-    std::set<std::string> lent;
-    std::map<std::string, std::vector<const HostView*>> waitingByPool;
-    for (const auto* host : state.waiting(view))
-        waitingByPool[host->pool].push_back(host); // A host is missed where it serves, be it a guest there.
-    std::map<std::string, bool> active;
+    const HostIndex hosts(view);
+    std::set<std::string> active;
     for (const auto& entry : state.own()) {
-        if (const auto* host = view.find(entry.upstream))
-            active[host->pool] = true;
+        if (const auto* host = hosts.find(entry.upstream))
+            active.insert(host->pool);
     }
-    const auto reserved = state.ledger.reservedHosts();
-    for (const auto& [pool, hosts] : waitingByPool) {
-        if (active[pool] || state.wave.paused || state.suffices(pool, view))
+    const auto standings = state.ledger.standings(view);
+    const auto guests = guestsByPool(view);
+    auto spare = state.spareHosts(view);
+    std::vector<MoveHost> loans;
+    for (const auto& [pool, waiting] : state.waitingByPool(view)) {
+        const auto& standing = standings.at(pool);
+        if (active.contains(pool) || state.wave.paused || suffices(standing))
             continue;
-        std::vector<const HostView*> free;
-        for (const auto& host : view.hosts) {
-            const bool spare = state.settings.sparePools.contains(host.pool) && host.health == HostHealth::Up;
-            if (spare && host.pool != pool && !reserved.contains(host.name) && !lent.contains(host.name))
-                free.push_back(&host);
-        }
-        for (auto& loan : findLoans(pool, view, state.ledger, hosts, free)) {
-            lent.insert(loan.upstream);
+        auto free = spare;
+        std::erase_if(free, [&](const HostView* it) { return it->pool == pool; });
+        for (auto& loan : findLoans(pool, standing, waiting, hostsOf(guests, pool), free)) {
+            std::erase_if(spare, [&](const HostView* it) { return it->name == loan.upstream; });
             loans.push_back(std::move(loan));
         }
     }
-    for (const auto& host : view.hosts) {
-        // Guests stay for as long as a host of the pool is away.
-        if (active[host.pool] && host.homePool != host.pool)
-            loans.push_back({ host.name, host.pool, host.pool });
+    // Guests stay for as long as a host of the pool is away.
+    for (const auto& pool : active) {
+        for (const auto* guest : hostsOf(guests, pool))
+            loans.push_back({ guest->name, pool, pool });
     }
     return loans;
 }
--- a/Source/Core/Decision/Waves/WaveSelection.cpp
+++ b/Source/Core/Decision/Waves/WaveSelection.cpp
@@ -1,7 +1,6 @@
 #include "Decision/Waves/WaveSelection.h"
 
 #include <algorithm>
-#include <map>
 #include <tuple>
 
 namespace Decision {
@@ -12,9 +11,7 @@
 
     bool allows(const PoolTally& tally, const std::string& rack, unsigned required)
     {
-        PoolTally after = tally;
-        after.remove(rack);
-        return after.afterWorstRack() >= required;
+        return tally.afterWorstRackWithout(rack) >= required;
     }
 
     unsigned floorOf(const FleetView& view, const std::string& pool)
@@ -23,40 +20,9 @@
         return it == view.loadFloors.end() ? 0 : it->second;
     }
 
-    /// State of the selection in one pool.
-    struct PoolRoom {
-        PoolTally tally;
-        unsigned required = 0;
-        unsigned floor = 0;
-
-        bool allows(const HostView& host) const
-        {
-            return tally.available() > floor && Decision::allows(tally, host.rack, required);
-        }
-    };
-
-    using PoolRooms = std::map<std::string, PoolRoom>;
-
-    PoolRoom& roomOf(PoolRooms& rooms, const std::string& pool, const FleetView& view, const BudgetLedger& ledger)
-    {
-        const auto it = rooms.find(pool);
-        if (it != rooms.end())
-            return it->second;
-        PoolRoom room { ledger.tally(view, pool), ledger.required(view, pool), floorOf(view, pool) };
-        return rooms.emplace(pool, std::move(room)).first->second;
-    }
-
-    /// Counts of the pool's own hosts alone.
-    PoolTally tallyWithoutGuests(const std::string& pool, const FleetView& view, const BudgetLedger& ledger)
+    bool allows(const PoolStanding& standing, unsigned floor, const HostView& host)
     {
-        auto tally = ledger.tally(view, pool);
-        const auto reserved = ledger.reservedHosts();
-        for (const auto& host : view.hosts) {
-            const bool counted = host.serving && host.health == HostHealth::Up && !reserved.contains(host.name);
-            if (host.pool == pool && host.homePool != pool && counted)
-                tally.remove(host.rack);
-        }
-        return tally;
+        return standing.tally.available() > floor && allows(standing.tally, host.rack, standing.required);
     }
 
     bool allowsAny(const PoolTally& tally, const std::vector<const HostView*>& hosts, unsigned required)
@@ -64,16 +30,6 @@
         return std::any_of(hosts.begin(), hosts.end(), [&](const HostView* it) { return allows(tally, it->rack, required); });
     }
 
-    std::vector<const HostView*> guestsOf(const std::string& pool, const FleetView& view)
-    {
-        std::vector<const HostView*> guests;
-        for (const auto& host : view.hosts) {
-            if (host.pool == pool && host.homePool != pool)
-                guests.push_back(&host);
-        }
-        return guests;
-    }
-
     /// The offer after which a host may go, else the one in the rack with the fewest hosts of the pool.
     std::size_t bestOffer(const PoolTally& tally, const std::vector<const HostView*>& offers, const std::vector<const HostView*>& waiting, unsigned required)
     {
@@ -94,16 +50,16 @@
 std::vector<const HostView*> selectHosts(const FleetView& view, const BudgetLedger& ledger, std::vector<const HostView*> candidates, std::size_t limit)
 {
     std::erase_if(candidates, [](const HostView* it) { return !it->serving || it->health != HostHealth::Up; });
-    PoolRooms rooms;
+    auto standings = ledger.standings(view);
     std::vector<const HostView*> selected;
     while (selected.size() < limit) {
         const HostView* best = nullptr;
         auto bestRank = std::make_tuple(0, true, 0U);
         for (const auto* host : candidates) {
-            const auto& room = roomOf(rooms, host->pool, view, ledger);
-            if (!room.allows(*host))
+            const auto& standing = standings.at(host->pool);
+            if (!allows(standing, floorOf(view, host->pool), *host))
                 continue;
-            const auto rackHosts = -static_cast<int>(room.tally.availableIn(host->rack));
+            const auto rackHosts = -static_cast<int>(standing.tally.availableIn(host->rack));
             const auto rank = std::make_tuple(rackHosts, !host->knownIdle, host->busySlots);
             if (best && rank >= bestRank)
                 continue;
@@ -113,7 +69,7 @@
         if (!best)
             break;
         selected.push_back(best);
-        roomOf(rooms, best->pool, view, ledger).tally.remove(best->rack);
+        standings.at(best->pool).tally.remove(best->rack);
         std::erase(candidates, best);
     }
     return selected;
@@ -132,16 +88,15 @@
     }
 }
 
-std::vector<MoveHost> findLoans(const std::string& pool, const FleetView& view, const BudgetLedger& ledger, const std::vector<const HostView*>& waiting,
-    const std::vector<const HostView*>& free)
+std::vector<MoveHost> findLoans(const std::string& pool, const PoolStanding& standing, const std::vector<const HostView*>& waiting,
+    const std::vector<const HostView*>& guests, const std::vector<const HostView*>& free)
 {
-    const auto required = ledger.required(view, pool);
-    auto tally = tallyWithoutGuests(pool, view, ledger);
-    auto offers = guestsOf(pool, view);
-    const auto guests = offers.size();
+    const auto required = standing.required;
+    auto tally = standing.own;
+    auto offers = guests;
     std::vector<const HostView*> lent;
     while (!allowsAny(tally, waiting, required) && lent.size() < maximumLoans) {
-        if (lent.size() == guests)
+        if (lent.size() == guests.size())
             offers.insert(offers.end(), free.begin(), free.end());
         if (offers.empty())
             return {};
--- a/Source/Core/Decision/Waves/WaveSelection.h
+++ b/Source/Core/Decision/Waves/WaveSelection.h
@@ -22,9 +22,10 @@
 unsigned safeConcurrency(PoolTally tally, unsigned required);
 
 /// Spare hosts that a pool too small for its own maintenance needs for the time of its wave: those on loan already that
-/// it still needs, and new ones. `free` holds spare hosts that may be lent, `waiting` the pool's hosts yet to be done.
-std::vector<MoveHost> findLoans(const std::string& pool, const FleetView&, const BudgetLedger&, const std::vector<const HostView*>& waiting,
-    const std::vector<const HostView*>& free);
+/// it still needs, and new ones. `waiting` holds the pool's hosts yet to be done, `guests` those of other pools that serve
+/// it, `free` spare hosts that may be lent.
+std::vector<MoveHost> findLoans(const std::string& pool, const PoolStanding&, const std::vector<const HostView*>& waiting,
+    const std::vector<const HostView*>& guests, const std::vector<const HostView*>& free);
 
 /// Size of a fleet for a forecast on paper.
 struct FleetShape {
