--- a/Source/UnitTests/Process/Fleet.cpp
+++ b/Source/UnitTests/Process/Fleet.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <ctime>
 #include <doctest/doctest.h>
 #include <filesystem>
 #include <fstream>
@@ -12,6 +13,7 @@
 #include <stdexcept>
 #include <string_view>
 #include <thread>
+#include <utility>
 
 namespace ProcessTests {
 
@@ -162,10 +164,27 @@
         << R"("priorities": [{ "name": "normal", "rank": 1 }],)"
         << R"("teams": [{ "name": "families", "priorities": ["normal"], "slotQuota": )" << 8 * m_shape.upstreamsPerPool
         << R"(, "weight": )" << weight << " }],"
-        << R"("upstreams": [)" << join(upstreams) << "] }";
+        << R"("upstreams": [)" << join(upstreams) << "]" << (m_shape.withWave ? maintenanceObjects() : "") << " }";
     return path;
 }
 
+/// The window began an hour ago and lasts a day, so that it is open whenever the test runs.
+std::string Fleet::maintenanceObjects() const
+{
+    const std::time_t begin = std::chrono::system_clock::to_time_t(std::chrono::system_clock::now() - std::chrono::hours(1));
+    std::tm utc {};
+    gmtime_r(&begin, &utc);
+    char windowStart[sizeof("2026-01-01T00:00:00Z")];
+    std::strftime(windowStart, sizeof(windowStart), "%Y-%m-%dT%H:%M:%SZ", &utc);
+    std::vector<std::string> budgets;
+    for (unsigned i = 0; i < m_shape.dataCentres; ++i) {
+        for (const std::string service : { "lesson-booking", "roster-reading" })
+            budgets.push_back(concat({ R"({ "name": ")", service, "-", dataCentreNames[i], R"(", "service": ")", service, R"(", "dataCentre": ")", dataCentreNames[i], R"(", "minimumAvailablePercent": 30 })" }));
+    }
+    return concat({ R"(, "budgets": [)", join(budgets), R"(], "waves": [{ "name": "reboots", "pools": ["desk", "juniors"], "windowStart": ")", windowStart,
+        R"(", "windowLength": "24h", "drainLimit": "10s", "rebootTime": "1s", "paused": true }])" });
+}
+
 std::vector<const FleetHost*> Fleet::allHosts() const
 {
     std::vector<const FleetHost*> hosts;
@@ -187,7 +206,12 @@
 
 FleetUpstream& Fleet::upstream(const std::string& name)
 {
-    for (auto& it : m_upstreams) {
+    return const_cast<FleetUpstream&>(std::as_const(*this).upstream(name));
+}
+
+const FleetUpstream& Fleet::upstream(const std::string& name) const
+{
+    for (const auto& it : m_upstreams) {
         if (it.name == name)
             return it;
     }
@@ -227,6 +251,15 @@
     REQUIRE(eventually([&] { return post(admin("/hosts"), "{\"hosts\":[" + join(hosts) + "]}").status == 200; }));
 }
 
+std::map<std::string, std::uint64_t> Fleet::listed() const
+{
+    std::map<std::string, std::uint64_t> incarnations;
+    const Json::Value list = get(admin("/hosts")).json();
+    for (const auto& it : list["hosts"])
+        incarnations[it["name"].asString()] = it["incarnation"].asUInt64();
+    return incarnations;
+}
+
 std::string Fleet::placeOf(const FleetHost& host, const std::string& upstream) const
 {
     for (const auto& it : get(host.operatorUrl("/v1/pools")).json()) {
--- a/Source/UnitTests/Process/Fleet.h
+++ b/Source/UnitTests/Process/Fleet.h
@@ -20,6 +20,7 @@
     unsigned hosts = 3; ///< Entry hosts, dealt out to the data centres in turn.
     unsigned dataCentres = 1; ///< 1 or 2: imlil, asni.
     unsigned upstreamsPerPool = 3; ///< For each of the pools desk and juniors, in each data centre.
+    bool withWave = false; ///< Publishes budgets of 30% and a paused wave over both pools, called reboots.
 };
 
 struct FleetUpstream {
@@ -54,10 +55,12 @@
     Fleet& operator=(const Fleet&) = delete;
 
     std::vector<FleetHost>& hosts() { return m_hosts; }
+    const std::vector<FleetHost>& hosts() const { return m_hosts; }
     std::vector<const FleetHost*> allHosts() const;
     /// The first host's data centre's owner of a pool, whose queue and slots it keeps.
     FleetHost& ownerOf(const std::string& pool);
     FleetUpstream& upstream(const std::string& name);
+    const FleetUpstream& upstream(const std::string& name) const;
     void startHost(FleetHost&);
     bool ready(const FleetHost&) const;
     bool allReady() const;
@@ -66,6 +69,8 @@
     void setStoreFault(const std::string& mode) const;
     /// Publishes the host list: everything live but the upstream named.
     void listLeaving(const std::string& upstream) const;
+    /// Incarnations of the upstreams that the host list shows; one that reboots isn't there.
+    std::map<std::string, std::uint64_t> listed() const;
     /// State of an upstream as an entry host says it: "pool state", for instance "desk draining".
     std::string placeOf(const FleetHost&, const std::string& upstream) const;
 
@@ -86,6 +91,7 @@
     std::size_t runningInAll() const;
 
 private:
+    std::string maintenanceObjects() const;
     std::string file(const std::string& name) const { return m_directory + "/" + name; }
     std::string admin(const std::string& path) const;
     void writeSettings(const FleetHost&) const;
