Count a pool in one place only

Cause: reading the change again: counting every pool at once stood beside counting one, and so did their requirements. Ruled out: removing requiredOfPool, by which the tests check the planner's steps. Change: PoolTally::count, BudgetLedger::tally and ::required are gone; what used them takes BudgetLedger::standings. No test touched.

--- a/Source/Core/Decision/Waves/BudgetArithmetic.cpp
+++ b/Source/Core/Decision/Waves/BudgetArithmetic.cpp
@@ -24,19 +24,6 @@
     return (publishedHosts * minimumAvailablePercent + hundredPercent - 1) / hundredPercent;
 }
 
-PoolTally PoolTally::count(const std::string& pool, const FleetView& view, const std::set<std::string>& reserved, const WaveGuards& guards)
-{
-    PoolTally tally;
-    tally.m_lookAhead = guards.lookAheadRack;
-    for (const auto& host : view.hosts) {
-        if (host.homePool == pool)
-            ++tally.m_published;
-        if (host.pool == pool && isAvailable(host, reserved, guards))
-            tally.add(host.rack);
-    }
-    return tally;
-}
-
 unsigned PoolTally::afterWorstRack() const
 {
     if (!m_lookAhead)
@@ -123,11 +110,8 @@
         if (&serves == &home)
             serves.own.add(host.rack);
     }
-    for (const auto& budget : budgets) {
-        const auto it = standings.find(budget.pool);
-        if (it != standings.end())
-            it->second.required = std::max(it->second.required, requiredHosts(it->second.tally.published(), budget.minimumAvailablePercent));
-    }
+    for (auto& [pool, standing] : standings)
+        standing.required = requiredOfPool(pool, standing.tally.published(), budgets);
     return standings;
 }
 
--- a/Source/Core/Decision/Waves/BudgetArithmetic.h
+++ b/Source/Core/Decision/Waves/BudgetArithmetic.h
@@ -32,9 +32,6 @@
 /// Counts of one pool in one data centre.
 class PoolTally {
 public:
-    /// A host is available when it serves the pool, is up, and isn't reserved.
-    static PoolTally count(const std::string& pool, const FleetView&, const std::set<std::string>& reserved, const WaveGuards&);
-
     unsigned published() const { return m_published; }
     unsigned available() const { return m_available; }
     /// Available hosts that remain when the rack that holds most of them is lost; all of them with the guard off.
@@ -60,7 +57,7 @@
 
 /// Where a pool stands against its budgets.
 struct PoolStanding {
-    PoolTally tally; ///< Available hosts, guests included.
+    PoolTally tally; ///< Available hosts, guests included: those that serve the pool, are up, and aren't reserved.
     PoolTally own; ///< Those of them that were published in the pool.
     PoolTally atHome; ///< Hosts published in the pool that are up, wherever they serve.
     unsigned required = 0;
--- a/Source/Core/Decision/Waves/BudgetLedger.cpp
+++ b/Source/Core/Decision/Waves/BudgetLedger.cpp
@@ -273,16 +273,6 @@
     return names;
 }
 
-PoolTally BudgetLedger::tally(const FleetView& view, const std::string& pool) const
-{
-    return PoolTally::count(pool, view, reservedHosts(), m_private->settings.guards);
-}
-
-unsigned BudgetLedger::required(const FleetView& view, const std::string& pool) const
-{
-    return requiredOfPool(pool, tally(view, pool).published(), m_private->settings.budgets);
-}
-
 PoolStandings BudgetLedger::standings(const FleetView& view) const
 {
     return PoolStanding::countAll(view, reservedHosts(), m_private->settings.budgets, m_private->settings.guards);
@@ -292,12 +282,14 @@
 {
     if (!host.serving || host.health != HostHealth::Up || reservedHosts().contains(host.name))
         return false;
-    return fits(tally(view, host.pool), host.rack, required(view, host.pool), floorOf(view, host.pool));
+    const auto standing = standings(view)[host.pool];
+    return fits(standing.tally, host.rack, standing.required, floorOf(view, host.pool));
 }
 
 bool BudgetLedger::isBelowBudget(const FleetView& view, const std::string& pool) const
 {
-    return tally(view, pool).available() < required(view, pool);
+    const auto standing = standings(view)[pool];
+    return standing.tally.available() < standing.required;
 }
 
 std::vector<PlatformAction> BudgetLedger::submit(const FleetView& view, const std::vector<LedgerChange>& changes)
--- a/Source/Core/Decision/Waves/BudgetLedger.h
+++ b/Source/Core/Decision/Waves/BudgetLedger.h
@@ -61,10 +61,7 @@
     bool mayReserve(const FleetView&, const HostView&) const;
     /// True when a pool has fewer hosts available than its budgets ask for.
     bool isBelowBudget(const FleetView&, const std::string& pool) const;
-    /// Counts of a pool with the reserved hosts taken off.
-    PoolTally tally(const FleetView&, const std::string& pool) const;
-    unsigned required(const FleetView&, const std::string& pool) const;
-    /// Both of every pool; one pass over the hosts, where many pools are looked at.
+    /// Counts of every pool with the reserved hosts taken off, and what the budgets ask for.
     PoolStandings standings(const FleetView&) const;
 
     /// Writes the changes in one transaction, leaving out reservations that a budget forbids and what exceeds the size
--- a/Source/Core/Decision/Waves/WaveSelection.cpp
+++ b/Source/Core/Decision/Waves/WaveSelection.cpp
@@ -147,7 +147,7 @@
         host.serving = true;
         view.hosts.push_back(std::move(host));
     }
-    const auto tally = PoolTally::count("pool", view, {}, {});
+    const auto tally = PoolStanding::countAll(view, {}, {}, {})["pool"].tally;
     FleetForecast forecast;
     forecast.atOnce = safeConcurrency(tally, requiredHosts(shape.hosts, shape.minimumAvailablePercent));
     if (forecast.atOnce)
