--- a/Source/UnitTests/Process/WaveProcessTest.cpp
+++ b/Source/UnitTests/Process/WaveProcessTest.cpp
@@ -74,8 +74,8 @@
     CHECK(finished);
     CHECK(away == 0);
     CHECK(serving == leastServing);
-    for (const auto& [name, incarnation] : fleet.listed())
-        CHECK_MESSAGE(incarnation == 2, name);
+    for (const auto& it : fleet.listed())
+        CHECK_MESSAGE(it.second == 2, it.first);
     CHECK(load.more(12));
     const auto asked = load.stop();
     const Tally sum = tally(asked, fleet.runs());
