--- a/Source/UnitTests/Process/UpstreamProcessTest.cpp
+++ b/Source/UnitTests/Process/UpstreamProcessTest.cpp
@@ -96,6 +96,22 @@
     CHECK(sum.promisesHold());
 }
 
+TEST_CASE("a killed upstream with more idempotent requests in flight than there are free slots elsewhere: all are answered")
+{
+    Fleet fleet({ .basePort = 28900 });
+    FleetUpstream& killed = fleet.upstream("desk-imlil-1");
+    const std::vector<Question> questions(18, { "lesson-booking", true, 1200 });
+    std::multiset<std::string> inFlight;
+    const auto asked = askAtOnce(fleet.allHosts(), questions, [&] {
+        CHECK(eventually([&] { return fleet.runningInAll() == questions.size(); }, std::chrono::seconds(10)));
+        inFlight = fleet.runningOn(killed);
+        killed.process.kill();
+    });
+    CHECK(inFlight.size() > 4); // Two others have 16 slots for the rest, which is fewer than these besides.
+    for (const auto& it : asked)
+        CHECK_MESSAGE(it.booking.matches(it.tries.front()), it.tries.front().reason);
+}
+
 TEST_CASE("a killed upstream: idempotent requests are answered by others, the rest in flight have an unknown outcome")
 {
     Fleet fleet({ .basePort = 28500 });
