--- /dev/null
+++ b/Source/Apps/Marigoldctl/InForceWait.cpp
@@ -0,0 +1,73 @@
+#include "InForceWait.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace Ctl {
+
+namespace {
+
+    constexpr std::chrono::milliseconds pollInterval { 500 };
+
+    std::string lineOf(const InForceProgress& progress, std::uint64_t revision)
+    {
+        std::string line = "revision " + std::to_string(revision) + " is in force on " + std::to_string(progress.done) + " of " + std::to_string(progress.hosts) + " hosts";
+        for (std::size_t n = 0; n < progress.missing.size(); ++n)
+            line += (n ? ", " : "; missing: ") + progress.missing[n];
+        return line;
+    }
+
+    std::optional<InForceProgress> poll(CommandContext& context, std::uint64_t revision, std::string& problem)
+    {
+        try {
+            return progressOf(context.api().status(), revision);
+        } catch (const ApiError& e) {
+            problem = e.what();
+            return std::nullopt;
+        }
+    }
+
+} // namespace
+
+InForceProgress progressOf(const FleetStatus& status, std::uint64_t revision)
+{
+    InForceProgress progress;
+    progress.hosts = status.inForce.size();
+    for (const auto& host : status.inForce) {
+        if (host.revision >= revision)
+            ++progress.done;
+        else
+            progress.missing.push_back(host.dataCentre + "/" + host.host);
+    }
+    for (const auto& member : status.members) {
+        const bool isReported = std::any_of(status.inForce.begin(), status.inForce.end(), [&](const auto& host) { return host.host == member; });
+        if (isReported)
+            continue;
+        ++progress.hosts;
+        progress.missing.push_back(status.dataCentre + "/" + member);
+    }
+    return progress;
+}
+
+ExitCode waitUntilInForce(CommandContext& context, std::uint64_t revision)
+{
+    const auto limit = context.clock.now() + context.options.timeout;
+    std::string shown;
+    while (true) {
+        std::string problem;
+        const auto progress = poll(context, revision, problem);
+        const std::string line = progress ? lineOf(*progress, revision) : problem;
+        if (line != shown)
+            context.err << line << std::endl;
+        shown = line;
+        if (progress && progress->isComplete())
+            return ExitCode::Ok;
+        if (context.clock.now() >= limit) {
+            context.err << "timed out after " << context.options.timeout.count() << " s; the change stays accepted and goes on spreading (see marigoldctl status)\n";
+            return ExitCode::TimedOut;
+        }
+        context.clock.sleep(pollInterval);
+    }
+}
+
+} // namespace Ctl
--- /dev/null
+++ b/Source/Bench/FleetBench.cpp
@@ -0,0 +1,231 @@
+/// fleet_bench: buffer cost, roll-out time and moves of the wave planner and the margin policy beside baselines, in
+/// virtual time. Prints a JSON line for each figure and exits with 1 when one is past its bound.
+
+#include "Decision/Waves/WaveSelection.h"
+#include "FleetBenchModel.h"
+#include "FleetBenchOffline.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstring>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+
+using namespace FleetBench;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto runLength = 9000s;
+constexpr auto offlineLength = 1600s;
+constexpr auto designCycle = 420s; // drain, reboot and settling at the design size
+constexpr auto designWindow = 21 * 24h;
+constexpr unsigned designHosts = 15000;
+constexpr double bufferBound = 0.5;
+constexpr double rollOutBound = 3;
+constexpr double movesBound = 2;
+
+/// A bound on a figure.
+struct Bound {
+    double value = 0;
+    bool atLeast = false;
+
+    bool holds(double figure) const { return atLeast ? figure >= value : figure <= value; }
+};
+
+/// Writes figures to standard output and to a file, and remembers whether every bound held.
+class Report {
+public:
+    explicit Report(const std::string& path)
+    {
+        if (!path.empty())
+            m_file.open(path);
+    }
+
+    void add(const std::string& name, double value, const std::string& unit, std::optional<Bound> bound = {})
+    {
+        std::ostringstream line;
+        line << R"({"name":")" << name << R"(","value":)" << value << R"(,"unit":")" << unit << '"';
+        if (bound) {
+            const bool ok = bound->holds(value);
+            line << R"(,"bound":)" << bound->value << R"(,"ok":)" << (ok ? "true" : "false");
+            m_allHold = m_allHold && ok;
+        } else
+            line << R"(,"bound":null,"ok":true)";
+        line << "}\n";
+        std::cout << line.str();
+        m_file << line.str();
+    }
+
+    bool allHold() const { return m_allHold; }
+
+private:
+    std::ofstream m_file;
+    bool m_allHold = true;
+};
+
+/// A customer's fleet under one reading of its sizes.
+struct Fleet {
+    std::string name;
+    std::vector<std::vector<PoolSize>> dataCentres;
+    Decision::MarginSettings margin;
+};
+
+/// Shares the hosts of each pool out over data centres, the first ones getting the remainder.
+std::vector<std::vector<PoolSize>> spread(const std::vector<PoolSize>& total, unsigned dataCentres)
+{
+    std::vector<std::vector<PoolSize>> result(dataCentres);
+    for (const auto& pool : total) {
+        for (unsigned i = 0; i < dataCentres; ++i)
+            result[i].push_back({ pool.pool, pool.hosts / dataCentres + (i < pool.hosts % dataCentres ? 1 : 0), pool.spare });
+    }
+    return result;
+}
+
+std::vector<Fleet> makeFleets()
+{
+    const std::vector<PoolSize> benjelloun { { "desk", 8, false }, { "hotels", 9, false }, { "juniors", 11, false }, { "camps", 12, false }, { "backoffice", 8, true } };
+    const std::vector<PoolSize> norrvik { { "skyttel", 9, false }, { "forarpool", 9, false }, { "hallplats", 11, false }, { "linjeval", 12, false }, { "ovrigt", 8, true } };
+    Decision::MarginSettings bufferFirst;
+    bufferFirst.bufferCostWeight = 3;
+    Decision::MarginSettings rollOutFirst;
+    rollOutFirst.rollOutTimeWeight = 3;
+    return {
+        { "benjelloun.each", std::vector(4, benjelloun), bufferFirst },
+        { "norrvik.each", std::vector(3, norrvik), rollOutFirst },
+        { "benjelloun.spread", spread(benjelloun, 4), bufferFirst },
+        { "norrvik.spread", spread(norrvik, 3), rollOutFirst },
+    };
+}
+
+RunSettings settingsOf(const Fleet& fleet, std::size_t dataCentre)
+{
+    RunSettings settings;
+    settings.dataCentre = "dc-" + std::to_string(dataCentre);
+    settings.pools = fleet.dataCentres[dataCentre];
+    settings.margin = fleet.margin;
+    settings.length = runLength;
+    settings.seed = dataCentre + 1;
+    return settings;
+}
+
+RunFigures runFleet(const Fleet& fleet, MovePolicy policy, unsigned maximumAtOnce)
+{
+    RunFigures total;
+    total.waveFinished = true;
+    for (std::size_t i = 0; i < fleet.dataCentres.size(); ++i) {
+        auto settings = settingsOf(fleet, i);
+        settings.policy = policy;
+        settings.maximumAtOnce = maximumAtOnce;
+        total += run(settings);
+    }
+    return total;
+}
+
+void addFigures(Report& report, const std::string& name, const RunFigures& figures)
+{
+    report.add(name + ".bufferCost", figures.bufferHostSeconds, "host-seconds");
+    report.add(name + ".spareUse", figures.spareHostSeconds, "host-seconds");
+    report.add(name + ".goodput", figures.goodput(), "ratio");
+    report.add(name + ".goodputLostToMoves", figures.lostToMoves / std::max(1.0, figures.offered), "ratio");
+    report.add(name + ".moves", figures.moves, "moves");
+    report.add(name + ".budgetViolations", figures.budgetViolations, "pool-seconds", Bound { 0 });
+    report.add(name + ".hostsInTwoPools", figures.hostsInTwoPools, "host-seconds", Bound { 0 });
+    report.add(name + ".waveFinished", figures.waveFinished, "boolean");
+    report.add(name + ".rollOutTime", static_cast<double>(figures.rollOut.count()), "seconds");
+}
+
+unsigned movableMinimum(unsigned hosts, unsigned racks)
+{
+    const auto required = Decision::requiredHosts(hosts, budgetPercent);
+    unsigned minimum = required;
+    while (minimum < hosts && minimum - (minimum + racks - 1) / racks < required)
+        ++minimum;
+    return minimum;
+}
+
+/// Moves of the policy and of the offline best on the same trace, without waves and failures.
+void compareOffline(Report& report, const Fleet& fleet)
+{
+    RunFigures online;
+    OfflineFigures offline;
+    for (std::size_t i = 0; i < fleet.dataCentres.size(); ++i) {
+        auto settings = settingsOf(fleet, i);
+        settings.length = offlineLength;
+        settings.withWave = settings.withFailures = false;
+        online += run(settings);
+        unsigned total = 0;
+        for (const auto& pool : settings.pools)
+            total += pool.hosts;
+        const auto racks = (total + hostsPerRack - 1) / hostsPerRack;
+        for (std::size_t n = 0; n + 1 < settings.pools.size(); ++n) {
+            const auto hosts = settings.pools[n].hosts;
+            const auto best = solveOffline(makeTrace(settings, n), movableMinimum(hosts, racks), std::min(total, hosts * 3), hosts, settings.margin);
+            offline.poolChanges += best.poolChanges;
+            offline.bufferHostSeconds += best.bufferHostSeconds;
+            offline.lateHostSeconds += best.lateHostSeconds;
+        }
+    }
+    report.add(fleet.name + ".offline.poolChanges", offline.poolChanges, "host changes");
+    report.add(fleet.name + ".offline.bufferCost", offline.bufferHostSeconds, "host-seconds");
+    report.add(fleet.name + ".offline.late", offline.lateHostSeconds, "host-seconds");
+    report.add(fleet.name + ".sameTrace.poolChanges", online.poolChanges, "host changes");
+    report.add(fleet.name + ".sameTrace.bufferCost", online.bufferHostSeconds, "host-seconds");
+    report.add(fleet.name + ".sameTrace.goodput", online.goodput(), "ratio");
+    report.add(fleet.name + ".movesOverOffline", online.poolChanges / std::max(1.0, static_cast<double>(offline.poolChanges)), "ratio", Bound { movesBound });
+}
+
+void benchFleet(Report& report, const Fleet& fleet)
+{
+    const auto margin = runFleet(fleet, MovePolicy::Margin, 0);
+    const auto none = runFleet(fleet, MovePolicy::None, 0);
+    const auto fixed = runFleet(fleet, MovePolicy::FixedMargin, 0);
+    const auto oneAtATime = runFleet(fleet, MovePolicy::Margin, 1);
+    addFigures(report, fleet.name + ".margin", margin);
+    addFigures(report, fleet.name + ".noMoves", none);
+    addFigures(report, fleet.name + ".fixed20", fixed);
+    addFigures(report, fleet.name + ".oneAtATime", oneAtATime);
+    report.add(fleet.name + ".bufferOverFixed", margin.bufferHostSeconds / fixed.bufferHostSeconds, "ratio", Bound { bufferBound });
+    report.add(fleet.name + ".goodputOverFixed", margin.goodput() / fixed.goodput(), "ratio", Bound { 1, true });
+    // A wave that doesn't finish has no roll-out time; one host at a time then counts with the length of the run, a lower bound.
+    const auto slow = oneAtATime.waveFinished ? oneAtATime.rollOut : runLength - 600s;
+    const double speed = margin.waveFinished ? static_cast<double>(slow.count()) / static_cast<double>(margin.rollOut.count()) : 0;
+    report.add(fleet.name + ".rollOutSpeedup", speed, "ratio", Bound { rollOutBound, true });
+    compareOffline(report, fleet);
+}
+
+/// Every host once in three weeks at the design size, in four data centres of five pools.
+void benchDesignSize(Report& report)
+{
+    constexpr unsigned dataCentres = 4;
+    constexpr unsigned pools = 5;
+    const unsigned hosts = designHosts / dataCentres / pools;
+    for (const unsigned percent : { 50U, 80U, 90U, 99U }) {
+        const auto forecast = Decision::forecastFleet({ hosts, hosts, percent, std::chrono::duration_cast<std::chrono::seconds>(designCycle) });
+        const auto name = "design15000.budget" + std::to_string(percent);
+        report.add(name + ".atOnce", forecast.atOnce * pools * dataCentres, "hosts");
+        const double hoursLeft = forecast.atOnce ? std::chrono::duration<double, std::ratio<3600>>(forecast.length).count() : -1;
+        const double limit = std::chrono::duration<double, std::ratio<3600>>(designWindow).count();
+        report.add(name + ".length", hoursLeft, "hours", Bound { limit });
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::string path;
+    for (int i = 1; i < argc; ++i) {
+        if (!std::strncmp(argv[i], "--out=", 6))
+            path = argv[i] + 6;
+        else if (!std::strcmp(argv[i], "--out") && i + 1 < argc)
+            path = argv[++i];
+    }
+    Report report(path);
+    for (const auto& fleet : makeFleets())
+        benchFleet(report, fleet);
+    benchDesignSize(report);
+    return report.allHold() ? 0 : 1;
+}
--- /dev/null
+++ b/Source/Core/Adapters/Platform/EtcdPlatform.cpp
@@ -0,0 +1,243 @@
+/// Implementation of the platform client.
+
+#include "Adapters/Platform/EtcdPlatform.h"
+
+#include "Adapters/Platform/CurlClient.h"
+#include "Adapters/Platform/EtcdCodec.h"
+#include "Adapters/Platform/EventLoop.h"
+
+#include <optional>
+#include <utility>
+
+namespace Adapters {
+
+using Ports::PlatformCallback;
+using Ports::PlatformReply;
+using Ports::PlatformStatus;
+
+namespace {
+
+    constexpr int firstClientError = 400;
+    constexpr int firstServerError = 500;
+    constexpr int statusOk = 200;
+
+    const Ports::PlatformPortRegistration registration("etcd",
+        [](const Ports::PlatformSettings& settings) { return EtcdPlatform::create(settings); });
+
+    /// What tells the calls apart.
+    struct CallKind {
+        const char* path;
+        bool writes; ///< May have an effect that matters when the answer is lost.
+        bool repeatable; ///< Reaching the store twice does no harm.
+        std::optional<PlatformReply> (*decode)(std::string_view);
+    };
+
+    constexpr CallKind rangeKind { "/v3/kv/range", false, true, EtcdCodec::decodeRange };
+    constexpr CallKind transactionKind { "/v3/kv/txn", true, false, EtcdCodec::decodeTransaction };
+    constexpr CallKind grantKind { "/v3/lease/grant", true, false, EtcdCodec::decodeGrant };
+    constexpr CallKind renewalKind { "/v3/lease/keepalive", true, true, EtcdCodec::decodeRenewal };
+    constexpr CallKind revocationKind { "/v3/lease/revoke", true, true, EtcdCodec::decodeRevocation };
+
+    PlatformReply replyWith(PlatformStatus status)
+    {
+        PlatformReply reply;
+        reply.status = status;
+        return reply;
+    }
+
+    PlatformReply replyOf(const CallKind& kind, const HttpOutcome& outcome)
+    {
+        const PlatformStatus lost = kind.writes ? PlatformStatus::Uncertain : PlatformStatus::NotSent;
+        if (outcome.end == HttpEnd::NotSent)
+            return replyWith(PlatformStatus::NotSent);
+        if (outcome.end == HttpEnd::Broken || outcome.status >= firstServerError)
+            return replyWith(lost);
+        if (outcome.status >= firstClientError) {
+            const bool lapsed = EtcdCodec::isLeaseNotFound(outcome.body);
+            return replyWith(lapsed && kind.writes ? PlatformStatus::ComparesFailed : PlatformStatus::NotSent);
+        }
+        return kind.decode(outcome.body).value_or(replyWith(lost));
+    }
+
+    /// One watch under way.
+    struct Watch {
+        Ports::WatchCallback callback;
+        std::string buffer; ///< Start of a line whose end hasn't come yet.
+        EventLoop::TimerId confirmTimer = 0;
+
+        /// Hands on the whole lines; false when the watch is over.
+        bool take(std::string_view bytes, EventLoop& loop)
+        {
+            buffer.append(bytes);
+            std::size_t begin = 0;
+            for (auto end = buffer.find('\n'); end != std::string::npos; end = buffer.find('\n', begin)) {
+                const auto line = EtcdCodec::decodeWatchLine(std::string_view(buffer).substr(begin, end - begin));
+                begin = end + 1;
+                if (!line || line->cancelled)
+                    return false;
+                loop.cancel(confirmTimer);
+                if (!line->events.empty())
+                    callback(line->events, false);
+            }
+            buffer.erase(0, begin);
+            return true;
+        }
+    };
+
+} // namespace
+
+class EtcdPlatform::Private {
+public:
+    Private(const Ports::PlatformSettings& settings, EtcdGuards guards)
+        : m_settings(settings)
+        , m_guards(guards)
+        , m_loop(EventLoop::create())
+        , m_client(CurlClient::create(*m_loop))
+    {
+    }
+
+    void call(const CallKind& kind, std::string body, PlatformCallback callback)
+    {
+        m_loop->post([this, &kind, body = std::move(body), callback = std::move(callback)]() mutable {
+            HttpCall call = post(kind.path, std::move(body));
+            call.timeout = m_settings.callTimeout;
+            call.freshConnection = !kind.repeatable && m_guards.freshConnectionForWrites;
+            m_client->start(std::move(call), [&kind, callback = std::move(callback)](const HttpOutcome& outcome) {
+                callback(kind.path == grantKind.path ? grantReplyOf(outcome) : replyOf(kind, outcome));
+            });
+        });
+    }
+
+    void watch(std::string body, Ports::WatchCallback callback)
+    {
+        m_loop->post([this, body = std::move(body), callback = std::move(callback)]() mutable {
+            auto watch = std::make_shared<Watch>();
+            watch->callback = std::move(callback);
+            const auto id = m_client->start(
+                post("/v3/watch", std::move(body)), [this, watch](const HttpOutcome&) { endWatch(*watch); },
+                [this, watch](std::string_view bytes) { return watch->take(bytes, *m_loop); });
+            watch->confirmTimer = m_loop->after(m_settings.callTimeout, [this, id] { m_client->cancel(id); });
+        });
+    }
+
+    void readHostList(Ports::HostListCallback callback)
+    {
+        m_loop->post([this, callback = std::move(callback)]() mutable {
+            HttpCall call;
+            call.url = "http://" + m_settings.hostListAddress + "/hosts";
+            call.timeout = m_settings.callTimeout;
+            call.connectTimeout = m_settings.callTimeout;
+            m_client->start(std::move(call), [callback = std::move(callback)](const HttpOutcome& outcome) {
+                const bool answered = outcome.end == HttpEnd::Answered && outcome.status == statusOk;
+                auto hosts = answered ? EtcdCodec::decodeHostList(outcome.body) : std::nullopt;
+                callback(hosts ? PlatformStatus::Ok : PlatformStatus::NotSent, std::move(hosts).value_or(std::vector<Ports::ListedHost>()));
+            });
+        });
+    }
+
+    void stop()
+    {
+        m_loop->post([this] {
+            m_stopping = true;
+            m_client->shutdown();
+        });
+        m_loop->stop();
+    }
+
+    const Ports::PlatformSettings m_settings;
+    const EtcdGuards m_guards;
+    std::unique_ptr<EventLoop> m_loop;
+    std::unique_ptr<CurlClient> m_client;
+
+private:
+    HttpCall post(const char* path, std::string body) const
+    {
+        HttpCall call;
+        call.method = "POST";
+        call.url = "http://" + m_settings.keyValueAddress + path;
+        call.headers.push_back({ "Content-Type", "application/json" });
+        call.body = std::move(body);
+        call.connectTimeout = m_settings.callTimeout;
+        return call;
+    }
+
+    /// A grant without an id is no grant.
+    static PlatformReply grantReplyOf(const HttpOutcome& outcome)
+    {
+        PlatformReply reply = replyOf(grantKind, outcome);
+        if (reply.status == PlatformStatus::Ok && !reply.lease)
+            return replyWith(PlatformStatus::Uncertain);
+        return reply;
+    }
+
+    void endWatch(Watch& watch)
+    {
+        m_loop->cancel(watch.confirmTimer);
+        if (!m_stopping)
+            watch.callback({}, true);
+    }
+
+    bool m_stopping = false;
+};
+
+EtcdPlatform::EtcdPlatform(const Ports::PlatformSettings& settings, EtcdGuards guards)
+    : m_private(std::make_unique<Private>(settings, guards))
+{
+}
+
+EtcdPlatform::~EtcdPlatform()
+{
+    stop();
+}
+
+std::unique_ptr<EtcdPlatform> EtcdPlatform::create(const Ports::PlatformSettings& settings, EtcdGuards guards)
+{
+    return std::unique_ptr<EtcdPlatform>(new EtcdPlatform(settings, guards));
+}
+
+void EtcdPlatform::start()
+{
+    m_private->m_loop->start();
+}
+
+void EtcdPlatform::stop()
+{
+    m_private->stop();
+}
+
+void EtcdPlatform::read(const std::string& key, bool prefix, PlatformCallback callback)
+{
+    m_private->call(rangeKind, EtcdCodec::encodeRange(key, prefix), std::move(callback));
+}
+
+void EtcdPlatform::transact(Ports::Transaction transaction, PlatformCallback callback)
+{
+    m_private->call(transactionKind, EtcdCodec::encodeTransaction(transaction), std::move(callback));
+}
+
+void EtcdPlatform::grantLease(std::chrono::seconds timeToLive, PlatformCallback callback)
+{
+    m_private->call(grantKind, EtcdCodec::encodeGrant(timeToLive), std::move(callback));
+}
+
+void EtcdPlatform::renewLease(Ports::LeaseId id, PlatformCallback callback)
+{
+    m_private->call(renewalKind, EtcdCodec::encodeLease(id), std::move(callback));
+}
+
+void EtcdPlatform::revokeLease(Ports::LeaseId id, PlatformCallback callback)
+{
+    m_private->call(revocationKind, EtcdCodec::encodeLease(id), std::move(callback));
+}
+
+void EtcdPlatform::watch(const std::string& prefix, std::int64_t fromRevision, Ports::WatchCallback callback)
+{
+    m_private->watch(EtcdCodec::encodeWatch(prefix, fromRevision), std::move(callback));
+}
+
+void EtcdPlatform::readHostList(Ports::HostListCallback callback)
+{
+    m_private->readHostList(std::move(callback));
+}
+
+} // namespace Adapters
--- a/Source/Core/Common/Time.h
+++ b/Source/Core/Common/Time.h
@@ -13,7 +13,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<BootClock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): the standard names it.
 
     /// Microseconds since boot, suspended time included.
     static time_point now();
--- /dev/null
+++ b/Source/Core/Decision/Audit/AuditTrail.h
@@ -0,0 +1,119 @@
+#pragma once
+
+/// The audit trail: records are written to the store in batches, each under a key of its own.
+
+#include "Common/Result.h"
+#include "Common/Time.h"
+#include "Decision/Membership/DecisionError.h"
+#include "Decision/Membership/PlatformActions.h"
+#include "Ports/PeerPort.h"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Decision {
+
+/// One audited event. Host and sequence are filled in by AuditTrail.
+struct AuditRecord {
+    std::string who;
+    std::string what;
+    Common::WallTime when {};
+    std::string why;
+    std::uint64_t revision = 0; ///< Of the configuration in force.
+    Ports::HostId host;
+    std::uint64_t sequence = 0; ///< Counts up from 1 for each incarnation of a host, without gaps.
+};
+
+/// Sizes and times of batches.
+struct AuditSettings {
+    Ports::HostId self;
+    std::string dataCentre;
+    std::uint64_t incarnation = 0;
+    std::chrono::milliseconds flushInterval { 5000 };
+    std::size_t flushRecords = 64;
+    std::size_t maximumBatchBytes = 256 << 10;
+    std::size_t maximumRecordBytes = 64 << 10; ///< Longer texts are cut.
+    std::size_t maximumWaitingBytes = 64 << 20; ///< Records beyond it are lost and counted.
+    std::chrono::milliseconds firstRetry { 500 };
+    std::chrono::milliseconds longestRetry { 10000 };
+};
+
+/// Safeguards; a test turns one off to show that its absence does harm.
+struct AuditGuards {
+    bool keepUntilWritten = true; ///< A batch is kept until the store surely has it.
+    bool createOnly = true; ///< A batch never takes the place of another one.
+};
+
+/// First part of the keys of a data centre's batches.
+std::string auditPrefix(const std::string& dataCentre);
+/// Records of a batch as it stands in the store; lines that can't be read are left out.
+std::vector<AuditRecord> decodeAuditBatch(std::string_view);
+
+/// Writes audit records. One batch is under way at a time. No I/O; not thread-safe.
+class AuditTrail {
+public:
+    static Common::Result<std::unique_ptr<AuditTrail>, DecisionError> create(AuditSettings, AuditGuards = {});
+
+    void record(Common::Instant now, AuditRecord);
+    /// Writes what waits without regard to the flush interval; for a planned stop.
+    void flush(Common::Instant now);
+    void tick(Common::Instant now);
+    void handle(Common::Instant now, const PlatformReplied&);
+
+    std::optional<Common::Instant> nextDeadline() const;
+    std::vector<PlatformAction> takeActions();
+
+    /// Records that the store doesn't surely have.
+    std::size_t waitingRecords() const;
+    std::size_t waitingBytes() const { return m_waitingBytes; }
+    /// Records dropped because too many waited.
+    std::uint64_t lostRecords() const { return m_lostRecords; }
+
+private:
+    struct Line {
+        std::string text;
+        Common::WallTime when;
+    };
+    struct Batch {
+        std::string key;
+        std::string text;
+        std::size_t records = 0;
+    };
+    enum class Call {
+        None,
+        Write,
+        ReadBack,
+    };
+
+    AuditTrail(AuditSettings, AuditGuards);
+    void seal();
+    void send();
+    void readBack(Common::Instant now, const Ports::PlatformReply&);
+    void written();
+    void retryLater(Common::Instant now);
+    std::string batchKey(Common::WallTime) const;
+
+    AuditSettings m_settings;
+    AuditGuards m_guards;
+    std::deque<Line> m_lines;
+    std::size_t m_waitingBytes = 0; ///< Of the lines and of the batch under way.
+    std::optional<Batch> m_batch;
+    std::uint64_t m_recordSequence = 0;
+    std::uint64_t m_batchSequence = 0;
+    std::uint64_t m_lostRecords = 0;
+    std::optional<Common::Instant> m_flushAt;
+    std::optional<Common::Instant> m_retryAt;
+    std::chrono::milliseconds m_retryDelay;
+    Call m_call = Call::None;
+    PlatformToken m_token = 0;
+    PlatformToken m_nextToken = 1;
+    std::vector<PlatformAction> m_actions;
+};
+
+} // namespace Decision
--- /dev/null
+++ b/Source/Core/Decision/Configuration/ConfigurationKeeperImpl.cpp
@@ -0,0 +1,245 @@
+#include "Decision/Configuration/ConfigurationKeeperImpl.h"
+
+#include "Common/Rendezvous.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Decision {
+
+ConfigurationKeeper::Impl::Impl(KeeperSettings given, const ConfigurationValidator& validator, KeeperGuards guards)
+    : settings(std::move(given))
+    , m_validator(validator)
+    , m_guards(guards)
+{
+}
+
+void ConfigurationKeeper::Impl::tick(Common::Instant now, const std::vector<Ports::HostId>& aliveMembers)
+{
+    const auto watchers = Common::rendezvousTop("configuration-watch/" + settings.dataCentre, aliveMembers, 1);
+    const bool wasWatcher = std::exchange(isWatcher, !watchers.empty() && watchers.front() == settings.self);
+    if (isWatcher && !wasWatcher)
+        m_nextHeadRead = now;
+    step(now);
+}
+
+void ConfigurationKeeper::Impl::step(Common::Instant now)
+{
+    noteLag(now);
+    if (isLagging() && now >= m_nextAsk)
+        askPeer(now);
+    if (m_call != Call::None || now < m_nextHeadRead || !wantsStore(now))
+        return;
+    m_nextHeadRead = now + (isLagging() ? settings.storeFallback : settings.headRefresh);
+    read(Call::ReadHead, headKey);
+}
+
+void ConfigurationKeeper::Impl::noteLag(Common::Instant now)
+{
+    if (!isLagging()) {
+        m_lagSince.reset();
+        m_wasCurrent = true;
+    } else if (!m_lagSince) {
+        m_lagSince = now;
+    }
+}
+
+bool ConfigurationKeeper::Impl::wantsStore(Common::Instant now) const
+{
+    return isWatcher || (m_lagSince && now - *m_lagSince >= settings.storeFallback);
+}
+
+void ConfigurationKeeper::Impl::askPeer(Common::Instant now)
+{
+    const auto hosts = table.hostsAbove(inForce.revision, now, settings.reportMemory);
+    if (hosts.empty() || !m_guards.askPeers)
+        return;
+    m_nextAsk = now + settings.retryInterval;
+    actions.push_back(PeerSend { hosts[m_askTurn++ % hosts.size()], Messages::ConfigurationRequest { inForce.revision } });
+}
+
+void ConfigurationKeeper::Impl::read(Call call, const std::string& key)
+{
+    m_call = call;
+    m_token = m_nextToken++;
+    actions.push_back(PlatformRead { m_token, key, false });
+}
+
+void ConfigurationKeeper::Impl::replied(Common::Instant now, const PlatformReplied& event)
+{
+    if (m_call == Call::None || event.token != m_token)
+        return;
+    const Call call = std::exchange(m_call, Call::None);
+    if (event.reply.status != Ports::PlatformStatus::Ok)
+        m_nextHeadRead = now + settings.retryInterval;
+    else if (call == Call::ReadHead)
+        headRead(now, event.reply);
+    else
+        chunkRead(now, event.reply);
+    step(now);
+}
+
+void ConfigurationKeeper::Impl::headRead(Common::Instant now, const Ports::PlatformReply& reply)
+{
+    if (isWatcher && !m_watch)
+        startWatch(reply.revision + 1);
+    if (!reply.values.empty()) {
+        headSeen(now, reply.values.front().value);
+        return;
+    }
+    if (inForce.revision)
+        alarm = "the store shows no configuration where revision " + std::to_string(inForce.revision) + " is in force";
+}
+
+void ConfigurationKeeper::Impl::startWatch(std::int64_t fromRevision)
+{
+    m_watch = m_nextToken++;
+    actions.push_back(PlatformWatch { *m_watch, headKey, fromRevision });
+}
+
+void ConfigurationKeeper::Impl::watched(Common::Instant now, const PlatformWatched& event)
+{
+    if (m_watch != event.token)
+        return;
+    if (event.broken) {
+        m_watch.reset();
+        m_nextHeadRead = now + settings.retryInterval;
+    } else if (isWatcher && !event.events.empty()) {
+        const auto& last = event.events.back();
+        if (m_call == Call::None && !last.deleted)
+            headSeen(now, last.pair.value);
+        else
+            m_nextHeadRead = now;
+    }
+    step(now);
+}
+
+void ConfigurationKeeper::Impl::headSeen(Common::Instant now, const std::string& text)
+{
+    const auto head = decodeHead(text);
+    if (!head) {
+        alarm = "the configuration's head in the store can't be read";
+        return;
+    }
+    if (!isFollowed(*head))
+        return;
+    m_fetching = *head;
+    m_parts.clear();
+    fetchNext(now);
+}
+
+bool ConfigurationKeeper::Impl::isFollowed(const HeadRecord& head)
+{
+    if (head.revision == inForce.revision && head.changeId == inForce.changeId) {
+        alarm.clear();
+        return false;
+    }
+    if (head.revision > inForce.revision)
+        return true;
+    alarm = "the store shows revision " + std::to_string(head.revision) + " (" + head.changeId + ") where "
+        + std::to_string(inForce.revision) + " (" + inForce.changeId + ") is in force";
+    return !m_guards.onlyUp;
+}
+
+void ConfigurationKeeper::Impl::fetchNext(Common::Instant now)
+{
+    if (m_parts.size() < m_fetching.chunks.size()) {
+        read(Call::ReadChunk, chunkKey(m_fetching.chunks[m_parts.size()]));
+        return;
+    }
+    fetched(now);
+}
+
+void ConfigurationKeeper::Impl::chunkRead(Common::Instant now, const Ports::PlatformReply& reply)
+{
+    const auto& wanted = m_fetching.chunks[m_parts.size()];
+    // A chunk goes away once its document is two revisions old: the head is read again.
+    if (reply.values.empty() || contentHash(reply.values.front().value) != wanted) {
+        m_nextHeadRead = now + settings.retryInterval;
+        return;
+    }
+    m_parts.push_back(reply.values.front().value);
+    fetchNext(now);
+}
+
+void ConfigurationKeeper::Impl::fetched(Common::Instant now)
+{
+    std::string whole;
+    for (const auto& part : m_parts)
+        whole += part;
+    m_parts.clear();
+    if (!adopt(now, m_fetching.revision, m_fetching.changeId, std::make_shared<const std::string>(std::move(whole))))
+        return;
+    alarm.clear();
+}
+
+bool ConfigurationKeeper::Impl::adopt(Common::Instant now, std::uint64_t revision, const std::string& changeId, Ports::Bytes bytes)
+{
+    if (m_guards.onlyUp && revision <= inForce.revision)
+        return false;
+    const auto faults = m_validator.faults(*bytes);
+    if (!faults.empty()) {
+        alarm = "revision " + std::to_string(revision) + " is refused: " + faults.front();
+        return false;
+    }
+    inForce = { changeId, revision, contentHash(*bytes) };
+    document = std::move(bytes);
+    adopted.push_back({ revision, changeId, document });
+    noteLag(now);
+    return true;
+}
+
+void ConfigurationKeeper::Impl::heard(Common::Instant now, const HeartbeatReceived& event)
+{
+    table.heard(now, event);
+    step(now);
+}
+
+void ConfigurationKeeper::Impl::asked(const ConfigurationAsked& event)
+{
+    if (inForce.revision > event.request.haveRevision)
+        actions.push_back(PeerSend { event.from, Messages::ConfigurationOffer { inForce.revision, inForce.changeId, document } });
+}
+
+void ConfigurationKeeper::Impl::offered(Common::Instant now, const ConfigurationOffered& event)
+{
+    const auto& offer = event.offer;
+    if (m_guards.askPeers && offer.document && offer.revision > inForce.revision)
+        adopt(now, offer.revision, offer.changeId, offer.document);
+}
+
+bool ConfigurationKeeper::Impl::isReady(Common::Instant now) const
+{
+    if (!inForce.revision)
+        return false;
+    if (!isLagging() || !m_guards.readyOnlyWhenCurrent)
+        return true;
+    // All hosts lag for a moment after every acceptance; they mustn't leave the balancer together.
+    return m_wasCurrent && m_lagSince && now - *m_lagSince < settings.staleGrace;
+}
+
+std::vector<DataCentreInForce> ConfigurationKeeper::Impl::report(Common::Instant now) const
+{
+    InForceTable whole = table;
+    Messages::Heartbeat own;
+    own.dataCentre = settings.dataCentre;
+    own.configurationRevision = inForce.revision;
+    own.ready = isReady(now);
+    whole.heard(now, { settings.self, own });
+    return whole.report(now, settings.reportMemory);
+}
+
+std::optional<Common::Instant> ConfigurationKeeper::Impl::nextDeadline() const
+{
+    std::optional<Common::Instant> first;
+    const auto add = [&](Common::Instant candidate) { first = first ? std::min(*first, candidate) : candidate; };
+    if (m_call == Call::None && isWatcher)
+        add(m_nextHeadRead);
+    if (m_call == Call::None && m_lagSince)
+        add(std::max(m_nextHeadRead, *m_lagSince + settings.storeFallback));
+    if (isLagging() && table.highest() > inForce.revision)
+        add(m_nextAsk);
+    return first;
+}
+
+} // namespace Decision
--- /dev/null
+++ b/Source/Core/Decision/Membership/Membership.cpp
@@ -0,0 +1,359 @@
+#include "Decision/Membership/Membership.h"
+
+#include "Common/Rendezvous.h"
+#include "Decision/Membership/ForeignViews.h"
+#include "Decision/Membership/PeerTable.h"
+#include "Decision/Membership/ViewKeeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Decision {
+
+namespace {
+
+    /// Hosts of a data centre that send heartbeats to another one, and hosts there that each sends to at a time.
+    constexpr std::size_t linkCount = 2;
+    constexpr std::chrono::milliseconds heartbeatMemory { 60000 };
+
+    void setEarlier(std::optional<Common::Instant>& first, std::optional<Common::Instant> candidate)
+    {
+        if (candidate && (!first || *candidate < *first))
+            first = candidate;
+    }
+
+} // namespace
+
+class Membership::Impl {
+public:
+    Impl(MembershipSettings, MembershipGuards);
+
+    void handle(Common::Instant now, const PlatformReplied&);
+    void handle(Common::Instant now, const HeartbeatReceived&);
+    void tick(Common::Instant now);
+    std::optional<Common::Instant> nextDeadline() const;
+    std::vector<Action> takeActions();
+    bool leaseValid(Common::Instant now) const;
+    std::vector<Ports::HostId> aliveMembers(Common::Instant now) const;
+    const ViewMember* findHost(const Ports::HostId&) const;
+    std::vector<Ports::PeerAddress> peers() const;
+    ViewMember self() const { return { settings.self, settings.incarnation, settings.peerAddress }; }
+
+    MembershipSettings settings;
+    LeaseKeeper leaseKeeper;
+    PeerTable peerTable;
+    ForeignViews foreign;
+    ViewKeeper viewKeeper;
+    Messages::Heartbeat content;
+    bool listedLeaving = false;
+    std::uint64_t peersVersion = 0;
+
+private:
+    void noteView(Common::Instant now);
+    Messages::Heartbeat heartbeat() const;
+    void beatOwn(Common::Instant now);
+    void beatForeign(Common::Instant now);
+
+    PlatformToken m_nextToken = 1;
+    std::uint64_t m_notedEpoch = 0;
+    std::uint64_t m_round = 0; ///< Of heartbeats to other data centres; turns their targets.
+    Common::Instant m_nextBeat {};
+    Common::Instant m_nextForeignBeat {};
+    std::vector<Action> m_actions;
+};
+
+Membership::Impl::Impl(MembershipSettings given, MembershipGuards guards)
+    : settings(std::move(given))
+    , leaseKeeper(settings.lease, !guards.countLeaseFromAsking)
+    , foreign(settings.dataCentres, settings.dataCentre, settings.foreignRefresh)
+    , viewKeeper(settings, guards)
+{
+}
+
+void Membership::Impl::handle(Common::Instant now, const PlatformReplied& event)
+{
+    bool foreignChanged = false;
+    if (leaseKeeper.handle(now, event) || viewKeeper.handle(now, event)) {
+        noteView(now);
+        tick(now);
+        return;
+    }
+    if (foreign.handle(event, foreignChanged) && foreignChanged)
+        ++peersVersion;
+}
+
+void Membership::Impl::handle(Common::Instant now, const HeartbeatReceived& event)
+{
+    peerTable.heard(now, event);
+    if (event.heartbeat.dataCentre == settings.dataCentre)
+        viewKeeper.hint(now, event.heartbeat.viewEpoch);
+    else
+        foreign.hint(now, event.heartbeat.dataCentre, event.heartbeat.viewEpoch);
+}
+
+void Membership::Impl::tick(Common::Instant now)
+{
+    if (viewKeeper.isSuperseded())
+        return;
+    leaseKeeper.tick(now, m_nextToken);
+    viewKeeper.tick(now, leaseKeeper.lease(now), peerTable, m_nextToken);
+    foreign.tick(now, m_nextToken);
+    if (now >= m_nextBeat)
+        beatOwn(now);
+    if (now >= m_nextForeignBeat)
+        beatForeign(now);
+}
+
+void Membership::Impl::noteView(Common::Instant now)
+{
+    const View& view = viewKeeper.view();
+    if (view.epoch == m_notedEpoch)
+        return;
+    m_notedEpoch = view.epoch;
+    ++peersVersion;
+    for (const auto& member : view.members)
+        peerTable.noteMember(now, member);
+    // Peers learn of the change from the next heartbeat, so it goes out at once.
+    m_nextBeat = now;
+}
+
+Messages::Heartbeat Membership::Impl::heartbeat() const
+{
+    Messages::Heartbeat beat = content;
+    beat.incarnation = settings.incarnation;
+    beat.dataCentre = settings.dataCentre;
+    beat.viewEpoch = viewKeeper.view().epoch;
+    beat.leaving = content.leaving || viewKeeper.isLeaving() || listedLeaving;
+    return beat;
+}
+
+void Membership::Impl::beatOwn(Common::Instant now)
+{
+    m_nextBeat = now + settings.heartbeatInterval;
+    for (const auto& member : viewKeeper.view().members) {
+        if (member.host != settings.self)
+            m_actions.push_back(PeerSend { member.host, heartbeat() });
+    }
+    peerTable.prune(now, heartbeatMemory, viewKeeper.view());
+}
+
+void Membership::Impl::beatForeign(Common::Instant now)
+{
+    m_nextForeignBeat = now + settings.foreignHeartbeatInterval;
+    const auto senders = Common::rendezvousTop("link/" + settings.dataCentre, aliveMembers(now), linkCount);
+    if (std::find(senders.begin(), senders.end(), settings.self) == senders.end())
+        return;
+    const auto turn = settings.self + "/" + std::to_string(m_round++);
+    for (const auto& dataCentre : foreign.dataCentres()) {
+        std::vector<Ports::HostId> hosts;
+        for (const auto& member : foreign.find(dataCentre)->members)
+            hosts.push_back(member.host);
+        for (const auto& host : Common::rendezvousTop(turn, hosts, linkCount))
+            m_actions.push_back(PeerSend { host, heartbeat() });
+    }
+}
+
+std::optional<Common::Instant> Membership::Impl::nextDeadline() const
+{
+    if (viewKeeper.isSuperseded())
+        return std::nullopt;
+    std::optional<Common::Instant> first = std::min(m_nextBeat, m_nextForeignBeat);
+    setEarlier(first, leaseKeeper.nextDeadline());
+    setEarlier(first, viewKeeper.nextDeadline());
+    setEarlier(first, foreign.nextDeadline());
+    return first;
+}
+
+std::vector<Action> Membership::Impl::takeActions()
+{
+    std::vector<Action> actions = std::exchange(m_actions, {});
+    for (auto taken : { leaseKeeper.takeActions(), viewKeeper.takeActions(), foreign.takeActions() })
+        actions.insert(actions.end(), taken.begin(), taken.end());
+    return actions;
+}
+
+bool Membership::Impl::leaseValid(Common::Instant now) const
+{
+    const auto lease = leaseKeeper.lease(now);
+    return lease && viewKeeper.isMember() && !viewKeeper.isSuperseded() && viewKeeper.keyLease() == *lease;
+}
+
+std::vector<Ports::HostId> Membership::Impl::aliveMembers(Common::Instant now) const
+{
+    std::vector<Ports::HostId> hosts;
+    for (const auto& member : viewKeeper.view().members) {
+        if (member == self() || peerTable.alive(member, now, settings.aliveTimeout))
+            hosts.push_back(member.host);
+    }
+    return hosts;
+}
+
+const ViewMember* Membership::Impl::findHost(const Ports::HostId& host) const
+{
+    if (const auto* member = viewKeeper.view().find(host))
+        return member;
+    for (const auto& dataCentre : foreign.dataCentres()) {
+        if (const auto* member = foreign.find(dataCentre)->find(host))
+            return member;
+    }
+    return nullptr;
+}
+
+std::vector<Ports::PeerAddress> Membership::Impl::peers() const
+{
+    std::vector<Ports::PeerAddress> addresses;
+    const auto add = [&](const View& view) {
+        for (const auto& member : view.members) {
+            if (member.host != settings.self)
+                addresses.push_back({ member.host, member.peerAddress });
+        }
+    };
+    add(viewKeeper.view());
+    for (const auto& dataCentre : foreign.dataCentres())
+        add(*foreign.find(dataCentre));
+    return addresses;
+}
+
+Common::Result<std::unique_ptr<Membership>, DecisionError> Membership::create(MembershipSettings settings, MembershipGuards guards)
+{
+    if (settings.self.empty() || settings.dataCentre.empty())
+        return DecisionError("membership needs a host name and a data centre");
+    if (!settings.incarnation)
+        return DecisionError("membership needs an incarnation other than zero");
+    return std::unique_ptr<Membership>(new Membership(std::make_unique<Impl>(std::move(settings), guards)));
+}
+
+Membership::Membership(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
+
+Membership::~Membership() = default;
+
+void Membership::handle(Common::Instant now, const PlatformReplied& event)
+{
+    m_impl->handle(now, event);
+}
+
+void Membership::handle(Common::Instant now, const HeartbeatReceived& event)
+{
+    m_impl->handle(now, event);
+}
+
+void Membership::handle(Common::Instant now, const PeerDisconnected& event)
+{
+    m_impl->peerTable.disconnected(now, event.peer);
+}
+
+void Membership::handle(Common::Instant, const HostListReplied& event)
+{
+    if (event.status != Ports::PlatformStatus::Ok)
+        return;
+    m_impl->listedLeaving = std::any_of(event.hosts.begin(), event.hosts.end(), [&](const Ports::ListedHost& host) {
+        return host.name == m_impl->settings.self && host.state == Ports::ListedHost::State::Leaving;
+    });
+}
+
+void Membership::tick(Common::Instant now)
+{
+    m_impl->tick(now);
+}
+
+void Membership::leave(Common::Instant now)
+{
+    m_impl->viewKeeper.leave(now);
+    m_impl->tick(now);
+}
+
+void Membership::setHeartbeatContent(Messages::Heartbeat content)
+{
+    m_impl->content = std::move(content);
+}
+
+std::optional<Common::Instant> Membership::nextDeadline() const
+{
+    return m_impl->nextDeadline();
+}
+
+std::vector<Action> Membership::takeActions()
+{
+    return m_impl->takeActions();
+}
+
+const View& Membership::currentView() const
+{
+    return m_impl->viewKeeper.view();
+}
+
+std::uint64_t Membership::epoch() const
+{
+    return currentView().epoch;
+}
+
+bool Membership::isMember() const
+{
+    return m_impl->viewKeeper.isMember() && !m_impl->viewKeeper.isSuperseded();
+}
+
+bool Membership::leaseValid(Common::Instant now) const
+{
+    return m_impl->leaseValid(now);
+}
+
+Common::Instant Membership::leaseValidUntil() const
+{
+    return m_impl->leaseKeeper.validUntil();
+}
+
+std::optional<Ports::LeaseId> Membership::lease(Common::Instant now) const
+{
+    return leaseValid(now) ? m_impl->leaseKeeper.lease(now) : std::nullopt;
+}
+
+bool Membership::alive(const Ports::HostId& host, Common::Instant now) const
+{
+    const auto* member = m_impl->findHost(host);
+    return member && (*member == m_impl->self() || m_impl->peerTable.alive(*member, now, m_impl->settings.aliveTimeout));
+}
+
+std::vector<Ports::HostId> Membership::aliveMembers(Common::Instant now) const
+{
+    return m_impl->aliveMembers(now);
+}
+
+std::vector<ViewMember> Membership::hostsOf(const std::string& dataCentre) const
+{
+    if (dataCentre == m_impl->settings.dataCentre)
+        return currentView().members;
+    const auto* view = m_impl->foreign.find(dataCentre);
+    return view ? view->members : std::vector<ViewMember> {};
+}
+
+const Messages::Heartbeat* Membership::lastHeartbeat(const Ports::HostId& host) const
+{
+    const auto* member = m_impl->findHost(host);
+    return member ? m_impl->peerTable.lastHeartbeat(*member) : nullptr;
+}
+
+std::vector<Ports::PeerAddress> Membership::peers() const
+{
+    return m_impl->peers();
+}
+
+std::uint64_t Membership::peersVersion() const
+{
+    return m_impl->peersVersion;
+}
+
+MembershipReadiness Membership::readiness(Common::Instant now) const
+{
+    const auto& keeper = m_impl->viewKeeper;
+    return { isMember(), leaseValid(now), keeper.isSuperseded(), keeper.isLeaving() || m_impl->listedLeaving };
+}
+
+const std::string& Membership::alarm() const
+{
+    return m_impl->viewKeeper.alarm();
+}
+
+} // namespace Decision
--- /dev/null
+++ b/Source/Core/Decision/Membership/PeerTable.cpp
@@ -0,0 +1,64 @@
+#include "Decision/Membership/PeerTable.h"
+
+namespace Decision {
+
+void PeerTable::heard(Common::Instant now, const HeartbeatReceived& event)
+{
+    const auto [it, isNew] = m_entries.try_emplace({ event.from, event.heartbeat.incarnation });
+    if (isNew)
+        it->second.knownAt = now;
+    it->second.heardAt = now;
+    it->second.brokeAt.reset();
+    it->second.heartbeat = event.heartbeat;
+}
+
+void PeerTable::disconnected(Common::Instant now, const Ports::HostId& host)
+{
+    for (auto it = m_entries.lower_bound({ host, 0 }); it != m_entries.end() && it->first.host == host; ++it)
+        it->second.brokeAt = now;
+}
+
+void PeerTable::noteMember(Common::Instant now, const ViewMember& member)
+{
+    const auto [it, isNew] = m_entries.try_emplace({ member.host, member.incarnation });
+    if (isNew)
+        it->second.knownAt = now;
+}
+
+const PeerTable::Entry* PeerTable::find(const ViewMember& member) const
+{
+    const auto it = m_entries.find({ member.host, member.incarnation });
+    return it == m_entries.end() ? nullptr : &it->second;
+}
+
+bool PeerTable::alive(const ViewMember& member, Common::Instant now, std::chrono::milliseconds timeout) const
+{
+    const auto* entry = find(member);
+    return entry && entry->heardAt && !entry->brokeAt && now - *entry->heardAt < timeout;
+}
+
+std::chrono::microseconds PeerTable::silence(const ViewMember& member, Common::Instant now) const
+{
+    const auto* entry = find(member);
+    if (!entry)
+        return std::chrono::microseconds::zero();
+    return now - entry->heardAt.value_or(entry->knownAt);
+}
+
+const Messages::Heartbeat* PeerTable::lastHeartbeat(const ViewMember& member) const
+{
+    const auto* entry = find(member);
+    return entry && entry->heardAt ? &entry->heartbeat : nullptr;
+}
+
+void PeerTable::prune(Common::Instant now, std::chrono::milliseconds age, const View& keep)
+{
+    std::erase_if(m_entries, [&](const auto& item) {
+        const auto* member = keep.find(item.first.host);
+        if (member && member->incarnation == item.first.incarnation)
+            return false;
+        return now - item.second.heardAt.value_or(item.second.knownAt) > age;
+    });
+}
+
+} // namespace Decision
--- /dev/null
+++ b/Source/Core/Decision/Requests/FairQueue.h
@@ -0,0 +1,85 @@
+#pragma once
+
+/// Queue of a pool: priority first, teams fair within a priority by weight, teams held to quotas.
+
+#include "Decision/Requests/RequestTypes.h"
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace Decision {
+
+/// What a team pays for, as the queue needs it.
+struct TeamShare {
+    unsigned weight = 1;
+    unsigned slotQuota = 0; ///< Slots at once in this pool; zero for no limit.
+};
+
+/// Orders waiting requests. Within a priority, the team with the smallest served time by weight goes next
+/// (start-time fair queueing); within a team, the oldest. A team that has its quota of slots is passed over.
+class FairQueue {
+public:
+    using Cost = std::chrono::microseconds; ///< Expected run time.
+
+    explicit FairQueue(bool priorityOrdered = true);
+
+    /// Adds a request. `cost` is charged to the team when it is popped.
+    void push(RequestNumber, const std::string& team, unsigned rank, Cost cost, TeamShare);
+
+    /// Takes a request out wherever it stands; false when it isn't queued.
+    bool remove(RequestNumber);
+
+    /// The next request that may start, taken out; nothing when none is waiting or every waiting team has its quota.
+    std::optional<RequestNumber> pop();
+
+    /// Newest request of the lowest priority, if that is lower than `rank`.
+    std::optional<RequestNumber> victimFor(unsigned rank) const;
+
+    /// The team got a slot, or gave one back.
+    void slotTaken(const std::string& team);
+    void slotFreed(const std::string& team);
+    unsigned slotsOf(const std::string& team) const;
+
+    std::size_t size() const { return m_entries.size(); }
+
+    /// Run time that is expected to be served before a new request of the team at this rank.
+    Cost costAhead(const std::string& team, unsigned rank, TeamShare) const;
+
+    /// Run time queued by the team, over all ranks.
+    Cost costOf(const std::string& team) const;
+
+private:
+    struct Entry {
+        std::string team;
+        unsigned rank = 0;
+        Cost cost { 0 };
+    };
+
+    struct TeamLine {
+        std::map<RequestNumber, Cost> waiting; ///< Numbers grow with arrival.
+        Cost queued { 0 };
+        double served = 0; ///< Virtual time, microseconds by weight.
+        TeamShare share;
+    };
+
+    struct Rank {
+        std::map<std::string, TeamLine> teams;
+        Cost queued { 0 };
+        double virtualTime = 0;
+        std::size_t waiting = 0;
+    };
+
+    bool mayStart(const std::string& team, const TeamShare&) const;
+    std::optional<RequestNumber> popFrom(Rank&);
+    void forget(RequestNumber, Rank&, std::map<std::string, TeamLine>::iterator);
+
+    bool m_priorityOrdered;
+    std::map<unsigned, Rank> m_ranks;
+    std::unordered_map<RequestNumber, Entry> m_entries;
+    std::unordered_map<std::string, unsigned> m_slots;
+};
+
+} // namespace Decision
--- /dev/null
+++ b/Source/Core/Decision/Requests/RequestAttempts.cpp
@@ -0,0 +1,142 @@
+#include "Decision/Requests/RequestCoreImpl.h"
+
+namespace Decision {
+
+using std::chrono::microseconds;
+
+namespace {
+
+    constexpr int firstServerError = 500;
+
+} // namespace
+
+void RequestCore::Impl::dispatch(Moment at, Request& request)
+{
+    const AttemptId id = m_nextAttempt++;
+    request.state = RequestState::Running;
+    request.attempt = id;
+    request.attemptStarted = at.now;
+    if (request.attempts++ == 0)
+        pool(request.pool).retries.firstAttempt();
+    ++m_counts.attempts;
+    m_attempts.emplace(id, AttemptOut { request.number, request.pool, request.team, request.service, request.upstream, at.now });
+    Ports::UpstreamCall call;
+    call.attempt = id;
+    call.upstream = request.upstream;
+    call.pool = request.pool;
+    call.address = pool(request.pool).slots.addressOf(request.upstream);
+    call.service = request.service;
+    call.requestId = request.requestId + "." + std::to_string(request.attempts);
+    call.timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - at.now);
+    call.body = request.body;
+    call.contentType = request.contentType;
+    act(DispatchAttempt { std::move(call) });
+}
+
+void RequestCore::Impl::freeSlot(const std::string& poolName, const std::string& upstream, const std::string& team)
+{
+    PoolState& state = pool(poolName);
+    state.slots.release(upstream);
+    state.queue.slotFreed(team);
+}
+
+void RequestCore::Impl::judgeHealth(Moment at, const AttemptOut& attempt, const Ports::UpstreamResult& result)
+{
+    SlotTable& slots = pool(attempt.pool).slots;
+    switch (result.end) {
+    case AttemptEnd::Answered:
+        if (result.status >= firstServerError) {
+            slots.failed(at.now, attempt.upstream);
+            return;
+        }
+        slots.succeeded(attempt.upstream);
+        m_runTimes.record(attempt.service, declaredRunTime(attempt.service), at.now - attempt.started);
+        return;
+    case AttemptEnd::Refused:
+        slots.refused(at.now, attempt.upstream);
+        return;
+    case AttemptEnd::NotSent:
+    case AttemptEnd::Lost:
+    case AttemptEnd::Truncated:
+        slots.failed(at.now, attempt.upstream);
+        return;
+    case AttemptEnd::Cancelled:
+        return;
+    }
+}
+
+void RequestCore::Impl::attemptEnded(Moment at, const Ports::UpstreamResult& result)
+{
+    const auto it = m_attempts.find(result.attempt);
+    if (it == m_attempts.end())
+        return;
+    const AttemptOut attempt = std::move(it->second);
+    m_attempts.erase(it);
+    judgeHealth(at, attempt, result);
+    freeSlot(attempt.pool, attempt.upstream, attempt.team);
+    Request* request = find(attempt.request);
+    if (request && request->state == RequestState::Running && request->attempt == result.attempt)
+        decide(at, *request, result);
+    pump(at, attempt.pool);
+}
+
+void RequestCore::Impl::decide(Moment at, Request& request, const Ports::UpstreamResult& result)
+{
+    const bool proved = result.end == AttemptEnd::Refused || result.end == AttemptEnd::NotSent;
+    if (request.cancelled) {
+        conclude(at, request.number, proved ? notRun(Reason::CancelledByCaller) : unknown(Reason::CancelledByCaller));
+        return;
+    }
+    const bool failedAnswer = result.end == AttemptEnd::Answered && result.status >= firstServerError && request.idempotent;
+    if (result.end == AttemptEnd::Answered && !(failedAnswer && mayRetry(at, request, false))) {
+        Answer answer;
+        answer.outcome = Outcome::Done;
+        answer.status = result.status;
+        answer.contentType = result.contentType;
+        answer.body = result.body;
+        conclude(at, request.number, answer);
+        return;
+    }
+    if (failedAnswer) {
+        request.mayHaveRun = true;
+        retry(at, request);
+        return;
+    }
+    if (!proved) {
+        request.mayHaveRun = true;
+        if (result.end == AttemptEnd::Lost && at.now < request.deadline)
+            m_harmful.lost(at.now, request.bodyHash, request.upstream);
+    }
+    if (mayRetry(at, request, proved)) {
+        retry(at, request);
+        return;
+    }
+    if (proved)
+        conclude(at, request.number, notRun(Reason::UpstreamRefused, retryTime(microseconds(0))));
+    else
+        conclude(at, request.number, unknown(result.end == AttemptEnd::Truncated ? Reason::AnswerTruncated : Reason::UpstreamLost));
+}
+
+bool RequestCore::Impl::mayRetry(Moment at, const Request& request, bool proved)
+{
+    if (!proved && !request.idempotent && m_guards.retryOnlyIfSafe)
+        return false;
+    if (request.attempts >= m_limits.maximumAttempts)
+        return false;
+    if (m_guards.harmfulSetAside && m_harmful.isHarmful(at.now, request.bodyHash))
+        return false;
+    const auto run = m_runTimes.expected(request.service, declaredRunTime(request.service));
+    if (at.now + run > request.deadline)
+        return false;
+    return pool(request.pool).retries.takeRetry();
+}
+
+void RequestCore::Impl::retry(Moment, Request& request)
+{
+    ++m_counts.retries;
+    request.tried.push_back(request.upstream);
+    request.upstream.clear();
+    enqueue(request);
+}
+
+} // namespace Decision
--- /dev/null
+++ b/Source/Core/Decision/Requests/RequestCoreImpl.h
@@ -0,0 +1,155 @@
+#pragma once
+
+/// State and steps of the request core. The steps are spread over files by job:
+/// RequestCore.cpp (events), RequestRouting.cpp (owners, peers), RequestPools.cpp (admission, queue, slots),
+/// RequestAttempts.cpp (ends and retries), RequestClaims.cpp (at most once).
+
+#include "Decision/Requests/ClaimRounds.h"
+#include "Decision/Requests/FairQueue.h"
+#include "Decision/Requests/HarmfulRequests.h"
+#include "Decision/Requests/Ledger.h"
+#include "Decision/Requests/RequestCore.h"
+#include "Decision/Requests/RetryBudget.h"
+#include "Decision/Requests/RunTimes.h"
+
+#include <map>
+#include <random>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace Decision {
+
+class RequestCore::Impl {
+public:
+    Impl(RequestIdentity, const RequestLimits&, const RequestGuards&);
+
+    struct PoolState {
+        PoolState(const std::string& name, const RequestLimits&, const RequestGuards&);
+
+        FairQueue queue;
+        SlotTable slots;
+        RetryBudget retries;
+    };
+
+    /// An attempt that is out, kept until it ends even when its request was answered before.
+    struct AttemptOut {
+        RequestNumber request = 0;
+        std::string pool;
+        std::string team;
+        std::string service;
+        std::string upstream;
+        Instant started {};
+    };
+
+    /// What another data centre last said of itself.
+    struct RemoteState {
+        std::vector<HostId> hosts;
+        std::map<std::string, Messages::PoolLoad> loads;
+        Instant heard {};
+    };
+
+    /// Expected wait of a new request, and whether its team's quota is the cause.
+    struct WaitEstimate {
+        std::chrono::microseconds wait { 0 };
+        bool quotaBound = false;
+    };
+
+    // Events and bookkeeping (RequestCore.cpp).
+    Request& add(Request);
+    Request* find(RequestNumber);
+    void setGiveUp(Request&, Instant);
+    void arriveFromCaller(Moment, const Ports::CallerRequest&);
+    void abandon(Moment, Request&, bool explicitly);
+    void conclude(Moment, RequestNumber, Answer);
+    Answer truthful(const Request&, Answer) const;
+    void reply(const Request&, const Answer&);
+    void erase(RequestNumber);
+    void giveUp(Moment, Request&);
+    void tick(Moment);
+
+    // Routing (RequestRouting.cpp).
+    void route(Moment, Request&);
+    void forward(Moment, Request&, const HostId&);
+    HostId ownerOf(const std::string& pool) const;
+    void arriveFromPeer(Moment, const HostId&, const Messages::ForwardRequest&);
+    void answerFromPeer(Moment, const Messages::ForwardAnswer&);
+    void heartbeat(Moment, const HostId&, const Messages::Heartbeat&);
+    void peerLost(Moment, const HostId&);
+    std::optional<HostId> helpElsewhere(Moment, const Request&, std::chrono::microseconds ownWait) const;
+    void passOn(Moment, Request&, const HostId&);
+
+    // Pools (RequestPools.cpp).
+    PoolState& pool(const std::string& name);
+    void own(Moment, Request&);
+    bool joinEarlier(Moment, Request&);
+    bool answeredByLedger(Moment, Request&);
+    void admit(Moment, Request&);
+    void refuse(Moment, Request&, Reason, std::chrono::microseconds wait);
+    void enqueue(Request&);
+    void pump(Moment, const std::string& pool);
+    void startNext(Moment, PoolState&, Request&);
+    WaitEstimate waitOf(Instant now, const Request&, PoolState&) const;
+    TeamShare shareOf(const std::string& team) const;
+    std::chrono::microseconds declaredRunTime(const std::string& service) const;
+    std::chrono::milliseconds retryTime(std::chrono::microseconds wait);
+
+    // Attempts (RequestAttempts.cpp).
+    void dispatch(Moment, Request&);
+    void freeSlot(const std::string& poolName, const std::string& upstream, const std::string& team);
+    void attemptEnded(Moment, const Ports::UpstreamResult&);
+    void judgeHealth(Moment, const AttemptOut&, const Ports::UpstreamResult&);
+    void decide(Moment, Request&, const Ports::UpstreamResult&);
+    bool mayRetry(Moment, const Request&, bool proved);
+    void retry(Moment, Request&);
+
+    // Claims (RequestClaims.cpp).
+    bool needsClaim(const Request&) const;
+    Messages::ClaimKey claimKeyOf(const Request&) const;
+    void beginClaim(Moment, Request&);
+    void claimVerdict(Moment, const HostId& from, std::uint64_t token, const LedgerVerdict&);
+    void claimRefused(Moment, std::uint64_t token, const LedgerVerdict&);
+    void claimGranted(Moment, std::uint64_t token);
+    void dropClaim(const ClaimRound&, std::uint64_t token);
+    void freeHeldSlot(const ClaimRound&);
+    void settleClaim(const Request&, const Answer&);
+    void claimAsked(Moment, const HostId&, const Messages::ClaimRequest&);
+    void askHandovers();
+
+    void act(RequestAction action) { m_actions.push_back(std::move(action)); }
+    void send(const HostId& to, Messages::PeerMessage message) { act(SendPeer { to, std::move(message) }); }
+
+    RequestIdentity m_identity;
+    RequestLimits m_limits;
+    RequestGuards m_guards;
+    std::mt19937_64 m_random;
+    std::shared_ptr<const Objects::ObjectSet> m_objects;
+    std::uint64_t m_revision = 0;
+    std::vector<std::string> m_dataCentres;
+    std::vector<std::string> m_poolNames;
+    MayDispatch m_mayDispatch;
+
+    std::vector<HostId> m_alive;
+    std::map<std::string, RemoteState> m_remotes;
+    Ledger m_ledger;
+    ClaimRounds m_rounds;
+    RunTimes m_runTimes;
+    HarmfulRequests m_harmful;
+    std::map<std::string, PoolState> m_pools;
+
+    std::unordered_map<RequestNumber, Request> m_requests;
+    std::set<std::pair<Instant, RequestNumber>> m_giveUps;
+    std::unordered_map<CallerHandle, RequestNumber> m_byCaller;
+    std::unordered_map<std::string, RequestNumber> m_byRequestId; ///< Forwarded from here, by the id sent along.
+    std::map<std::pair<HostId, std::string>, RequestNumber> m_byPeer; ///< Forwarded to here.
+    std::map<Messages::ClaimKey, RequestNumber> m_byKey; ///< First open request of a key that this host runs.
+    std::multimap<std::pair<std::string, std::string>, RequestNumber> m_byTeamKey; ///< For cancelling by key.
+    std::unordered_map<AttemptId, AttemptOut> m_attempts;
+    RequestNumber m_nextRequest = 1;
+    AttemptId m_nextAttempt = 1;
+    Instant m_nextHousekeeping {};
+    std::vector<RequestAction> m_actions;
+    RequestCounts m_counts;
+};
+
+} // namespace Decision
--- /dev/null
+++ b/Source/Core/Decision/Requests/RequestRouting.cpp
@@ -0,0 +1,243 @@
+#include "Common/Rendezvous.h"
+#include "Decision/Requests/Door.h"
+#include "Decision/Requests/RequestCoreImpl.h"
+
+#include <algorithm>
+
+namespace Decision {
+
+namespace {
+
+    constexpr std::chrono::milliseconds noPeerRetry { 500 };
+    constexpr std::chrono::milliseconds remoteFresh { 3000 }; ///< Older words of another data centre aren't trusted.
+    constexpr std::chrono::milliseconds remoteTravel { 10 }; ///< Allowance for the way there and back.
+    constexpr double helpFactor = 0.8; ///< Help must be expected to be at least this much faster.
+
+    std::chrono::milliseconds timeLeft(Instant now, Instant deadline)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now);
+    }
+
+} // namespace
+
+HostId RequestCore::Impl::ownerOf(const std::string& pool) const
+{
+    if (m_alive.empty())
+        return m_identity.self;
+    return Common::rendezvousTop(pool, m_alive, 1).front();
+}
+
+void RequestCore::Impl::route(Moment at, Request& request)
+{
+    const bool homeElsewhere = !request.homeDataCentre.empty() && request.homeDataCentre != m_identity.dataCentre;
+    if (homeElsewhere) {
+        const auto remote = m_remotes.find(request.homeDataCentre);
+        if (remote == m_remotes.end() || remote->second.hosts.empty()) {
+            conclude(at, request.number, notRun(Reason::NoPeer, noPeerRetry));
+            return;
+        }
+        forward(at, request, Common::rendezvousTop(request.pool, remote->second.hosts, 1).front());
+        return;
+    }
+    const HostId owner = ownerOf(request.pool);
+    if (owner == m_identity.self || request.hops >= m_limits.maximumHops)
+        own(at, request);
+    else
+        forward(at, request, owner);
+}
+
+void RequestCore::Impl::forward(Moment at, Request& request, const HostId& to)
+{
+    Messages::ForwardRequest message;
+    message.requestId = request.requestId;
+    message.service = request.service;
+    message.team = request.team;
+    message.priority = request.priority;
+    message.idempotencyKey = request.key;
+    message.idempotent = request.idempotent;
+    message.timeLeft = timeLeft(at.now, request.deadline);
+    message.contentType = request.contentType;
+    message.body = request.body;
+    message.configurationRevision = m_revision;
+    message.homeDataCentre = request.homeDataCentre;
+    message.hops = request.hops + 1;
+    request.state = request.claimed ? RequestState::PassedOn : RequestState::Forwarded;
+    request.forwardedTo = to;
+    ++m_counts.forwards;
+    send(to, std::move(message));
+}
+
+void RequestCore::Impl::arriveFromPeer(Moment at, const HostId& from, const Messages::ForwardRequest& message)
+{
+    const auto refuseAtOnce = [&](const Answer& answer) { send(from, Messages::ForwardAnswer { message.requestId, answer }); };
+    if (m_byPeer.count({ from, message.requestId }))
+        return;
+    if (!m_objects || m_revision < message.configurationRevision) {
+        // The sender knows newer objects: judging by older ones could refuse what is allowed, or serve from the wrong pool.
+        const bool keyed = !message.homeDataCentre.empty();
+        refuseAtOnce(keyed ? unknown(Reason::NotReady, noPeerRetry) : notRun(Reason::NotReady, noPeerRetry));
+        return;
+    }
+    const std::size_t bodyBytes = message.body ? message.body->size() : 0;
+    const DoorRequest asked { message.service, message.team, message.priority, message.idempotencyKey, message.idempotent, bodyBytes, message.timeLeft };
+    const auto admitted = checkAtDoor(*m_objects, m_dataCentres, at.wall, m_limits.clockSkew, asked);
+    if (!admitted) {
+        refuseAtOnce(admitted.error());
+        return;
+    }
+    Request request;
+    request.source = PeerSource { from, message.requestId };
+    request.service = message.service;
+    request.pool = admitted.value().pool;
+    request.team = message.team;
+    request.priority = message.priority;
+    request.rank = admitted.value().rank;
+    request.key = message.idempotencyKey;
+    request.homeDataCentre = message.homeDataCentre;
+    request.idempotent = message.idempotent;
+    request.arrived = at.now;
+    request.deadline = at.now + message.timeLeft;
+    request.body = message.body;
+    request.contentType = message.contentType;
+    request.bodyHash = Common::hash64(message.body ? *message.body : std::string(), Common::hash64(message.service));
+    request.hops = message.hops;
+    Request& added = add(std::move(request));
+    // Its home passed it on with the claim made there: it runs here, under the home's record.
+    const bool passedOn = !added.homeDataCentre.empty() && added.homeDataCentre != m_identity.dataCentre;
+    const HostId owner = ownerOf(added.pool);
+    if (owner == m_identity.self || added.hops >= m_limits.maximumHops || owner == from)
+        own(at, added);
+    else if (passedOn)
+        forward(at, added, owner);
+    else
+        route(at, added);
+}
+
+void RequestCore::Impl::answerFromPeer(Moment at, const Messages::ForwardAnswer& message)
+{
+    const auto it = m_byRequestId.find(message.requestId);
+    if (it == m_byRequestId.end())
+        return;
+    Request* request = find(it->second);
+    if (!request || (request->state != RequestState::Forwarded && request->state != RequestState::PassedOn))
+        return;
+    request->vouched = true;
+    conclude(at, request->number, message.answer);
+}
+
+void RequestCore::Impl::heartbeat(Moment at, const HostId& from, const Messages::Heartbeat& message)
+{
+    if (message.dataCentre == m_identity.dataCentre) {
+        for (auto& [name, state] : m_pools) {
+            const auto load = std::find_if(message.loads.begin(), message.loads.end(), [&](const auto& it) { return it.pool == name; });
+            state.slots.setForeignUse(at.now, from, load == message.loads.end() ? std::vector<Messages::UpstreamUse> {} : load->uses, m_limits.foreignUseRetention);
+        }
+        return;
+    }
+    RemoteState& remote = m_remotes[message.dataCentre];
+    remote.heard = at.now;
+    for (const auto& load : message.loads)
+        remote.loads[load.pool] = load;
+}
+
+void RequestCore::Impl::peerLost(Moment at, const HostId& host)
+{
+    std::erase(m_alive, host);
+    for (auto& [name, remote] : m_remotes)
+        std::erase(remote.hosts, host);
+    for (const auto token : m_rounds.waitingFor(host))
+        claimRefused(at, token, { Messages::ClaimVerdict::StaleView, {} });
+    std::vector<RequestNumber> sent;
+    std::vector<RequestNumber> taken;
+    for (const auto& [number, request] : m_requests) {
+        const auto* peer = std::get_if<PeerSource>(&request.source);
+        if (request.forwardedTo == host && (request.state == RequestState::Forwarded || request.state == RequestState::PassedOn))
+            sent.push_back(number);
+        else if (peer && peer->host == host)
+            taken.push_back(number);
+    }
+    std::sort(sent.begin(), sent.end());
+    std::sort(taken.begin(), taken.end());
+    for (const auto number : sent) {
+        Request* lost = find(number);
+        if (!lost)
+            continue;
+        Request& request = *lost;
+        request.mayHaveRun = true;
+        // Idempotent ones may run again; keyed ones are safe because the holders refuse a second claim.
+        const bool safe = request.idempotent || (request.state == RequestState::Forwarded && !request.homeDataCentre.empty());
+        if (safe && ++request.attempts < m_limits.maximumAttempts)
+            route(at, request);
+        else
+            conclude(at, number, unknown(Reason::OwnerLost));
+    }
+    for (const auto number : taken) {
+        if (Request* request = find(number))
+            abandon(at, *request, false);
+    }
+}
+
+std::optional<HostId> RequestCore::Impl::helpElsewhere(Moment at, const Request& request, std::chrono::microseconds ownWait) const
+{
+    const bool alreadyAway = !request.homeDataCentre.empty() && request.homeDataCentre != m_identity.dataCentre;
+    if (alreadyAway || request.hops > 1)
+        return std::nullopt;
+    if (!request.idempotent && request.homeDataCentre.empty())
+        return std::nullopt;
+    std::optional<HostId> best;
+    std::chrono::microseconds bestWait = std::chrono::duration_cast<std::chrono::microseconds>(ownWait * helpFactor);
+    for (const auto& [name, remote] : m_remotes) {
+        const auto load = remote.loads.find(request.pool);
+        if (remote.hosts.empty() || load == remote.loads.end() || load->second.slots == 0 || at.now - remote.heard > remoteFresh)
+            continue;
+        const std::chrono::microseconds wait = load->second.expectedWait + remoteTravel;
+        const auto run = m_runTimes.expected(request.service, declaredRunTime(request.service));
+        if (at.now + wait + run > request.deadline || wait > bestWait)
+            continue;
+        best = Common::rendezvousTop(request.pool, remote.hosts, 1).front();
+        bestWait = wait;
+    }
+    return best;
+}
+
+void RequestCore::Impl::passOn(Moment at, Request& request, const HostId& to)
+{
+    ++m_counts.passedOn;
+    request.forwardedTo = to;
+    if (needsClaim(request) && !request.claimed) {
+        beginClaim(at, request);
+        return;
+    }
+    forward(at, request, to);
+}
+
+void RequestCore::peerMessage(Moment at, const HostId& from, const Messages::PeerMessage& message)
+{
+    if (const auto* it = std::get_if<Messages::ForwardRequest>(&message))
+        m_impl->arriveFromPeer(at, from, *it);
+    else if (const auto* it = std::get_if<Messages::ForwardAnswer>(&message))
+        m_impl->answerFromPeer(at, *it);
+    else if (const auto* it = std::get_if<Messages::ForwardCancel>(&message)) {
+        const auto number = m_impl->m_byPeer.find({ from, it->requestId });
+        Request* request = number == m_impl->m_byPeer.end() ? nullptr : m_impl->find(number->second);
+        if (request)
+            m_impl->abandon(at, *request, false);
+    } else if (const auto* it = std::get_if<Messages::ClaimRequest>(&message))
+        m_impl->claimAsked(at, from, *it);
+    else if (const auto* it = std::get_if<Messages::ClaimReply>(&message))
+        m_impl->claimVerdict(at, from, it->token, { it->verdict, it->answer });
+    else if (const auto* it = std::get_if<Messages::ClaimFinished>(&message))
+        m_impl->m_ledger.finish(it->key, it->answer);
+    else if (const auto* it = std::get_if<Messages::ClaimReleased>(&message))
+        m_impl->m_ledger.release(it->key, it->token);
+    else if (const auto* it = std::get_if<Messages::Heartbeat>(&message))
+        m_impl->heartbeat(at, from, *it);
+    else if (const auto* it = std::get_if<Messages::LedgerHandover>(&message))
+        m_impl->m_ledger.handover(from, *it, at.wall);
+    else if (const auto* it = std::get_if<Messages::LedgerQuery>(&message)) {
+        for (auto& part : m_impl->m_ledger.answerQuery(from, *it))
+            m_impl->act(std::move(part));
+    }
+}
+
+} // namespace Decision
--- /dev/null
+++ b/Source/Core/Decision/Requests/SlotTable.cpp
@@ -0,0 +1,188 @@
+#include "Decision/Requests/SlotTable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Decision {
+
+namespace {
+
+    constexpr std::chrono::milliseconds refusalPause { 20 };
+    constexpr std::size_t ejectedShareDivisor = 3; ///< At most a third of a pool's upstreams is ejected at once.
+
+} // namespace
+
+SlotTable::SlotTable(std::string pool, const RequestGuards& guards)
+    : m_pool(std::move(pool))
+    , m_guards(guards)
+{
+}
+
+void SlotTable::setUpstreams(const std::vector<PoolUpstream>& upstreams)
+{
+    for (auto& [name, entry] : m_upstreams)
+        entry.listed = false;
+    for (const auto& upstream : upstreams) {
+        Entry& entry = m_upstreams[upstream.name];
+        entry.upstream = upstream;
+        entry.listed = true;
+    }
+    std::erase_if(m_upstreams, [](const auto& item) { return !item.second.listed && item.second.inFlight == 0; });
+}
+
+void SlotTable::setForeignUse(Instant now, const HostId& peer, const std::vector<Messages::UpstreamUse>& uses, std::chrono::milliseconds retention)
+{
+    for (auto& [name, entry] : m_upstreams)
+        entry.foreign.erase(peer);
+    for (const auto& use : uses) {
+        const auto it = m_upstreams.find(use.upstream);
+        if (it != m_upstreams.end() && use.inFlight > 0)
+            it->second.foreign[peer] = Foreign { use.inFlight, now + retention };
+    }
+}
+
+unsigned SlotTable::foreignSlots(const Entry& entry, Instant now) const
+{
+    if (!m_guards.foreignUseCounted)
+        return 0;
+    unsigned slots = 0;
+    for (const auto& [peer, foreign] : entry.foreign) {
+        if (now < foreign.until)
+            slots += foreign.slots;
+    }
+    return slots;
+}
+
+unsigned SlotTable::freeSlots(const Entry& entry, Instant now) const
+{
+    if (!entry.listed || now < entry.fullUntil)
+        return 0;
+    unsigned limit = entry.upstream.slots;
+    const auto state = entry.health.state(now);
+    if (state == UpstreamHealth::State::Ejected)
+        return 0;
+    if (state == UpstreamHealth::State::Probing)
+        limit = 1;
+    const unsigned used = entry.inFlight + foreignSlots(entry, now);
+    return used >= limit ? 0 : limit - used;
+}
+
+const PoolUpstream* SlotTable::take(Instant now, const MayDispatch& mayDispatch, const std::vector<std::string>& avoid)
+{
+    Entry* best = nullptr;
+    std::pair<bool, unsigned> bestScore;
+    for (auto& [name, entry] : m_upstreams) {
+        const unsigned spare = freeSlots(entry, now);
+        if (spare == 0 || !mayDispatch(name, m_pool, now))
+            continue;
+        const bool fresh = std::find(avoid.begin(), avoid.end(), name) == avoid.end();
+        const std::pair<bool, unsigned> score { fresh, spare };
+        if (best && score <= bestScore)
+            continue;
+        best = &entry;
+        bestScore = score;
+    }
+    if (!best)
+        return nullptr;
+    ++best->inFlight;
+    ++m_busy;
+    return &best->upstream;
+}
+
+void SlotTable::release(const std::string& upstream)
+{
+    const auto it = m_upstreams.find(upstream);
+    if (it == m_upstreams.end() || it->second.inFlight == 0)
+        return;
+    --it->second.inFlight;
+    --m_busy;
+    if (!it->second.listed && it->second.inFlight == 0)
+        m_upstreams.erase(it);
+}
+
+void SlotTable::refused(Instant now, const std::string& upstream)
+{
+    const auto it = m_upstreams.find(upstream);
+    if (it != m_upstreams.end())
+        it->second.fullUntil = now + refusalPause;
+}
+
+void SlotTable::succeeded(const std::string& upstream)
+{
+    const auto it = m_upstreams.find(upstream);
+    if (it != m_upstreams.end())
+        it->second.health.succeeded();
+}
+
+void SlotTable::failed(Instant now, const std::string& upstream)
+{
+    const auto it = m_upstreams.find(upstream);
+    if (it == m_upstreams.end())
+        return;
+    it->second.health.failed(now);
+    if (m_guards.ejectionEnabled)
+        considerEjection(now, it->second);
+}
+
+void SlotTable::considerEjection(Instant now, Entry& entry)
+{
+    if (!entry.health.deservesEjection())
+        return;
+    std::size_t ejected = 0;
+    std::size_t worse = 0;
+    for (const auto& [name, other] : m_upstreams) {
+        if (other.health.state(now) != UpstreamHealth::State::Healthy)
+            ++ejected;
+        else if (&other != &entry && other.health.failureShare() >= entry.health.failureShare() / 2)
+            ++worse;
+    }
+    // When most of the pool fails alike the fault lies with the requests, and ejecting one would prove nothing.
+    if (worse * 2 > m_upstreams.size())
+        return;
+    const std::size_t allowed = std::max<std::size_t>(1, m_upstreams.size() / ejectedShareDivisor);
+    if (ejected < allowed && m_upstreams.size() > 1)
+        entry.health.eject(now);
+}
+
+unsigned SlotTable::usableSlots(Instant now, const MayDispatch& mayDispatch) const
+{
+    unsigned slots = 0;
+    for (const auto& [name, entry] : m_upstreams) {
+        if (!entry.listed || entry.health.state(now) == UpstreamHealth::State::Ejected)
+            continue;
+        if (mayDispatch(name, m_pool, now))
+            slots += entry.upstream.slots;
+    }
+    return slots;
+}
+
+bool SlotTable::hasFreeSlot(Instant now, const MayDispatch& mayDispatch) const
+{
+    return std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto& item) {
+        return freeSlots(item.second, now) > 0 && mayDispatch(item.first, m_pool, now);
+    });
+}
+
+std::string SlotTable::addressOf(const std::string& upstream) const
+{
+    const auto it = m_upstreams.find(upstream);
+    return it == m_upstreams.end() ? std::string() : it->second.upstream.address;
+}
+
+unsigned SlotTable::busyOn(const std::string& upstream) const
+{
+    const auto it = m_upstreams.find(upstream);
+    return it == m_upstreams.end() ? 0 : it->second.inFlight;
+}
+
+std::vector<Messages::UpstreamUse> SlotTable::uses() const
+{
+    std::vector<Messages::UpstreamUse> uses;
+    for (const auto& [name, entry] : m_upstreams) {
+        if (entry.inFlight > 0)
+            uses.push_back({ name, entry.inFlight });
+    }
+    return uses;
+}
+
+} // namespace Decision
--- /dev/null
+++ b/Source/Core/Decision/Requests/UpstreamHealth.cpp
@@ -0,0 +1,61 @@
+#include "Decision/Requests/UpstreamHealth.h"
+
+#include <algorithm>
+
+namespace Decision {
+
+namespace {
+
+    constexpr double shareSmoothing = 0.1; ///< Weight of one end in the failure share.
+    constexpr double ejectionShare = 0.5;
+    constexpr unsigned ejectionRun = 5; ///< Consecutive failures that are evidence by themselves.
+    constexpr unsigned probeRun = 3; ///< Consecutive successes that bring an upstream back.
+    constexpr std::chrono::milliseconds firstPause { 1000 };
+    constexpr std::chrono::milliseconds longestPause { 30000 };
+
+} // namespace
+
+void UpstreamHealth::succeeded()
+{
+    m_consecutiveFailures = 0;
+    m_failureShare -= shareSmoothing * m_failureShare;
+    if (!m_ejected)
+        return;
+    if (++m_probeSuccesses < probeRun)
+        return;
+    m_ejected = false;
+    m_failureShare = 0;
+    m_pause = std::chrono::milliseconds(0);
+}
+
+void UpstreamHealth::failed(Common::Instant now)
+{
+    ++m_consecutiveFailures;
+    m_failureShare += shareSmoothing * (1 - m_failureShare);
+    if (m_ejected && now >= m_pauseEnds)
+        eject(now); // A probe failed: back off further. Ends of attempts from before the ejection change nothing.
+}
+
+bool UpstreamHealth::deservesEjection() const
+{
+    if (m_ejected)
+        return false;
+    return m_consecutiveFailures >= ejectionRun || m_failureShare > ejectionShare;
+}
+
+void UpstreamHealth::eject(Common::Instant now)
+{
+    m_ejected = true;
+    m_probeSuccesses = 0;
+    m_pause = std::clamp(m_pause * 2, firstPause, longestPause);
+    m_pauseEnds = now + m_pause;
+}
+
+UpstreamHealth::State UpstreamHealth::state(Common::Instant now) const
+{
+    if (!m_ejected)
+        return State::Healthy;
+    return now < m_pauseEnds ? State::Ejected : State::Probing;
+}
+
+} // namespace Decision
--- /dev/null
+++ b/Source/Core/Decision/Waves/BudgetArithmetic.cpp
@@ -0,0 +1,94 @@
+#include "Decision/Waves/BudgetArithmetic.h"
+
+#include <algorithm>
+
+namespace Decision {
+
+namespace {
+
+    constexpr unsigned hundredPercent = 100;
+
+    bool isAvailable(const HostView& host, const std::set<std::string>& reserved, const WaveGuards& guards)
+    {
+        if (reserved.contains(host.name))
+            return false;
+        if (!guards.countDownHosts)
+            return true;
+        return host.serving && host.health == HostHealth::Up;
+    }
+
+} // namespace
+
+unsigned requiredHosts(unsigned publishedHosts, unsigned minimumAvailablePercent)
+{
+    return (publishedHosts * minimumAvailablePercent + hundredPercent - 1) / hundredPercent;
+}
+
+PoolTally PoolTally::count(const std::string& pool, const FleetView& view, const std::set<std::string>& reserved, const WaveGuards& guards)
+{
+    PoolTally tally;
+    tally.m_lookAhead = guards.lookAheadRack;
+    for (const auto& host : view.hosts) {
+        if (host.homePool == pool)
+            ++tally.m_published;
+        if (host.pool == pool && isAvailable(host, reserved, guards))
+            tally.add(host.rack);
+    }
+    return tally;
+}
+
+unsigned PoolTally::afterWorstRack() const
+{
+    if (!m_lookAhead)
+        return m_available;
+    unsigned worst = 0;
+    for (const auto& [rack, hosts] : m_byRack)
+        worst = std::max(worst, hosts);
+    return m_available - worst;
+}
+
+unsigned PoolTally::availableIn(const std::string& rack) const
+{
+    const auto it = m_byRack.find(rack);
+    return it == m_byRack.end() ? 0 : it->second;
+}
+
+std::string PoolTally::fullestRack() const
+{
+    std::string fullest;
+    unsigned most = 0;
+    for (const auto& [rack, hosts] : m_byRack) {
+        if (hosts <= most)
+            continue;
+        most = hosts;
+        fullest = rack;
+    }
+    return fullest;
+}
+
+void PoolTally::add(const std::string& rack)
+{
+    ++m_available;
+    ++m_byRack[rack];
+}
+
+void PoolTally::remove(const std::string& rack)
+{
+    const auto it = m_byRack.find(rack);
+    if (it == m_byRack.end() || !it->second)
+        return;
+    --it->second;
+    --m_available;
+}
+
+unsigned requiredOfPool(const std::string& pool, unsigned publishedHosts, const std::vector<ServiceBudget>& budgets)
+{
+    unsigned required = 0;
+    for (const auto& budget : budgets) {
+        if (budget.pool == pool)
+            required = std::max(required, requiredHosts(publishedHosts, budget.minimumAvailablePercent));
+    }
+    return required;
+}
+
+} // namespace Decision
--- /dev/null
+++ b/Source/Core/Decision/Waves/BudgetArithmetic.h
@@ -0,0 +1,60 @@
+#pragma once
+
+/// Availability arithmetic of a pool in one data centre: how many hosts serve, how many must, and what a lost rack leaves.
+
+#include "Decision/Waves/FleetView.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Decision {
+
+/// Safeguards that tests switch off one at a time to show what each prevents. All are on in the product.
+struct WaveGuards {
+    bool reserveBeforeDrain = true;
+    bool countDownHosts = true;
+    bool compareVersion = true;
+    bool lookAheadRack = true;
+};
+
+/// Budget of one service. Several services may share a pool.
+struct ServiceBudget {
+    std::string service;
+    std::string pool;
+    unsigned minimumAvailablePercent = 0; ///< Of the hosts published in the pool.
+};
+
+/// Hosts that must be available: the percentage of the published hosts, rounded up.
+unsigned requiredHosts(unsigned publishedHosts, unsigned minimumAvailablePercent);
+
+/// Counts of one pool in one data centre.
+class PoolTally {
+public:
+    /// A host is available when it serves the pool, is up, and isn't reserved.
+    static PoolTally count(const std::string& pool, const FleetView&, const std::set<std::string>& reserved, const WaveGuards&);
+
+    unsigned published() const { return m_published; }
+    unsigned available() const { return m_available; }
+    /// Available hosts that remain when the rack that holds most of them is lost; all of them with the guard off.
+    unsigned afterWorstRack() const;
+    /// Available hosts of the pool in a rack.
+    unsigned availableIn(const std::string& rack) const;
+    /// Rack that holds most of the available hosts; empty when there are none.
+    std::string fullestRack() const;
+    /// Counts one more or one fewer available host.
+    void add(const std::string& rack);
+    void remove(const std::string& rack);
+
+private:
+    bool m_lookAhead = true;
+    unsigned m_published = 0;
+    unsigned m_available = 0;
+    std::map<std::string, unsigned> m_byRack;
+};
+
+/// The highest requirement among the budgets of a pool, in hosts.
+unsigned requiredOfPool(const std::string& pool, unsigned publishedHosts, const std::vector<ServiceBudget>&);
+
+} // namespace Decision
--- /dev/null
+++ b/Source/Core/Decision/Waves/WavePlanner.cpp
@@ -0,0 +1,377 @@
+#include "Decision/Waves/WavePlanner.h"
+
+#include "Decision/Waves/DrainMeasures.h"
+#include "Decision/Waves/WaveSelection.h"
+
+#include <algorithm>
+#include <map>
+
+namespace Decision {
+
+using Common::Instant;
+using Common::WallTime;
+
+namespace {
+
+    constexpr std::size_t maximumReservationsPerTick = 64;
+    constexpr unsigned overdueFactor = 2;
+    constexpr double newCycleWeight = 0.2; // of a measured cycle in the moving mean
+
+    /// A decision that was given out and whose effect is awaited.
+    struct Issued {
+        ReservationPhase phase = ReservationPhase::Draining;
+        Instant at {};
+    };
+
+    std::chrono::milliseconds elapsed(WallTime since, WallTime now)
+    {
+        return std::max(std::chrono::milliseconds::zero(), std::chrono::duration_cast<std::chrono::milliseconds>(now - since));
+    }
+
+} // namespace
+
+struct WavePlanner::Private {
+    WavePlannerSettings settings;
+    Objects::Wave wave;
+    BudgetLedger& ledger;
+    Instant dutyEnd {};
+    std::optional<Instant> lastLoad;
+    std::map<std::string, Issued> issued;
+    std::map<std::string, Instant> upSince;
+    std::map<std::string, Instant> began;
+    std::chrono::duration<double> meanCycle { 0 };
+
+    bool isInWave(const HostView&) const;
+    bool mayBegin(WallTime) const;
+    std::vector<Reservation> own() const;
+    std::vector<const HostView*> waiting(const FleetView&) const;
+    void noteHealth(Instant, const FleetView&);
+    void issue(Instant, const Reservation&, const HostView&, std::vector<WaveDecision>&);
+    void ease(WallTime, const Reservation&, const HostView&, std::vector<WaveDecision>&);
+    std::optional<LedgerChange> advance(Instant, WallTime, const Reservation&, const HostView&, std::map<std::string, unsigned>& deficits);
+    LedgerChange change(LedgerChange::Kind, Reservation, ReservationPhase, WallTime) const;
+    void reserve(Instant, WallTime, const FleetView&, WaveOutput&, std::vector<LedgerChange>&);
+    void release(Instant, const Reservation&);
+    std::map<std::string, unsigned> deficits(const FleetView&) const;
+    std::optional<std::chrono::seconds> forecast(const FleetView&) const;
+    unsigned concurrency(const std::string& pool, const FleetView&) const;
+};
+
+bool WavePlanner::Private::isInWave(const HostView& host) const
+{
+    return std::find(wave.pools.begin(), wave.pools.end(), host.homePool) != wave.pools.end();
+}
+
+bool WavePlanner::Private::mayBegin(WallTime wall) const
+{
+    const auto cycle = settings.expectedDrain + wave.rebootTime;
+    return !wave.paused && wall >= wave.windowStart && wall + cycle <= wave.windowStart + wave.windowLength;
+}
+
+std::vector<Reservation> WavePlanner::Private::own() const
+{
+    auto entries = ledger.reservations();
+    std::erase_if(entries, [&](const Reservation& it) { return it.wave != wave.name; });
+    return entries;
+}
+
+std::vector<const HostView*> WavePlanner::Private::waiting(const FleetView& view) const
+{
+    const auto done = ledger.finished(wave.name);
+    const auto reserved = ledger.reservedHosts();
+    std::vector<const HostView*> hosts;
+    for (const auto& host : view.hosts) {
+        if (isInWave(host) && !done.contains(host.name) && !reserved.contains(host.name))
+            hosts.push_back(&host);
+    }
+    return hosts;
+}
+
+void WavePlanner::Private::noteHealth(Instant now, const FleetView& view)
+{
+    for (const auto& host : view.hosts) {
+        if (host.health != HostHealth::Up)
+            upSince.erase(host.name);
+        else
+            upSince.try_emplace(host.name, now);
+    }
+}
+
+void WavePlanner::Private::issue(Instant now, const Reservation& entry, const HostView& host, std::vector<WaveDecision>& decisions)
+{
+    const auto it = issued.find(entry.upstream);
+    if (it != issued.end() && it->second.phase == entry.phase && now - it->second.at < settings.reissueInterval)
+        return;
+    issued[entry.upstream] = { entry.phase, now };
+    if (entry.phase == ReservationPhase::Draining && host.serving)
+        decisions.emplace_back(DrainHost { entry.upstream, settings.dataCentre, wave.name });
+    if (entry.phase == ReservationPhase::Rebooting && host.incarnation == entry.incarnation)
+        decisions.emplace_back(RebootHost { entry.upstream, wave.name, entry.incarnation });
+    if (entry.phase == ReservationPhase::Returning && !host.serving)
+        decisions.emplace_back(ReturnHost { entry.upstream });
+}
+
+void WavePlanner::Private::ease(WallTime wall, const Reservation& entry, const HostView& host, std::vector<WaveDecision>& decisions)
+{
+    const DrainLimits limits { wave.drainLimit, settings.stopInterval, settings.lowestRank };
+    for (auto& it : drainMeasures(host, elapsed(entry.since, wall), limits))
+        decisions.emplace_back(std::move(it));
+}
+
+LedgerChange WavePlanner::Private::change(LedgerChange::Kind kind, Reservation entry, ReservationPhase phase, WallTime wall) const
+{
+    entry.phase = phase;
+    entry.since = wall;
+    entry.holder = settings.holder;
+    return { kind, std::move(entry), "", "", false };
+}
+
+/// The next step of a reserved host, or nothing while it has to wait.
+std::optional<LedgerChange> WavePlanner::Private::advance(
+    Instant now, WallTime wall, const Reservation& entry, const HostView& host, std::map<std::string, unsigned>& deficits)
+{
+    const auto advanceTo = [&](ReservationPhase phase) { return change(LedgerChange::Kind::Advance, entry, phase, wall); };
+    if (entry.phase == ReservationPhase::Draining) {
+        auto& deficit = deficits[host.pool];
+        if (deficit && host.health == HostHealth::Up) {
+            --deficit;
+            return advanceTo(ReservationPhase::Returning);
+        }
+        if (!host.knownIdle && host.health != HostHealth::Down)
+            return {};
+        auto next = advanceTo(ReservationPhase::Rebooting);
+        next.entry.incarnation = host.incarnation;
+        return next;
+    }
+    const auto up = upSince.find(host.name);
+    const bool settled = up != upSince.end() && now - up->second >= settings.healthySettle;
+    if (entry.phase == ReservationPhase::Rebooting && host.incarnation != entry.incarnation && settled) {
+        auto next = advanceTo(ReservationPhase::Returning);
+        next.entry.rebooted = true;
+        return next;
+    }
+    if (entry.phase != ReservationPhase::Returning || !host.serving || !settled)
+        return {};
+    auto next = change(LedgerChange::Kind::Release, entry, entry.phase, wall);
+    next.finished = entry.rebooted;
+    next.rack = host.rack;
+    return next;
+}
+
+/// Hosts that each pool is short of its budgets, less those on their way back.
+std::map<std::string, unsigned> WavePlanner::Private::deficits(const FleetView& view) const
+{
+    std::map<std::string, unsigned> result;
+    for (const auto& entry : own()) {
+        const auto* host = view.find(entry.upstream);
+        if (!host || result.contains(host->pool))
+            continue;
+        const auto available = ledger.tally(view, host->pool).available();
+        const auto required = ledger.required(view, host->pool);
+        result[host->pool] = required > available ? required - available : 0;
+    }
+    for (const auto& entry : own()) {
+        const auto* host = view.find(entry.upstream);
+        if (host && entry.phase == ReservationPhase::Returning && result[host->pool])
+            --result[host->pool];
+    }
+    return result;
+}
+
+void WavePlanner::Private::reserve(Instant now, WallTime wall, const FleetView& view, WaveOutput& output, std::vector<LedgerChange>& changes)
+{
+    std::size_t limit = maximumReservationsPerTick;
+    if (settings.maximumAtOnce)
+        limit = std::min<std::size_t>(limit, settings.maximumAtOnce - std::min<std::size_t>(settings.maximumAtOnce, own().size()));
+    for (const auto* host : selectHosts(view, ledger, waiting(view), limit)) {
+        Reservation entry { host->name, wave.name, settings.holder, ReservationPhase::Draining, host->incarnation, false, wall };
+        changes.push_back({ LedgerChange::Kind::Reserve, entry, host->pool, host->rack, false });
+        began[host->name] = now;
+        if (!settings.guards.reserveBeforeDrain)
+            issue(now, entry, *host, output.decisions);
+    }
+}
+
+void WavePlanner::Private::release(Instant now, const Reservation& entry)
+{
+    issued.erase(entry.upstream);
+    const auto it = began.find(entry.upstream);
+    if (it == began.end())
+        return;
+    const std::chrono::duration<double> cycle = now - it->second;
+    began.erase(it);
+    if (!entry.rebooted)
+        return;
+    const bool first = meanCycle.count() == 0;
+    meanCycle = first ? cycle : meanCycle * (1 - newCycleWeight) + cycle * newCycleWeight;
+}
+
+unsigned WavePlanner::Private::concurrency(const std::string& pool, const FleetView& view) const
+{
+    auto tally = ledger.tally(view, pool);
+    for (const auto& entry : own()) {
+        const auto* host = view.find(entry.upstream);
+        if (host && host->pool == pool)
+            tally.add(host->rack);
+    }
+    auto atOnce = safeConcurrency(tally, ledger.required(view, pool));
+    return settings.maximumAtOnce ? std::min(atOnce, settings.maximumAtOnce) : atOnce;
+}
+
+std::optional<std::chrono::seconds> WavePlanner::Private::forecast(const FleetView& view) const
+{
+    std::map<std::string, unsigned> left;
+    const auto done = ledger.finished(wave.name);
+    for (const auto& host : view.hosts) {
+        if (isInWave(host) && !done.contains(host.name))
+            ++left[host.homePool];
+    }
+    const std::chrono::duration<double> guess = settings.expectedDrain + wave.rebootTime + settings.healthySettle;
+    const auto cycle = meanCycle.count() > 0 ? meanCycle : guess;
+    unsigned rounds = 0;
+    for (const auto& [pool, hosts] : left) {
+        auto atOnce = concurrency(pool, view);
+        if (!atOnce && !findLoans(pool, view, ledger, waiting(view), {}).empty())
+            atOnce = 1;
+        if (!atOnce)
+            return std::nullopt;
+        rounds = std::max(rounds, (hosts + atOnce - 1) / atOnce);
+    }
+    return std::chrono::ceil<std::chrono::seconds>(cycle * rounds);
+}
+
+Common::Result<std::unique_ptr<WavePlanner>, WaveError> WavePlanner::create(WavePlannerSettings settings, Objects::Wave wave, BudgetLedger& ledger)
+{
+    if (wave.name.empty() || wave.pools.empty())
+        return WaveError("a wave needs a name and a pool");
+    if (settings.holder.empty())
+        return WaveError("a wave planner needs a holder");
+    auto state = std::unique_ptr<Private>(new Private { std::move(settings), std::move(wave), ledger, {}, {}, {}, {}, {}, {} });
+    return std::unique_ptr<WavePlanner>(new WavePlanner(std::move(state)));
+}
+
+WavePlanner::WavePlanner(std::unique_ptr<Private> state)
+    : m_private(std::move(state))
+{
+}
+
+WavePlanner::~WavePlanner() = default;
+
+void WavePlanner::setWave(Objects::Wave wave)
+{
+    m_private->wave = std::move(wave);
+}
+
+void WavePlanner::setDutyEnd(Instant end)
+{
+    m_private->dutyEnd = end;
+}
+
+WaveOutput WavePlanner::tick(Instant now, WallTime wall, const FleetView& view)
+{
+    auto& state = *m_private;
+    WaveOutput output;
+    if (now >= state.dutyEnd)
+        return output;
+    state.noteHealth(now, view);
+    if (!state.lastLoad || now - *state.lastLoad >= state.settings.reloadInterval || !state.ledger.isLoaded()) {
+        output.calls = state.ledger.load();
+        if (!output.calls.empty())
+            state.lastLoad = now;
+    }
+    if (!state.ledger.isLoaded())
+        return output;
+    std::vector<LedgerChange> changes;
+    auto deficits = state.deficits(view);
+    for (const auto& entry : state.own()) {
+        const auto* host = view.find(entry.upstream);
+        if (!host)
+            continue;
+        state.issue(now, entry, *host, output.decisions);
+        if (entry.phase == ReservationPhase::Draining)
+            state.ease(wall, entry, *host, output.decisions);
+        if (auto change = state.advance(now, wall, entry, *host, deficits))
+            changes.push_back(std::move(*change));
+        if (!changes.empty() && changes.back().kind == LedgerChange::Kind::Release && !state.ledger.isBusy())
+            state.release(now, changes.back().entry);
+    }
+    if (state.mayBegin(wall) && !state.ledger.isBusy())
+        state.reserve(now, wall, view, output, changes);
+    for (auto& call : state.ledger.submit(view, changes))
+        output.calls.push_back(std::move(call));
+    return output;
+}
+
+WaveProgress WavePlanner::progress(WallTime wall, const FleetView& view) const
+{
+    const auto& state = *m_private;
+    WaveProgress progress;
+    const auto done = state.ledger.finished(state.wave.name);
+    for (const auto& host : view.hosts) {
+        progress.total += state.isInWave(host);
+        progress.done += state.isInWave(host) && done.contains(host.name);
+    }
+    for (const auto& entry : state.own()) {
+        progress.draining += entry.phase == ReservationPhase::Draining;
+        progress.rebooting += entry.phase == ReservationPhase::Rebooting;
+        progress.returning += entry.phase == ReservationPhase::Returning;
+        const bool late = elapsed(entry.since, wall) > state.wave.rebootTime * overdueFactor;
+        progress.overdue += entry.phase == ReservationPhase::Rebooting && late;
+    }
+    progress.timeLeft = state.forecast(view);
+    const bool active = progress.draining + progress.rebooting + progress.returning > 0;
+    if (progress.total == progress.done)
+        progress.state = WaveState::Finished;
+    else if (state.wave.paused)
+        progress.state = WaveState::Paused;
+    else if (wall < state.wave.windowStart)
+        progress.state = WaveState::Waiting;
+    else if (!active && !state.mayBegin(wall))
+        progress.state = WaveState::WindowClosed;
+    else
+        progress.state = active || !selectHosts(view, state.ledger, state.waiting(view), 1).empty() ? WaveState::Running : WaveState::Held;
+    return progress;
+}
+
+std::vector<MoveHost> WavePlanner::loans(const FleetView& view) const
+{
+    const auto& state = *m_private;
+    std::vector<MoveHost> loans;
+    std::set<std::string> lent;
+    std::map<std::string, std::vector<const HostView*>> waitingByPool;
+    for (const auto* host : state.waiting(view))
+        waitingByPool[host->homePool].push_back(host);
+    std::map<std::string, bool> active;
+    for (const auto& entry : state.own()) {
+        if (const auto* host = view.find(entry.upstream))
+            active[host->pool] = true;
+    }
+    const auto reserved = state.ledger.reservedHosts();
+    for (const auto& [pool, hosts] : waitingByPool) {
+        if (active[pool] || state.wave.paused)
+            continue;
+        std::vector<const HostView*> free;
+        for (const auto& host : view.hosts) {
+            const bool spare = state.settings.sparePools.contains(host.pool) && host.health == HostHealth::Up;
+            if (spare && host.pool != pool && !reserved.contains(host.name) && !lent.contains(host.name))
+                free.push_back(&host);
+        }
+        for (auto& loan : findLoans(pool, view, state.ledger, hosts, free)) {
+            lent.insert(loan.upstream);
+            loans.push_back(std::move(loan));
+        }
+    }
+    for (const auto& host : view.hosts) {
+        // Guests stay for as long as a host of the pool is away.
+        if (active[host.pool] && host.homePool != host.pool)
+            loans.push_back({ host.name, host.pool, host.pool });
+    }
+    return loans;
+}
+
+bool WavePlanner::isDue(const HostView& host) const
+{
+    return m_private->isInWave(host) && !m_private->ledger.finished(m_private->wave.name).contains(host.name);
+}
+
+} // namespace Decision
--- /dev/null
+++ b/Source/Core/Decision/Waves/WaveSelection.cpp
@@ -0,0 +1,180 @@
+#include "Decision/Waves/WaveSelection.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace Decision {
+
+namespace {
+
+    constexpr std::size_t maximumLoans = 3;
+
+    bool allows(const PoolTally& tally, const std::string& rack, unsigned required)
+    {
+        PoolTally after = tally;
+        after.remove(rack);
+        return after.afterWorstRack() >= required;
+    }
+
+    unsigned floorOf(const FleetView& view, const std::string& pool)
+    {
+        const auto it = view.loadFloors.find(pool);
+        return it == view.loadFloors.end() ? 0 : it->second;
+    }
+
+    /// State of the selection in one pool.
+    struct PoolRoom {
+        PoolTally tally;
+        unsigned required = 0;
+        unsigned floor = 0;
+
+        bool allows(const HostView& host) const
+        {
+            return tally.available() > floor && Decision::allows(tally, host.rack, required);
+        }
+    };
+
+    using PoolRooms = std::map<std::string, PoolRoom>;
+
+    PoolRoom& roomOf(PoolRooms& rooms, const std::string& pool, const FleetView& view, const BudgetLedger& ledger)
+    {
+        const auto it = rooms.find(pool);
+        if (it != rooms.end())
+            return it->second;
+        PoolRoom room { ledger.tally(view, pool), ledger.required(view, pool), floorOf(view, pool) };
+        return rooms.emplace(pool, std::move(room)).first->second;
+    }
+
+    /// Counts of the pool's own hosts alone.
+    PoolTally tallyWithoutGuests(const std::string& pool, const FleetView& view, const BudgetLedger& ledger)
+    {
+        auto tally = ledger.tally(view, pool);
+        const auto reserved = ledger.reservedHosts();
+        for (const auto& host : view.hosts) {
+            const bool counted = host.serving && host.health == HostHealth::Up && !reserved.contains(host.name);
+            if (host.pool == pool && host.homePool != pool && counted)
+                tally.remove(host.rack);
+        }
+        return tally;
+    }
+
+    bool allowsAny(const PoolTally& tally, const std::vector<const HostView*>& hosts, unsigned required)
+    {
+        return std::any_of(hosts.begin(), hosts.end(), [&](const HostView* it) { return allows(tally, it->rack, required); });
+    }
+
+    std::vector<const HostView*> guestsOf(const std::string& pool, const FleetView& view)
+    {
+        std::vector<const HostView*> guests;
+        for (const auto& host : view.hosts) {
+            if (host.pool == pool && host.homePool != pool)
+                guests.push_back(&host);
+        }
+        return guests;
+    }
+
+    /// The offer after which a host may go, else the one in the rack with the fewest hosts of the pool.
+    std::size_t bestOffer(const PoolTally& tally, const std::vector<const HostView*>& offers, const std::vector<const HostView*>& waiting, unsigned required)
+    {
+        std::size_t best = 0;
+        for (std::size_t i = 0; i < offers.size(); ++i) {
+            PoolTally after = tally;
+            after.add(offers[i]->rack);
+            if (allowsAny(after, waiting, required))
+                return i;
+            if (tally.availableIn(offers[i]->rack) < tally.availableIn(offers[best]->rack))
+                best = i;
+        }
+        return best;
+    }
+
+} // namespace
+
+std::vector<const HostView*> selectHosts(const FleetView& view, const BudgetLedger& ledger, std::vector<const HostView*> candidates, std::size_t limit)
+{
+    std::erase_if(candidates, [](const HostView* it) { return !it->serving || it->health != HostHealth::Up; });
+    PoolRooms rooms;
+    std::vector<const HostView*> selected;
+    while (selected.size() < limit) {
+        const HostView* best = nullptr;
+        auto bestRank = std::make_tuple(0, true, 0U);
+        for (const auto* host : candidates) {
+            const auto& room = roomOf(rooms, host->pool, view, ledger);
+            if (!room.allows(*host))
+                continue;
+            const auto rackHosts = -static_cast<int>(room.tally.availableIn(host->rack));
+            const auto rank = std::make_tuple(rackHosts, !host->knownIdle, host->busySlots);
+            if (best && rank >= bestRank)
+                continue;
+            best = host;
+            bestRank = rank;
+        }
+        if (!best)
+            break;
+        selected.push_back(best);
+        roomOf(rooms, best->pool, view, ledger).tally.remove(best->rack);
+        std::erase(candidates, best);
+    }
+    return selected;
+}
+
+unsigned safeConcurrency(PoolTally tally, unsigned required)
+{
+    unsigned atOnce = 0;
+    while (true) {
+        // Taking from the fullest rack keeps the worst rack smallest.
+        const auto rack = tally.fullestRack();
+        if (rack.empty() || !allows(tally, rack, required))
+            return atOnce;
+        tally.remove(rack);
+        ++atOnce;
+    }
+}
+
+std::vector<MoveHost> findLoans(const std::string& pool, const FleetView& view, const BudgetLedger& ledger, const std::vector<const HostView*>& waiting,
+    const std::vector<const HostView*>& free)
+{
+    const auto required = ledger.required(view, pool);
+    auto tally = tallyWithoutGuests(pool, view, ledger);
+    auto offers = guestsOf(pool, view);
+    const auto guests = offers.size();
+    std::vector<const HostView*> lent;
+    while (!allowsAny(tally, waiting, required) && lent.size() < maximumLoans) {
+        if (lent.size() == guests)
+            offers.insert(offers.end(), free.begin(), free.end());
+        if (offers.empty())
+            return {};
+        const auto best = bestOffer(tally, offers, waiting, required);
+        tally.add(offers[best]->rack);
+        lent.push_back(offers[best]);
+        offers.erase(offers.begin() + static_cast<std::ptrdiff_t>(best));
+    }
+    if (!allowsAny(tally, waiting, required))
+        return {};
+    std::vector<MoveHost> loans;
+    for (const auto* host : lent)
+        loans.push_back({ host->name, host->pool, pool });
+    return loans;
+}
+
+FleetForecast forecastFleet(const FleetShape& shape)
+{
+    FleetView view;
+    for (unsigned i = 0; i < shape.hosts; ++i) {
+        HostView host;
+        host.homePool = host.pool = "pool";
+        host.rack = "rack-" + std::to_string(i % std::max(1U, shape.racks));
+        host.health = HostHealth::Up;
+        host.serving = true;
+        view.hosts.push_back(std::move(host));
+    }
+    const auto tally = PoolTally::count("pool", view, {}, {});
+    FleetForecast forecast;
+    forecast.atOnce = safeConcurrency(tally, requiredHosts(shape.hosts, shape.minimumAvailablePercent));
+    if (forecast.atOnce)
+        forecast.length = shape.cycle * ((shape.hosts + forecast.atOnce - 1) / forecast.atOnce);
+    return forecast;
+}
+
+} // namespace Decision
--- /dev/null
+++ b/Source/Core/Kernel/ControlEffects.cpp
@@ -0,0 +1,279 @@
+#include "Kernel/ControlServiceImpl.h"
+
+#include "Kernel/Logging.h"
+#include "Objects/ObjectSetLoader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Kernel {
+
+namespace {
+
+    constexpr std::chrono::milliseconds disconnectMemory { 3000 }; ///< How long a broken connection speaks against a host.
+
+    const char* stateName(Decision::AssignmentState state)
+    {
+        switch (state) {
+        case Decision::AssignmentState::Serving:
+            return "serving";
+        case Decision::AssignmentState::Draining:
+            return "draining";
+        case Decision::AssignmentState::Idle:
+            return "idle";
+        }
+        return "idle";
+    }
+
+    const char* publishName(Decision::PublishStatus status)
+    {
+        switch (status) {
+        case Decision::PublishStatus::Accepted:
+            return "accepted";
+        case Decision::PublishStatus::Conflict:
+            return "refused: conflict";
+        case Decision::PublishStatus::Invalid:
+            return "refused: invalid";
+        case Decision::PublishStatus::Unavailable:
+            return "refused: store unavailable";
+        case Decision::PublishStatus::Unsettled:
+            return "unsettled";
+        }
+        return "unsettled";
+    }
+
+} // namespace
+
+void ControlService::Impl::record(const std::string& who, const std::string& what, const std::string& why)
+{
+    Decision::AuditRecord entry;
+    entry.who = who;
+    entry.what = what;
+    entry.why = why;
+    entry.when = Common::wallNow();
+    entry.revision = keeper->revision();
+    auditTrail->record(Common::BootClock::now(), std::move(entry));
+}
+
+void ControlService::Impl::adopt(const Decision::ConfigurationAdopted& adopted)
+{
+    auto set = Objects::ObjectSetLoader::loadText("configuration", *adopted.document);
+    if (!set) {
+        // The keeper has checked it by the same rules; this would be a fault of ours.
+        Logging::write(LogLevel::Error, "configuration", std::string("an adopted document can't be read: ") + set.error().what());
+        return;
+    }
+    objects = std::make_shared<const Objects::ObjectSet>(set.take());
+    LogContext context;
+    context.revision = adopted.revision;
+    Logging::write(LogLevel::Info, "configuration", "in force", context);
+    metrics.setConfigurationRevision(adopted.revision);
+    requests.run([&](auto& core, Decision::Moment at) { core.setConfiguration(at, objects, adopted.revision); });
+    std::map<std::string, ConfiguredUpstream> configured;
+    std::map<std::string, unsigned> pinned;
+    for (const auto& [name, upstream] : objects->upstreams) {
+        if (objects->dataCentreOf(upstream) != settings.dataCentre)
+            continue;
+        const auto pool = objects->pools.find(upstream.pool);
+        const bool pin = pool != objects->pools.end() && pinned[upstream.pool]++ < pool->second.pinnedHosts;
+        configured[name] = { upstream.pool, pin };
+    }
+    assignments.setConfigured(std::move(configured));
+    updateUpstreams();
+}
+
+std::optional<Decision::ViewLease> ControlService::Impl::viewLease(Common::Instant now) const
+{
+    const auto lease = membership->lease(now);
+    if (!lease)
+        return std::nullopt;
+    const auto timeToLive = std::chrono::ceil<std::chrono::seconds>(settings.limits.viewLease);
+    // The lease core counts from before it asked, so the time of asking follows from its end.
+    return Decision::ViewLease { *lease, membership->leaseValidUntil() - timeToLive, timeToLive };
+}
+
+void ControlService::Impl::applyAssignment(Common::Instant now)
+{
+    const AssignmentNews news = assignments.takeNews();
+    if (!news.lease && !news.record)
+        return;
+    requests.withTable([&](Decision::AssignmentTable& table) {
+        if (news.lease)
+            table.leaseAnswered(*news.lease, now);
+        if (news.record)
+            table.recordRead(*news.record, news.askedUnder);
+    });
+    if (news.record)
+        updateUpstreams();
+}
+
+void ControlService::Impl::updateUpstreams()
+{
+    if (!objects)
+        return;
+    std::map<std::string, std::vector<Decision::PoolUpstream>> pools;
+    for (const auto& [name, pool] : objects->pools)
+        pools[name];
+    for (const auto& [name, assignment] : assignments.snapshot().record.upstreams) {
+        const auto upstream = objects->upstreams.find(name);
+        if (upstream == objects->upstreams.end() || leavingUpstreams.count(upstream->second.address))
+            continue;
+        if (assignment.state == Decision::AssignmentState::Serving)
+            pools[assignment.pool].push_back({ name, upstream->second.address, upstream->second.slots });
+    }
+    for (const auto& [pool, upstreams] : pools) {
+        auto& applied = appliedUpstreams[pool];
+        if (applied == upstreams)
+            continue;
+        applied = upstreams;
+        requests.run([&](auto& core, Decision::Moment at) { core.setUpstreams(at, pool, upstreams); });
+    }
+}
+
+void ControlService::Impl::applyHosts(Common::Instant)
+{
+    updateUpstreams();
+}
+
+std::vector<Ports::HostId> ControlService::Impl::readyMembers(Common::Instant now) const
+{
+    std::vector<Ports::HostId> members;
+    for (const auto& host : membership->aliveMembers(now)) {
+        if (host == settings.host) {
+            if (!draining)
+                members.push_back(host);
+            continue;
+        }
+        const auto* heartbeat = membership->lastHeartbeat(host);
+        if (heartbeat && heartbeat->ready && !heartbeat->leaving)
+            members.push_back(host);
+    }
+    return members;
+}
+
+bool ControlService::Impl::gone(const Ports::HostId& host, Common::Instant now) const
+{
+    const auto it = disconnected.find(host);
+    return it != disconnected.end() && now - it->second < disconnectMemory;
+}
+
+void ControlService::Impl::applyMembership(Common::Instant now)
+{
+    updatePeers();
+    if (membership->epoch() != appliedEpoch) {
+        appliedEpoch = membership->epoch();
+        Decision::LedgerView view { appliedEpoch, {} };
+        for (const auto& member : membership->currentView().members)
+            view.members.push_back(member.host);
+        metrics.setViewEpoch(appliedEpoch);
+        metrics.setViewMembers(view.members.size());
+        requests.run([&](auto& core, Decision::Moment at) { core.setView(at, view); });
+    }
+    auto alive = readyMembers(now);
+    if (alive != appliedAlive) {
+        appliedAlive = alive;
+        requests.run([&](auto& core, Decision::Moment at) { core.setAlive(at, std::move(alive)); });
+    }
+}
+
+void ControlService::Impl::updatePeers()
+{
+    if (peersApplied && membership->peersVersion() == appliedPeers)
+        return;
+    appliedPeers = membership->peersVersion();
+    peersApplied = true;
+    auto peers = membership->peers();
+    for (const auto& seed : settings.peers.seeds) {
+        const bool known = std::any_of(peers.begin(), peers.end(), [&](const auto& it) { return it.host == seed.host; });
+        if (!known && seed.host != settings.host)
+            peers.push_back({ seed.host, seed.address });
+    }
+    ports.peers.setPeers(std::move(peers));
+}
+
+void ControlService::Impl::updateReadiness(Common::Instant now)
+{
+    notReadyBecause.clear();
+    const auto readiness = membership->readiness(now);
+    if (draining)
+        notReadyBecause.push_back("draining");
+    if (!readiness.member)
+        notReadyBecause.push_back("not a member of the data centre's view");
+    if (readiness.superseded)
+        notReadyBecause.push_back("another start of this host took its place");
+    if (!keeper->isReady(now))
+        notReadyBecause.push_back("no current configuration");
+    if (!requests.memoryWhole())
+        notReadyBecause.push_back("records of claims are still being gathered");
+    bool confirmed = false;
+    requests.withTable([&](const Decision::AssignmentTable& table) { confirmed = table.isConfirmed(); });
+    if (!confirmed)
+        notReadyBecause.push_back("assignments not read yet");
+    ready = notReadyBecause.empty();
+    requests.setReady(ready);
+}
+
+void ControlService::Impl::updateHeartbeat(Common::Instant now)
+{
+    Messages::Heartbeat content;
+    content.configurationRevision = keeper->revision();
+    content.assignmentVersion = assignments.version();
+    content.ready = ready;
+    content.loads = requests.loads();
+    membership->setHeartbeatContent(std::move(content));
+    for (const auto& dataCentre : foreignDataCentres) {
+        std::vector<Ports::HostId> hosts;
+        for (const auto& member : membership->hostsOf(dataCentre)) {
+            if (!gone(member.host, now))
+                hosts.push_back(member.host);
+        }
+        requests.run([&](auto& core, Decision::Moment) { core.setRemote(dataCentre, hosts); });
+    }
+}
+
+void ControlService::Impl::finishPublications()
+{
+    for (const auto& result : publisher->takeResults()) {
+        const auto request = publishing.extract(result.ticket);
+        if (!request.empty())
+            record(request.mapped().author, "publish " + result.changeId + " on revision " + std::to_string(request.mapped().baseRevision) + ": " + publishName(result.status), request.mapped().reason);
+        const auto callback = publications.extract(result.ticket);
+        if (!callback.empty())
+            callback.mapped()(result);
+    }
+}
+
+ControlStatus ControlService::status()
+{
+    const std::lock_guard guard(m_impl->lock);
+    const auto now = Common::BootClock::now();
+    ControlStatus status;
+    status.host = m_impl->settings.host;
+    status.dataCentre = m_impl->settings.dataCentre;
+    status.ready = m_impl->ready;
+    status.notReadyBecause = m_impl->notReadyBecause;
+    status.viewEpoch = m_impl->membership->epoch();
+    for (const auto& member : m_impl->membership->currentView().members)
+        status.members.push_back(member.host);
+    status.alive = m_impl->membership->aliveMembers(now);
+    status.revision = m_impl->keeper->revision();
+    status.highestKnownRevision = m_impl->keeper->highestKnown();
+    status.inForce = m_impl->keeper->inForceReport(now);
+    for (const auto& alarm : { m_impl->membership->alarm(), m_impl->keeper->alarm() }) {
+        if (!alarm.empty())
+            status.alarms.push_back(alarm);
+    }
+    status.auditWaiting = m_impl->auditTrail->waitingRecords();
+    return status;
+}
+
+std::vector<UpstreamStatus> ControlService::upstreams()
+{
+    const std::lock_guard guard(m_impl->lock);
+    std::vector<UpstreamStatus> upstreams;
+    for (const auto& [name, it] : m_impl->assignments.snapshot().record.upstreams)
+        upstreams.push_back({ name, it.pool, stateName(it.state), it.target, it.pinned });
+    return upstreams;
+}
+
+} // namespace Kernel
--- /dev/null
+++ b/Source/Core/Kernel/ControlServiceImpl.h
@@ -0,0 +1,82 @@
+#pragma once
+
+/// State and steps of the control service. ControlService.cpp has the events, ControlEffects.cpp what follows from them.
+
+#include "Decision/Audit/AuditTrail.h"
+#include "Decision/Membership/Membership.h"
+#include "Kernel/AssignmentAgent.h"
+#include "Kernel/ControlService.h"
+#include "Kernel/ObjectsValidator.h"
+#include "Kernel/PlatformRunner.h"
+
+#include <map>
+#include <mutex>
+#include <set>
+
+namespace Kernel {
+
+class ControlService::Impl {
+public:
+    Impl(const Settings&, std::uint64_t incarnation, const ControlPorts&, RequestService&, WorkerPool&, Metrics&);
+
+    // Events (ControlService.cpp).
+    void frameArrived(const Ports::HostId&, const std::string& frame);
+    void tick(Common::Instant now);
+    void pump(Common::Instant now);
+    template<typename Core>
+    void carryOut(Core&, const PlatformReplies&);
+    void carryOut(const Decision::Action&, const PlatformReplies&);
+    void send(const Ports::HostId&, const Messages::PeerMessage&);
+    template<typename Handler>
+    PlatformReplies repliesTo(Handler);
+
+    // Effects (ControlEffects.cpp).
+    void adopt(const Decision::ConfigurationAdopted&);
+    void applyAssignment(Common::Instant now);
+    void applyMembership(Common::Instant now);
+    void applyHosts(Common::Instant now);
+    void updateUpstreams();
+    void updateReadiness(Common::Instant now);
+    void updateHeartbeat(Common::Instant now);
+    void updatePeers();
+    void finishPublications();
+    void record(const std::string& who, const std::string& what, const std::string& why);
+    std::vector<Ports::HostId> readyMembers(Common::Instant now) const;
+    bool gone(const Ports::HostId&, Common::Instant now) const;
+    std::optional<Decision::ViewLease> viewLease(Common::Instant now) const;
+
+    const Settings& settings;
+    const std::uint64_t incarnation;
+    ControlPorts ports;
+    RequestService& requests;
+    WorkerPool& workers;
+    Metrics& metrics;
+    PlatformRunner runner;
+    ObjectsValidator validator;
+
+    std::mutex lock; ///< Guards everything below.
+    std::unique_ptr<Decision::Membership> membership;
+    std::unique_ptr<Decision::ConfigurationKeeper> keeper;
+    std::unique_ptr<Decision::ConfigurationPublisher> publisher;
+    std::unique_ptr<Decision::AuditTrail> auditTrail;
+    AssignmentAgent assignments;
+
+    std::vector<std::string> foreignDataCentres;
+    std::shared_ptr<const Objects::ObjectSet> objects;
+    std::map<std::uint64_t, PublishCallback> publications;
+    std::map<std::uint64_t, Decision::PublishRequest> publishing;
+    std::uint64_t nextTicket = 1;
+    std::map<Ports::HostId, Common::Instant> disconnected;
+    std::set<std::string> leavingUpstreams; ///< Addresses, by the host list.
+    std::uint64_t appliedEpoch = 0;
+    std::uint64_t appliedPeers = 0;
+    bool peersApplied = false;
+    std::vector<Ports::HostId> appliedAlive;
+    std::map<std::string, std::vector<Decision::PoolUpstream>> appliedUpstreams;
+    Common::Instant nextHostList {};
+    bool draining = false;
+    bool ready = false;
+    std::vector<std::string> notReadyBecause;
+};
+
+} // namespace Kernel
--- /dev/null
+++ b/Source/Core/Kernel/Logging.cpp
@@ -0,0 +1,143 @@
+#include "Kernel/Logging.h"
+
+#include <array>
+#include <fstream>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/helpers/pool.h>
+#include <log4cxx/helpers/transcoder.h>
+#include <log4cxx/jsonlayout.h>
+#include <log4cxx/level.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
+#include <log4cxx/mdc.h>
+#include <log4cxx/patternlayout.h>
+
+namespace Kernel {
+
+namespace {
+
+    constexpr const char* loggerPrefix = "marigoldstile.";
+    constexpr const char* textPattern = "%d{yyyy-MM-dd HH:mm:ss,SSS} %-5p %c %m%J%n";
+
+    struct LevelEntry {
+        const char* name;
+        log4cxx::LevelPtr (*level)();
+    };
+
+    /// Indexed by LogLevel.
+    const std::array<LevelEntry, 5> levels { {
+        { "trace", log4cxx::Level::getTrace },
+        { "debug", log4cxx::Level::getDebug },
+        { "info", log4cxx::Level::getInfo },
+        { "warn", log4cxx::Level::getWarn },
+        { "error", log4cxx::Level::getError },
+    } };
+
+    log4cxx::LevelPtr levelOf(LogLevel level)
+    {
+        return levels.at(static_cast<std::size_t>(level)).level();
+    }
+
+    log4cxx::LevelPtr levelNamed(const std::string& name)
+    {
+        for (const auto& entry : levels) {
+            if (entry.name == name)
+                return entry.level();
+        }
+        return nullptr;
+    }
+
+    log4cxx::LogString logString(const std::string& text)
+    {
+        log4cxx::LogString converted;
+        log4cxx::helpers::Transcoder::decodeUTF8(text, converted);
+        return converted;
+    }
+
+    log4cxx::LayoutPtr makeLayout(bool json)
+    {
+        if (json)
+            return std::make_shared<log4cxx::JSONLayout>();
+        return std::make_shared<log4cxx::PatternLayout>(logString(textPattern));
+    }
+
+    log4cxx::AppenderPtr makeAppender(const LoggingSection& section)
+    {
+        const auto layout = makeLayout(section.json);
+        if (!section.file.empty())
+            return std::make_shared<log4cxx::FileAppender>(layout, logString(section.file), true);
+        return std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    }
+
+    /// log4cxx only prints a complaint about a file that it can't open, so that is tried first.
+    bool canWrite(const std::string& path)
+    {
+        return std::ofstream(path, std::ios::app).good();
+    }
+
+    /// The diagnostic context of one event, taken away again at the end of the scope.
+    class ContextScope {
+    public:
+        explicit ContextScope(const LogContext& context)
+        {
+            add("requestId", context.requestId);
+            add("revision", context.revision ? std::to_string(*context.revision) : std::string());
+            add("duty", context.duty);
+            for (const auto& field : context.fields)
+                add(field.name, field.value);
+        }
+
+        ~ContextScope()
+        {
+            for (const auto& name : m_names)
+                log4cxx::MDC::remove(name);
+        }
+
+        ContextScope(const ContextScope&) = delete;
+        ContextScope& operator=(const ContextScope&) = delete;
+
+    private:
+        void add(const std::string& name, const std::string& value)
+        {
+            if (value.empty())
+                return;
+            log4cxx::MDC::putLS(logString(name), logString(value));
+            m_names.push_back(name);
+        }
+
+        std::vector<std::string> m_names;
+    };
+
+} // namespace
+
+Common::Result<std::unique_ptr<Logging>, KernelError> Logging::create(const LoggingSection& section)
+{
+    const auto level = levelNamed(section.level);
+    if (!level)
+        return KernelError("unknown log level \"" + section.level + "\"");
+    if (!section.file.empty() && !canWrite(section.file))
+        return KernelError("the log file " + section.file + " can't be written");
+    const auto root = log4cxx::Logger::getRootLogger();
+    root->removeAllAppenders();
+    root->addAppender(makeAppender(section));
+    root->setLevel(level);
+    return std::unique_ptr<Logging>(new Logging);
+}
+
+Logging::~Logging()
+{
+    log4cxx::LogManager::shutdown();
+}
+
+void Logging::write(LogLevel level, const std::string& component, const std::string& message, const LogContext& context)
+{
+    const auto logger = log4cxx::Logger::getLogger(loggerPrefix + component);
+    const auto threshold = levelOf(level);
+    if (!logger->isEnabledFor(threshold))
+        return;
+    const ContextScope scope(context);
+    logger->forcedLogLS(threshold, logString(message), log4cxx::spi::LocationInfo::getLocationUnavailable());
+}
+
+} // namespace Kernel
--- /dev/null
+++ b/Source/Core/Kernel/OperatorApi.cpp
@@ -0,0 +1,284 @@
+#include "Kernel/OperatorApi.h"
+
+#include <algorithm>
+#include <iterator>
+#include <json/json.h>
+#include <utility>
+
+namespace Kernel {
+
+namespace {
+
+    constexpr int ok = 200;
+    constexpr int badRequest = 400;
+    constexpr int unauthorized = 401;
+    constexpr int notFound = 404;
+    constexpr int methodNotAllowed = 405;
+    constexpr int conflict = 409;
+    constexpr int unprocessable = 422;
+    constexpr int unavailable = 503;
+
+    std::string text(const Json::Value& value)
+    {
+        Json::StreamWriterBuilder builder;
+        builder["indentation"] = "";
+        return Json::writeString(builder, value) + "\n";
+    }
+
+    void sendJson(const Ports::OperatorReplyCallback& reply, int status, const Json::Value& value)
+    {
+        reply({ status, "application/json", text(value) });
+    }
+
+    void sendError(const Ports::OperatorReplyCallback& reply, int status, const std::string& message)
+    {
+        Json::Value value;
+        value["error"] = message;
+        sendJson(reply, status, value);
+    }
+
+    Json::Value list(const std::vector<std::string>& items)
+    {
+        Json::Value value(Json::arrayValue);
+        for (const auto& item : items)
+            value.append(item);
+        return value;
+    }
+
+    std::optional<Json::Value> parse(const std::string& body, std::string& errors)
+    {
+        Json::CharReaderBuilder builder;
+        builder["rejectDupKeys"] = true;
+        builder["failIfExtra"] = true;
+        Json::Value value;
+        const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+        if (!reader->parse(body.data(), body.data() + body.size(), &value, &errors))
+            return std::nullopt;
+        if (!value.isObject()) {
+            errors = "an object is expected";
+            return std::nullopt;
+        }
+        return value;
+    }
+
+    bool hasText(const Json::Value& value, const char* name)
+    {
+        return value.isMember(name) && value[name].isString() && !value[name].asString().empty();
+    }
+
+} // namespace
+
+OperatorApi::OperatorApi(const Settings& settings, ControlService& control, RequestService& requests, Metrics& metrics)
+    : m_settings(settings)
+    , m_control(control)
+    , m_requests(requests)
+    , m_metrics(metrics)
+{
+}
+
+std::unique_ptr<OperatorApi> OperatorApi::create(const Settings& settings, ControlService& control, RequestService& requests, Metrics& metrics)
+{
+    return std::unique_ptr<OperatorApi>(new OperatorApi(settings, control, requests, metrics));
+}
+
+const OperatorApi::Route* OperatorApi::find(const std::string& method, const std::string& path, bool& pathKnown)
+{
+    static const Route s_routes[] = {
+        { "GET", "/health", true, &OperatorApi::health },
+        { "GET", "/ready", true, &OperatorApi::ready },
+        { "GET", "/metrics", true, &OperatorApi::metrics },
+        { "GET", "/v1/status", false, &OperatorApi::status },
+        { "GET", "/v1/pools", false, &OperatorApi::pools },
+        { "GET", "/v1/configuration", false, &OperatorApi::configuration },
+        { "POST", "/v1/configuration", false, &OperatorApi::publish },
+        { "POST", "/v1/validate", false, &OperatorApi::validate },
+        { "GET", "/v1/audit", false, &OperatorApi::audit },
+    };
+    for (const auto& route : s_routes) {
+        if (path != route.path)
+            continue;
+        pathKnown = true;
+        if (method == route.method)
+            return &route;
+    }
+    return nullptr;
+}
+
+std::string OperatorApi::whoIs(const std::string& token) const
+{
+    if (m_settings.operators.accounts.empty())
+        return "anonymous";
+    for (const auto& account : m_settings.operators.accounts) {
+        if (!token.empty() && account.token == token)
+            return account.name;
+    }
+    return {};
+}
+
+void OperatorApi::operatorCalled(Ports::OperatorRequest request, Ports::OperatorReplyCallback reply)
+{
+    bool pathKnown = false;
+    const Route* route = find(request.method, request.path, pathKnown);
+    if (!route) {
+        sendError(reply, pathKnown ? methodNotAllowed : notFound, pathKnown ? "this path doesn't take " + request.method : "no such path");
+        return;
+    }
+    Call call { std::move(request), {}, std::move(reply) };
+    call.who = whoIs(call.request.bearerToken);
+    if (!route->open && call.who.empty()) {
+        sendError(call.reply, unauthorized, "an operator's token is needed: Authorization: Bearer TOKEN");
+        return;
+    }
+    (this->*route->handle)(call);
+}
+
+void OperatorApi::health(Call& call)
+{
+    call.reply({ ok, "text/plain", "ok\n" });
+}
+
+void OperatorApi::ready(Call& call)
+{
+    const auto status = m_control.status();
+    Json::Value value;
+    value["ready"] = status.ready;
+    value["because"] = list(status.notReadyBecause);
+    sendJson(call.reply, status.ready ? ok : unavailable, value);
+}
+
+void OperatorApi::metrics(Call& call)
+{
+    m_requests.publishMetrics();
+    call.reply({ ok, "text/plain; version=0.0.4", m_metrics.exposition() });
+}
+
+void OperatorApi::status(Call& call)
+{
+    const auto status = m_control.status();
+    Json::Value value;
+    value["host"] = status.host;
+    value["dataCentre"] = status.dataCentre;
+    value["ready"] = status.ready;
+    value["notReadyBecause"] = list(status.notReadyBecause);
+    value["viewEpoch"] = Json::UInt64(status.viewEpoch);
+    value["members"] = list(status.members);
+    value["alive"] = list(status.alive);
+    value["revision"] = Json::UInt64(status.revision);
+    value["highestKnownRevision"] = Json::UInt64(status.highestKnownRevision);
+    value["alarms"] = list(status.alarms);
+    value["auditWaiting"] = Json::UInt64(status.auditWaiting);
+    value["inForce"] = Json::Value(Json::arrayValue);
+    for (const auto& dataCentre : status.inForce) {
+        for (const auto& host : dataCentre.hosts) {
+            Json::Value item;
+            item["dataCentre"] = dataCentre.dataCentre;
+            item["host"] = host.host;
+            item["revision"] = Json::UInt64(host.revision);
+            item["ready"] = host.ready;
+            value["inForce"].append(item);
+        }
+    }
+    sendJson(call.reply, ok, value);
+}
+
+void OperatorApi::pools(Call& call)
+{
+    Json::Value value(Json::arrayValue);
+    for (const auto& upstream : m_control.upstreams()) {
+        Json::Value item;
+        item["upstream"] = upstream.upstream;
+        item["pool"] = upstream.pool;
+        item["state"] = upstream.state;
+        item["target"] = upstream.target;
+        item["pinned"] = upstream.pinned;
+        value.append(item);
+    }
+    sendJson(call.reply, ok, value);
+}
+
+void OperatorApi::configuration(Call& call)
+{
+    const auto document = m_control.document();
+    Json::Value value;
+    value["revision"] = Json::UInt64(m_control.revision());
+    value["document"] = document ? *document : std::string();
+    sendJson(call.reply, ok, value);
+}
+
+void OperatorApi::validate(Call& call)
+{
+    const auto faults = m_control.faultsOfChange(call.request.body);
+    Json::Value value;
+    value["valid"] = faults.empty();
+    value["faults"] = list(faults);
+    sendJson(call.reply, faults.empty() ? ok : unprocessable, value);
+}
+
+void OperatorApi::publish(Call& call)
+{
+    std::string errors;
+    const auto body = parse(call.request.body, errors);
+    if (!body) {
+        sendError(call.reply, badRequest, "the body isn't JSON as expected: " + errors);
+        return;
+    }
+    if (!hasText(*body, "changeId") || !hasText(*body, "document") || !(*body)["baseRevision"].isUInt64()) {
+        sendError(call.reply, badRequest, "needed: baseRevision (number), changeId (text), document (text); reason (text) may be given");
+        return;
+    }
+    Decision::PublishRequest request;
+    request.baseRevision = (*body)["baseRevision"].asUInt64();
+    request.changeId = (*body)["changeId"].asString();
+    request.document = (*body)["document"].asString();
+    request.author = call.who;
+    request.reason = hasText(*body, "reason") ? (*body)["reason"].asString() : "";
+    const auto faults = m_control.faultsOfChange(request.document);
+    if (!faults.empty()) {
+        m_control.audit(call.who, "publish " + request.changeId + ": refused: invalid", request.reason);
+        Json::Value value;
+        value["status"] = "invalid";
+        value["faults"] = list(faults);
+        sendJson(call.reply, unprocessable, value);
+        return;
+    }
+    m_control.publish(std::move(request), [reply = call.reply](const Decision::PublishResult& result) {
+        static const struct {
+            Decision::PublishStatus status;
+            const char* name;
+            int http;
+        } s_statuses[] = {
+            { Decision::PublishStatus::Accepted, "accepted", ok },
+            { Decision::PublishStatus::Conflict, "conflict", conflict },
+            { Decision::PublishStatus::Invalid, "invalid", unprocessable },
+            { Decision::PublishStatus::Unavailable, "unavailable", unavailable },
+            { Decision::PublishStatus::Unsettled, "unsettled", unavailable },
+        };
+        const auto* it = std::find_if(std::begin(s_statuses), std::end(s_statuses), [&](const auto& row) { return row.status == result.status; });
+        Json::Value value;
+        value["status"] = it->name;
+        value["changeId"] = result.changeId;
+        value["revision"] = Json::UInt64(result.revision);
+        value["currentRevision"] = Json::UInt64(result.currentRevision);
+        value["currentChangeId"] = result.currentChangeId;
+        value["currentAuthor"] = result.currentAuthor;
+        value["faults"] = list(result.faults);
+        sendJson(reply, it->http, value);
+    });
+}
+
+void OperatorApi::audit(Call& call)
+{
+    const std::string dataCentre = call.request.query.starts_with("dataCentre=") ? call.request.query.substr(std::string("dataCentre=").size()) : m_settings.dataCentre;
+    m_control.readAudit(dataCentre, [reply = call.reply](Ports::PlatformStatus status, const std::vector<std::string>& lines) {
+        if (status != Ports::PlatformStatus::Ok) {
+            sendError(reply, unavailable, "the platform's store doesn't answer");
+            return;
+        }
+        std::string body;
+        for (const auto& line : lines)
+            body += line + "\n";
+        reply({ ok, "application/x-ndjson", body });
+    });
+}
+
+} // namespace Kernel
--- /dev/null
+++ b/Source/Core/Kernel/PlatformRunner.cpp
@@ -0,0 +1,67 @@
+#include "Kernel/PlatformRunner.h"
+
+#include "Common/Time.h"
+
+#include <utility>
+
+namespace Kernel {
+
+namespace {
+
+    const char* statusName(Ports::PlatformStatus status)
+    {
+        switch (status) {
+        case Ports::PlatformStatus::Ok:
+            return "ok";
+        case Ports::PlatformStatus::ComparesFailed:
+            return "compares-failed";
+        case Ports::PlatformStatus::NotSent:
+            return "not-sent";
+        case Ports::PlatformStatus::Uncertain:
+            return "uncertain";
+        }
+        return "uncertain";
+    }
+
+} // namespace
+
+PlatformRunner::PlatformRunner(Ports::PlatformPort& platform, WorkerPool& workers, Metrics& metrics)
+    : m_platform(platform)
+    , m_workers(workers)
+    , m_metrics(metrics)
+{
+}
+
+Ports::PlatformCallback PlatformRunner::replyTo(Decision::PlatformToken token, const PlatformReplies& replies, const char* kind)
+{
+    const auto asked = Common::BootClock::now();
+    return [this, token, kind, asked, replied = replies.replied](Ports::PlatformReply reply) {
+        m_metrics.countPlatformCall(kind, statusName(reply.status), Common::BootClock::now() - asked);
+        m_workers.post([replied, event = Decision::PlatformReplied { token, std::move(reply) }] { replied(event); });
+    };
+}
+
+void PlatformRunner::run(const Decision::PlatformAction& action, const PlatformReplies& replies)
+{
+    if (const auto* it = std::get_if<Decision::PlatformRead>(&action))
+        m_platform.read(it->key, it->prefix, replyTo(it->token, replies, "read"));
+    else if (const auto* it = std::get_if<Decision::PlatformTransact>(&action))
+        m_platform.transact(it->transaction, replyTo(it->token, replies, "transact"));
+    else if (const auto* it = std::get_if<Decision::LeaseGrant>(&action))
+        m_platform.grantLease(it->timeToLive, replyTo(it->token, replies, "lease-grant"));
+    else if (const auto* it = std::get_if<Decision::LeaseRenew>(&action))
+        m_platform.renewLease(it->lease, replyTo(it->token, replies, "lease-renew"));
+    else if (const auto* it = std::get_if<Decision::LeaseRevoke>(&action))
+        m_platform.revokeLease(it->lease, replyTo(it->token, replies, "lease-revoke"));
+    else if (const auto* it = std::get_if<Decision::PlatformWatch>(&action)) {
+        m_platform.watch(it->prefix, it->fromRevision, [this, token = it->token, watched = replies.watched](const std::vector<Ports::WatchEvent>& events, bool broken) {
+            m_workers.post([watched, event = Decision::PlatformWatched { token, events, broken }] { watched(event); });
+        });
+    } else if (const auto* it = std::get_if<Decision::HostListRead>(&action)) {
+        m_platform.readHostList([this, token = it->token, hostsRead = replies.hostsRead](Ports::PlatformStatus status, std::vector<Ports::ListedHost> hosts) {
+            m_workers.post([hostsRead, event = Decision::HostListReplied { token, status, std::move(hosts) }] { hostsRead(event); });
+        });
+    }
+}
+
+} // namespace Kernel
--- /dev/null
+++ b/Source/Core/Kernel/RequestService.cpp
@@ -0,0 +1,229 @@
+#include "Kernel/RequestService.h"
+
+#include "Common/Rendezvous.h"
+#include "Kernel/Logging.h"
+#include "Messages/Codec.h"
+
+#include <utility>
+
+namespace Kernel {
+
+using Decision::Moment;
+
+namespace {
+
+    Decision::RequestLimits limitsFrom(const Settings& settings)
+    {
+        Decision::RequestLimits limits;
+        limits.claimRetention = settings.limits.claimRetention;
+        limits.clockSkew = settings.limits.clockSkewAllowance;
+        return limits;
+    }
+
+    Decision::RequestIdentity identityFrom(const Settings& settings, std::uint64_t incarnation)
+    {
+        return { settings.host, settings.dataCentre, incarnation, Common::hash64(settings.host, incarnation) };
+    }
+
+    Decision::AssignmentTable tableFor(std::uint64_t incarnation)
+    {
+        Decision::AssignmentTableSettings settings;
+        settings.incarnation = incarnation;
+        auto table = Decision::AssignmentTable::create(settings);
+        if (!table)
+            throw KernelError(table.error().what());
+        return table.take();
+    }
+
+    const char* outcomeName(Ports::Outcome outcome)
+    {
+        switch (outcome) {
+        case Ports::Outcome::Done:
+            return "done";
+        case Ports::Outcome::NotRun:
+            return "not-run";
+        case Ports::Outcome::Unknown:
+            return "unknown";
+        }
+        return "unknown";
+    }
+
+} // namespace
+
+Moment momentNow()
+{
+    return { Common::BootClock::now(), Common::wallNow() };
+}
+
+std::unique_ptr<RequestService> RequestService::create(const Settings& settings, std::uint64_t incarnation, const RequestPorts& ports, WorkerPool& workers, Metrics& metrics)
+{
+    return std::unique_ptr<RequestService>(new RequestService(settings, incarnation, ports, workers, metrics));
+}
+
+RequestService::RequestService(const Settings& settings, std::uint64_t incarnation, const RequestPorts& ports, WorkerPool& workers, Metrics& metrics)
+    : m_ports(ports)
+    , m_workers(workers)
+    , m_metrics(metrics)
+    , m_core(Decision::RequestCore::create(identityFrom(settings, incarnation), limitsFrom(settings)))
+    , m_table(tableFor(incarnation))
+{
+    // Asked inside the core's steps only, so the lock is held.
+    m_core->setMayDispatch([this](const std::string& upstream, const std::string& pool, Common::Instant now) {
+        return m_table.mayDispatch(upstream, pool, now);
+    });
+}
+
+void RequestService::run(const Step& step)
+{
+    const std::lock_guard guard(m_lock);
+    step(*m_core, momentNow());
+    // An attempt that may not go out after all ends at once, and its end brings further actions.
+    for (auto actions = m_core->takeActions(); !actions.empty(); actions = m_core->takeActions()) {
+        for (auto& action : actions)
+            carryOut(action);
+    }
+}
+
+void RequestService::withTable(const std::function<void(Decision::AssignmentTable&)>& use)
+{
+    const std::lock_guard guard(m_lock);
+    use(m_table);
+}
+
+void RequestService::carryOut(Decision::RequestAction& action)
+{
+    if (auto* it = std::get_if<Decision::AnswerCaller>(&action))
+        answer(*it);
+    else if (auto* it = std::get_if<Decision::SendPeer>(&action)) {
+        const std::string frame = Messages::encode(it->message);
+        // A frame that surely wasn't sent is as good as a broken connection: what waited for it is decided anew.
+        if (!m_ports.peers.send(it->to, frame))
+            m_workers.post([this, host = it->to] { run([&](auto& core, Moment at) { core.peerLost(at, host); }); });
+    } else if (auto* it = std::get_if<Decision::DispatchAttempt>(&action))
+        dispatch(*it);
+    else if (auto* it = std::get_if<Decision::CancelAttempt>(&action))
+        m_ports.upstreams.cancel(it->attempt);
+}
+
+void RequestService::answer(const Decision::AnswerCaller& action)
+{
+    const auto it = m_asked.find(action.handle);
+    if (it != m_asked.end()) {
+        m_metrics.countRequest(outcomeName(action.answer.outcome), Ports::reasonName(action.answer.reason), Common::BootClock::now() - it->second.at);
+        m_asked.erase(it);
+    }
+    m_ports.callers.answer(action.handle, action.answer);
+}
+
+void RequestService::dispatch(Decision::DispatchAttempt& action)
+{
+    const auto now = Common::BootClock::now();
+    const auto& call = action.call;
+    if (!m_table.begin(call.upstream, call.pool, now)) {
+        // The right to use the upstream went while the request was being claimed: nothing was sent.
+        m_core->attemptEnded({ now, Common::wallNow() }, { call.attempt, Ports::AttemptEnd::Refused, 0, {}, nullptr });
+        return;
+    }
+    m_upstreamOf[call.attempt] = call.upstream;
+    m_runsUntil[call.attempt] = now + call.timeLeft;
+    m_ports.upstreams.dispatch(std::move(action.call));
+}
+
+void RequestService::noteEnd(const Ports::UpstreamResult& result)
+{
+    const auto it = m_upstreamOf.find(result.attempt);
+    if (it == m_upstreamOf.end())
+        return;
+    const bool over = result.end == Ports::AttemptEnd::Answered || result.end == Ports::AttemptEnd::Refused || result.end == Ports::AttemptEnd::NotSent;
+    if (over)
+        m_table.ended(it->second);
+    else
+        m_table.abandoned(it->second, m_runsUntil[result.attempt]);
+    m_runsUntil.erase(result.attempt);
+    m_upstreamOf.erase(it);
+}
+
+void RequestService::requestArrived(Ports::CallerRequest request)
+{
+    m_workers.post([this, request = std::move(request)] {
+        run([&](auto& core, Moment at) {
+            m_asked[request.handle] = { at.now };
+            core.requestArrived(at, request);
+        });
+    });
+}
+
+void RequestService::callerGone(Ports::CallerHandle handle)
+{
+    m_workers.post([this, handle] {
+        run([&](auto& core, Moment at) {
+            core.callerGone(at, handle);
+            m_asked.erase(handle);
+        });
+    });
+}
+
+bool RequestService::cancelByKey(const std::string& team, const std::string& idempotencyKey)
+{
+    bool found = false;
+    run([&](auto& core, Moment at) { found = core.cancelByKey(at, team, idempotencyKey); });
+    return found;
+}
+
+void RequestService::attemptEnded(Ports::UpstreamResult result)
+{
+    m_workers.post([this, result = std::move(result)] {
+        run([&](auto& core, Moment at) {
+            noteEnd(result);
+            core.attemptEnded(at, result);
+        });
+    });
+}
+
+void RequestService::peerMessage(const Ports::HostId& from, const Messages::PeerMessage& message)
+{
+    run([&](auto& core, Moment at) { core.peerMessage(at, from, message); });
+}
+
+void RequestService::setReady(bool ready)
+{
+    m_ready = ready;
+    m_metrics.setReady(ready);
+}
+
+std::vector<Messages::PoolLoad> RequestService::loads()
+{
+    const std::lock_guard guard(m_lock);
+    return m_core->loads(Common::BootClock::now());
+}
+
+bool RequestService::memoryWhole()
+{
+    const std::lock_guard guard(m_lock);
+    return m_core->memoryWhole(Common::wallNow());
+}
+
+std::size_t RequestService::open()
+{
+    const std::lock_guard guard(m_lock);
+    return m_core->open() + m_core->attemptsOut();
+}
+
+std::optional<Common::Instant> RequestService::nextDeadline()
+{
+    const std::lock_guard guard(m_lock);
+    return m_core->nextDeadline();
+}
+
+void RequestService::publishMetrics()
+{
+    const std::lock_guard guard(m_lock);
+    for (const auto& load : m_core->loads(Common::BootClock::now())) {
+        m_metrics.setQueueLength(load.pool, load.queued);
+        m_metrics.setSlots(load.pool, SlotState::Busy, load.busy);
+        m_metrics.setSlots(load.pool, SlotState::Free, load.slots > load.busy ? load.slots - load.busy : 0);
+    }
+    m_metrics.setLedgerRecords(LedgerRecordState::Claimed, m_core->ledgerRecords());
+}
+
+} // namespace Kernel
--- /dev/null
+++ b/Source/Core/Kernel/SettingsFields.cpp
@@ -0,0 +1,229 @@
+#include "Kernel/SettingsFields.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <cctype>
+#include <charconv>
+#include <cstdint>
+#include <sstream>
+#include <string_view>
+
+namespace Kernel {
+
+namespace {
+
+    constexpr std::size_t longestName = 63;
+    constexpr std::size_t shortestToken = 8;
+    constexpr unsigned mostThreads = 256;
+    constexpr double mostBytes = 64 << 20;
+    constexpr double mostWeight = 1000;
+    constexpr double millisecondsInDay = 24.0 * 3600 * 1000;
+
+    bool isNameCharacter(char c)
+    {
+        return std::isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' || c == '.';
+    }
+
+    bool isName(const std::string& text)
+    {
+        return !text.empty() && text.size() <= longestName && std::ranges::all_of(text, isNameCharacter);
+    }
+
+    bool isPort(std::string_view text)
+    {
+        std::uint16_t port = 0;
+        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), port);
+        return ec == std::errc {} && end == text.data() + text.size() && port != 0;
+    }
+
+    bool isAddress(const std::string& text)
+    {
+        const auto colon = text.rfind(':');
+        if (colon == std::string::npos || !isPort(std::string_view(text).substr(colon + 1)))
+            return false;
+        std::array<unsigned char, sizeof(in_addr)> buf {};
+        return inet_pton(AF_INET, text.substr(0, colon).c_str(), buf.data()) == 1;
+    }
+
+    bool isToken(const std::string& text)
+    {
+        const auto printable = [](char c) { return c > ' ' && c <= '~'; };
+        return text.size() >= shortestToken && std::ranges::all_of(text, printable);
+    }
+
+    bool isPlatformKind(const std::string& text)
+    {
+        return text == "etcd" || text == "embedded";
+    }
+
+    bool isLogLevel(const std::string& text)
+    {
+        static constexpr std::array<std::string_view, 5> s_names { "trace", "debug", "info", "warn", "error" };
+        return std::ranges::find(s_names, text) != s_names.end();
+    }
+
+    bool isAnything(const std::string&)
+    {
+        return true;
+    }
+
+    const TextForm name { "1 to 63 letters, digits, '-', '_' or '.'", isName };
+    const TextForm address { "an IPv4 number and port, for example \"127.0.0.1:8080\"", isAddress };
+    const TextForm token { "8 or more printable characters without spaces", isToken };
+    const TextForm platformKind { "\"etcd\" or \"embedded\"", isPlatformKind };
+    const TextForm logLevel { "\"trace\", \"debug\", \"info\", \"warn\" or \"error\"", isLogLevel };
+    const TextForm path { "a text", isAnything };
+
+    const NumberRange threads { 1, mostThreads };
+    const NumberRange bytes { 1, mostBytes };
+    const NumberRange milliseconds { 1, millisecondsInDay };
+    const NumberRange millisecondsOrNone { 0, millisecondsInDay };
+    const NumberRange weight { 0, mostWeight };
+    const FieldRule flag {};
+
+} // namespace
+
+template <>
+const Fields<Settings>& fieldsOf()
+{
+    static const Fields<Settings> s_fields {
+        { "host", &Settings::host, &name, Presence::Required, "Name of this entry host, unique in the fleet." },
+        { "dataCentre", &Settings::dataCentre, &name, Presence::Required, "Data centre this host is in." },
+        { "region", &Settings::region, &name, Presence::Required, "Region the data centre is in." },
+        { "workerThreads", &Settings::workerThreads, threads, Presence::Optional, "Threads that run decisions." },
+    };
+    return s_fields;
+}
+
+template <>
+const Fields<CallersSection>& fieldsOf()
+{
+    static const Fields<CallersSection> s_fields {
+        { "listen", &CallersSection::listen, &address, Presence::Required, "Where callers are listened for." },
+        { "threads", &CallersSection::threads, threads, Presence::Optional, "Threads that serve callers." },
+        { "readTimeoutMilliseconds", &CallersSection::readTimeout, milliseconds, Presence::Optional, "Longest wait for headers and bodies that stop short." },
+    };
+    return s_fields;
+}
+
+template <>
+const Fields<PeersSection>& fieldsOf()
+{
+    static const Fields<PeersSection> s_fields {
+        { "listen", &PeersSection::listen, &address, Presence::Required, "Where other entry hosts are listened for." },
+        { "reconnectDelayMilliseconds", &PeersSection::reconnectDelay, milliseconds, Presence::Optional, "Wait before a broken connection to a peer is tried again." },
+    };
+    return s_fields;
+}
+
+template <>
+const Fields<PeerSeed>& fieldsOf()
+{
+    static const Fields<PeerSeed> s_fields {
+        { "host", &PeerSeed::host, &name, Presence::Required, "Name of an entry host to ask first." },
+        { "address", &PeerSeed::address, &address, Presence::Required, "Its peer listener." },
+        { "dataCentre", &PeerSeed::dataCentre, &name, Presence::Required, "Its data centre." },
+    };
+    return s_fields;
+}
+
+template <>
+const Fields<OperatorsSection>& fieldsOf()
+{
+    static const Fields<OperatorsSection> s_fields {
+        { "listen", &OperatorsSection::listen, &address, Presence::Required, "Where the administration API, health and metrics are served." },
+    };
+    return s_fields;
+}
+
+template <>
+const Fields<OperatorAccount>& fieldsOf()
+{
+    static const Fields<OperatorAccount> s_fields {
+        { "name", &OperatorAccount::name, &name, Presence::Required, "Name of an operator, as the audit trail shows it." },
+        { "token", &OperatorAccount::token, &token, Presence::Required, "Bearer token of the operator." },
+    };
+    return s_fields;
+}
+
+template <>
+const Fields<PlatformSection>& fieldsOf()
+{
+    static const Fields<PlatformSection> s_fields {
+        { "kind", &PlatformSection::kind, &platformKind, Presence::Optional, "Adapter for the platform." },
+        { "keyValueAddress", &PlatformSection::keyValueAddress, &address, Presence::Optional, "Key-value service; required for \"etcd\"." },
+        { "hostListAddress", &PlatformSection::hostListAddress, &address, Presence::Optional, "Host list; required for \"etcd\"." },
+        { "callTimeoutMilliseconds", &PlatformSection::callTimeout, milliseconds, Presence::Optional, "Longest wait for an answer of the platform." },
+    };
+    return s_fields;
+}
+
+template <>
+const Fields<AdaptersSection>& fieldsOf()
+{
+    static const Fields<AdaptersSection> s_fields {
+        { "callers", &AdaptersSection::callers, &name, Presence::Optional, "Adapter that serves callers." },
+        { "upstreams", &AdaptersSection::upstreams, &name, Presence::Optional, "Adapter that calls upstreams." },
+        { "peers", &AdaptersSection::peers, &name, Presence::Optional, "Adapter between entry hosts." },
+        { "operators", &AdaptersSection::operators, &name, Presence::Optional, "Adapter that serves operators." },
+    };
+    return s_fields;
+}
+
+template <>
+const Fields<LimitsSection>& fieldsOf()
+{
+    using L = LimitsSection;
+    constexpr auto optional = Presence::Optional;
+    static const Fields<LimitsSection> s_fields {
+        { "maximumBodyBytes", &L::maximumBodyBytes, bytes, optional, "Largest request body taken from a caller." },
+        { "maximumAnswerBytes", &L::maximumAnswerBytes, bytes, optional, "Largest answer taken from an upstream." },
+        { "defaultDeadlineMilliseconds", &L::defaultDeadline, milliseconds, optional, "Deadline of a request that names none." },
+        { "connectTimeoutMilliseconds", &L::connectTimeout, milliseconds, optional, "Longest wait for a connection to an upstream." },
+        { "claimRetentionMilliseconds", &L::claimRetention, milliseconds, optional, "How long a finished non-idempotent request is remembered." },
+        { "clockSkewAllowanceMilliseconds", &L::clockSkewAllowance, millisecondsOrNone, optional, "Largest difference between the wall clocks of two hosts." },
+        { "heartbeatMilliseconds", &L::heartbeat, milliseconds, optional, "Interval between heartbeats to peers." },
+        { "suspectAfterMilliseconds", &L::suspectAfter, milliseconds, optional, "Silence after which a peer is suspected; at least twice the heartbeat." },
+        { "viewLeaseMilliseconds", &L::viewLease, milliseconds, optional, "Time to live of a view lease; longer than suspectAfterMilliseconds." },
+        { "drainLimitMilliseconds", &L::drainLimit, milliseconds, optional, "Longest wait for requests in flight at a planned stop." },
+    };
+    return s_fields;
+}
+
+template <>
+const Fields<WeightsSection>& fieldsOf()
+{
+    static const Fields<WeightsSection> s_fields {
+        { "bufferCost", &WeightsSection::bufferCost, weight, Presence::Optional, "Weight of spare capacity held for peaks." },
+        { "rollOutTime", &WeightsSection::rollOutTime, weight, Presence::Optional, "Weight of the time a wave or change takes." },
+        { "moves", &WeightsSection::moves, weight, Presence::Optional, "Weight of hosts that change pool." },
+    };
+    return s_fields;
+}
+
+template <>
+const Fields<LoggingSection>& fieldsOf()
+{
+    static const Fields<LoggingSection> s_fields {
+        { "level", &LoggingSection::level, &logLevel, Presence::Optional, "Least severe events that are logged." },
+        { "file", &LoggingSection::file, &path, Presence::Optional, "File that logs are appended to; empty for standard error." },
+        { "json", &LoggingSection::json, flag, Presence::Optional, "One JSON object a line; false for plain text." },
+    };
+    return s_fields;
+}
+
+std::string acceptedText(const FieldRule& rule, bool whole)
+{
+    if (const auto* form = std::get_if<const TextForm*>(&rule))
+        return (*form)->accepted;
+    if (const auto* range = std::get_if<NumberRange>(&rule)) {
+        std::ostringstream stream;
+        stream.precision(12);
+        stream << (whole ? "a whole number from " : "a number from ") << range->minimum << " to " << range->maximum;
+        return stream.str();
+    }
+    return "true or false";
+}
+
+} // namespace Kernel
--- /dev/null
+++ b/Source/Core/Kernel/SettingsFields.h
@@ -0,0 +1,118 @@
+#pragma once
+
+/// The table of settings: for each one its name in JSON, member, meaning and accepted values.
+/// The parser, its errors and `--help settings` are all driven by it.
+
+#include "Kernel/Settings.h"
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Kernel {
+
+/// Form that a text setting must have.
+struct TextForm {
+    const char* accepted; ///< In words, for errors and help.
+    bool (*matches)(const std::string&);
+};
+
+/// Inclusive bounds of a number; milliseconds for durations.
+struct NumberRange {
+    double minimum = 0;
+    double maximum = 0;
+};
+
+/// The member of a section that a setting fills.
+template <typename Section>
+using FieldMember = std::variant<
+    std::string Section::*,
+    unsigned Section::*,
+    std::size_t Section::*,
+    std::chrono::milliseconds Section::*,
+    double Section::*,
+    bool Section::*>;
+
+/// What a setting accepts. Flags accept true and false and need neither.
+using FieldRule = std::variant<std::monostate, const TextForm*, NumberRange>;
+
+/// Whether a setting may be left out.
+enum class Presence {
+    Optional,
+    Required,
+};
+
+/// One setting of a section.
+template <typename Section>
+struct Field {
+    const char* name; ///< In JSON.
+    FieldMember<Section> member;
+    FieldRule rule;
+    Presence presence;
+    const char* meaning;
+};
+
+/// Table of a section, or of the items of a list.
+template <typename Section>
+using Fields = std::vector<Field<Section>>;
+
+/// Table of a type of section; specialised for each one in SettingsFields.cpp.
+template <typename Section>
+const Fields<Section>& fieldsOf();
+
+template <>
+const Fields<Settings>& fieldsOf();
+template <>
+const Fields<CallersSection>& fieldsOf();
+template <>
+const Fields<PeersSection>& fieldsOf();
+template <>
+const Fields<PeerSeed>& fieldsOf();
+template <>
+const Fields<OperatorsSection>& fieldsOf();
+template <>
+const Fields<OperatorAccount>& fieldsOf();
+template <>
+const Fields<PlatformSection>& fieldsOf();
+template <>
+const Fields<AdaptersSection>& fieldsOf();
+template <>
+const Fields<LimitsSection>& fieldsOf();
+template <>
+const Fields<WeightsSection>& fieldsOf();
+template <>
+const Fields<LoggingSection>& fieldsOf();
+
+/// Names of a section's lists in JSON.
+namespace ListNames {
+    constexpr const char* seeds = "seeds";
+    constexpr const char* accounts = "accounts";
+} // namespace ListNames
+
+/// Calls visitor(name, section) for each section of the settings, in the order of the file.
+template <typename SettingsType, typename Visitor>
+void forEachSection(SettingsType& settings, Visitor visitor)
+{
+    visitor("callers", settings.callers);
+    visitor("peers", settings.peers);
+    visitor("operators", settings.operators);
+    visitor("platform", settings.platform);
+    visitor("adapters", settings.adapters);
+    visitor("limits", settings.limits);
+    visitor("weights", settings.weights);
+    visitor("logging", settings.logging);
+}
+
+/// What a rule accepts, in words; `whole` for numbers without a fraction.
+std::string acceptedText(const FieldRule&, bool whole);
+
+/// What a setting accepts, in words.
+template <typename Section>
+std::string acceptedText(const Field<Section>& field)
+{
+    return acceptedText(field.rule, !std::holds_alternative<double Section::*>(field.member));
+}
+
+} // namespace Kernel
--- a/Source/Core/Messages/PeerMessages.h
+++ b/Source/Core/Messages/PeerMessages.h
@@ -107,11 +107,17 @@
 struct LedgerHandover {
     std::string pool;
     std::uint64_t viewEpoch = 0;
-    Common::WallTime memoryBegan {}; ///< The sender vouches for keys issued after this.
+    Common::WallTime memoryBegan {}; ///< The sender vouches for keys issued after this; the maximum when it vouches for none.
     std::vector<LedgerRecord> records;
     bool last = false;
 };
 
+/// Asks for a hand-over of a pool's records; sent by a new holder to every other member of its view.
+struct LedgerQuery {
+    std::string pool;
+    std::uint64_t viewEpoch = 0; ///< The receiver answers only in the same view.
+};
+
 /// Slots in use on an upstream at the sender.
 struct UpstreamUse {
     std::string upstream;
@@ -178,6 +184,7 @@
     ConfigurationRequest,
     ConfigurationOffer,
     AssignmentQuery,
-    AssignmentAnswer>;
+    AssignmentAnswer,
+    LedgerQuery>;
 
 } // namespace Messages
--- a/Source/Core/Objects/Types.h
+++ b/Source/Core/Objects/Types.h
@@ -25,6 +25,8 @@
     std::string name;
     DomainLevel level = DomainLevel::Rack;
     std::string parent; ///< Name of the enclosing domain; empty for a region.
+
+    bool operator==(const FailureDomain&) const = default;
 };
 
 /// A group of upstreams that serve the same services.
@@ -33,6 +35,8 @@
     bool spare = false; ///< Hosts of a spare pool may be moved to other pools at a peak.
     unsigned minimumHosts = 0; ///< For each data centre that has hosts of the pool.
     unsigned pinnedHosts = 0; ///< For each data centre; pinned hosts move only by explicit answer of every member.
+
+    bool operator==(const Pool&) const = default;
 };
 
 /// Something callers ask for; runs in one pool. The pool of a service can't change once published.
@@ -43,12 +47,16 @@
     std::size_t maximumBodyBytes = 65536;
     std::chrono::milliseconds expectedRunTime { 100 }; ///< First guess; replaced by learned run times.
     std::chrono::milliseconds maximumDeadline { 60000 };
+
+    bool operator==(const Service&) const = default;
 };
 
 /// A level that teams pay for. The lowest rank is served first.
 struct Priority {
     std::string name;
     unsigned rank = 0;
+
+    bool operator==(const Priority&) const = default;
 };
 
 /// A paying customer.
@@ -57,6 +65,8 @@
     std::vector<std::string> priorities; ///< Priorities that the team may ask for.
     unsigned slotQuota = 0; ///< Slots the team may hold at once in a data centre, per pool.
     unsigned weight = 1; ///< Share among teams of one priority.
+
+    bool operator==(const Team&) const = default;
 };
 
 /// Availability budget of a service in a data centre.
@@ -65,6 +75,8 @@
     std::string service;
     std::string dataCentre;
     unsigned minimumAvailablePercent = 0; ///< Of the hosts of the service's pool in the data centre.
+
+    bool operator==(const Budget&) const = default;
 };
 
 /// A maintenance wave over whole pools.
@@ -77,6 +89,8 @@
     std::chrono::seconds drainLimit { 60 }; ///< A drain that takes longer is stopped by priority.
     std::chrono::seconds rebootTime { 300 };
     bool paused = false;
+
+    bool operator==(const Wave&) const = default;
 };
 
 /// An executor on a worker: eight slots and 64 connections each by default.
@@ -87,6 +101,8 @@
     std::string rack;
     unsigned slots = 8;
     unsigned connections = 64;
+
+    bool operator==(const Upstream&) const = default;
 };
 
 /// The whole published set. Keys are object names.
@@ -102,6 +118,8 @@
 
     /// Data centre of an upstream by its rack; nothing when a name dangles.
     std::optional<std::string> dataCentreOf(const Upstream&) const;
+
+    bool operator==(const ObjectSet&) const = default;
 };
 
 } // namespace Objects
--- a/Source/Core/Ports/UpstreamPort.h
+++ b/Source/Core/Ports/UpstreamPort.h
@@ -19,6 +19,7 @@
 struct UpstreamCall {
     AttemptId attempt = 0;
     std::string upstream; ///< Object name.
+    std::string pool; ///< That the attempt is made for; not sent along.
     std::string address; ///< "ip:port".
     std::string service;
     std::string requestId; ///< Sent along; the upstream must echo it, else the answer isn't taken as ours.
--- /dev/null
+++ b/Source/Standins/PlatformJson.cpp
@@ -0,0 +1,128 @@
+/// Implementation of the platform stand-in's JSON.
+
+#include "Standins/PlatformJson.h"
+
+#include "Adapters/Platform/Base64.h"
+#include "Standins/StandinJson.h"
+
+namespace Standins {
+
+using Ports::PlatformReply;
+
+namespace {
+
+    std::string bytesOf(const Json::Value& value)
+    {
+        return value.isString() ? Adapters::decodeBase64(value.asString()).value_or("") : std::string();
+    }
+
+} // namespace
+
+Json::Value headerOf(std::int64_t revision)
+{
+    Json::Value header;
+    header["revision"] = std::to_string(revision);
+    return header;
+}
+
+Json::Value pairJson(const Ports::KeyValue& pair)
+{
+    Json::Value value;
+    value["key"] = Adapters::encodeBase64(pair.key);
+    value["mod_revision"] = std::to_string(pair.modRevision);
+    if (!pair.value.empty())
+        value["value"] = Adapters::encodeBase64(pair.value);
+    return value;
+}
+
+Json::Value leaseJson(const PlatformReply& reply)
+{
+    Json::Value value;
+    value["header"] = headerOf(reply.revision);
+    value["ID"] = std::to_string(reply.lease);
+    // The mapping leaves zero values out.
+    if (reply.timeToLive.count())
+        value["TTL"] = std::to_string(reply.timeToLive.count());
+    return value;
+}
+
+std::string watchLine(std::int64_t revision, const std::vector<Ports::WatchEvent>& events)
+{
+    Json::Value line;
+    line["result"]["header"] = headerOf(revision);
+    for (const auto& it : events) {
+        Json::Value event;
+        if (it.deleted)
+            event["type"] = "DELETE";
+        event["kv"] = pairJson(it.pair);
+        line["result"]["events"].append(event);
+    }
+    return jsonText(line) + "\n";
+}
+
+std::string watchStateLine(std::int64_t revision, const char* state)
+{
+    Json::Value line;
+    line["result"]["header"] = headerOf(revision);
+    line["result"][state] = true;
+    return jsonText(line) + "\n";
+}
+
+Ports::Transaction transactionOf(const Json::Value& body)
+{
+    Ports::Transaction transaction;
+    for (const auto& it : body["compare"])
+        transaction.compares.push_back({ bytesOf(it["key"]), jsonNumber(it["mod_revision"]) });
+    for (const auto& it : body["success"]) {
+        if (const auto& put = it["request_put"]; put.isObject())
+            transaction.puts.push_back({ bytesOf(put["key"]), bytesOf(put["value"]), jsonNumber(put["lease"]) });
+        if (const auto& removal = it["request_delete_range"]; removal.isObject())
+            transaction.deletes.push_back(bytesOf(removal["key"]));
+    }
+    return transaction;
+}
+
+/// The subset's only ranges are one key and one prefix; a zero byte stands for the empty prefix.
+std::string prefixOf(const Json::Value& range)
+{
+    const std::string key = bytesOf(range["key"]);
+    return key == std::string(1, '\0') ? std::string() : key;
+}
+
+Response errorResponse(int status, int code, const char* message)
+{
+    Json::Value value;
+    value["code"] = code;
+    value["message"] = message;
+    return jsonResponse(value, status);
+}
+
+Json::Value hostListJson(const std::vector<Ports::ListedHost>& hosts)
+{
+    Json::Value value;
+    value["hosts"] = Json::Value(Json::arrayValue);
+    for (const auto& it : hosts) {
+        Json::Value host;
+        host["name"] = it.name;
+        host["address"] = it.address;
+        host["state"] = it.state == Ports::ListedHost::State::Leaving ? "leaving" : "live";
+        value["hosts"].append(host);
+    }
+    return value;
+}
+
+std::optional<std::vector<Ports::ListedHost>> hostListOf(const Json::Value& value)
+{
+    std::vector<Ports::ListedHost> hosts;
+    if (!value["hosts"].isArray())
+        return std::nullopt;
+    for (const auto& it : value["hosts"]) {
+        if (!it.isObject() || !it["name"].isString() || !it["address"].isString())
+            return std::nullopt;
+        const auto state = it["state"] == "leaving" ? Ports::ListedHost::State::Leaving : Ports::ListedHost::State::Live;
+        hosts.push_back({ it["name"].asString(), it["address"].asString(), state });
+    }
+    return hosts;
+}
+
+} // namespace Standins
--- /dev/null
+++ b/Source/Standins/PlatformJson.h
@@ -0,0 +1,33 @@
+#pragma once
+
+/// JSON of the platform's stand-in: the server's side of the etcd v3 mapping, and the host list.
+
+#include "Ports/PlatformPort.h"
+#include "Standins/HttpServer.h"
+
+#include <json/json.h>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Standins {
+
+/// The header that each answer carries.
+Json::Value headerOf(std::int64_t revision);
+Json::Value pairJson(const Ports::KeyValue&);
+/// Answer to a grant or a renewal.
+Json::Value leaseJson(const Ports::PlatformReply&);
+/// Line of a watch's stream with changes.
+std::string watchLine(std::int64_t revision, const std::vector<Ports::WatchEvent>&);
+/// Line of a watch's stream with a flag: "created" or "canceled".
+std::string watchStateLine(std::int64_t revision, const char* state);
+Ports::Transaction transactionOf(const Json::Value&);
+/// Key or prefix of a range or a watch.
+std::string prefixOf(const Json::Value&);
+Response errorResponse(int status, int code, const char* message);
+
+Json::Value hostListJson(const std::vector<Ports::ListedHost>&);
+/// Nothing when the object isn't a host list.
+std::optional<std::vector<Ports::ListedHost>> hostListOf(const Json::Value&);
+
+} // namespace Standins
--- /dev/null
+++ b/Source/Standins/StandinJson.h
@@ -0,0 +1,25 @@
+#pragma once
+
+/// JSON helpers of the stand-ins.
+
+#include "Standins/HttpServer.h"
+
+#include <json/json.h>
+#include <optional>
+#include <string>
+
+namespace Standins {
+
+/// One line without indentation.
+std::string jsonText(const Json::Value&);
+
+/// Nothing when the text isn't a JSON object.
+std::optional<Json::Value> parseJsonObject(const std::string&);
+
+/// An answer with a JSON body.
+Response jsonResponse(const Json::Value&, int status = 200);
+
+/// A number that is a number or, as in the mapping of etcd, a string; the fallback for anything else.
+std::int64_t jsonNumber(const Json::Value&, std::int64_t fallback = 0);
+
+} // namespace Standins
--- /dev/null
+++ b/Source/UnitTests/Configuration/ConfigurationFleet.cpp
@@ -0,0 +1,248 @@
+#include "Configuration/ConfigurationFleet.h"
+
+#include <algorithm>
+
+namespace Testing {
+
+using namespace Decision;
+
+namespace {
+
+    constexpr std::size_t hostsPerDataCentre = 3;
+
+} // namespace
+
+std::vector<std::string> FakeValidator::faults(const std::string& document) const
+{
+    if (document.starts_with("bad"))
+        return { "the document is bad" };
+    return {};
+}
+
+ConfigurationFleet::ConfigurationFleet(std::uint64_t seed, ConfigurationGuards guards)
+    : simulation(seed)
+    , store(simulation)
+    , hosts(2 * hostsPerDataCentre)
+    , m_guards(guards)
+{
+    store.onChange = [this](const std::string& key, const std::string* value) {
+        if (key != headKey || !value)
+            return;
+        const auto head = decodeHead(*value);
+        m_truth[head->changeId] = head->revision;
+        const auto [it, isNew] = m_byRevision.try_emplace(head->revision, head->changeId);
+        if (!isNew && it->second != head->changeId)
+            harms.insert(ConfigurationHarm::TwoChangesAtOneRevision);
+    };
+    for (std::size_t i = 0; i < hosts.size(); ++i)
+        restart(i);
+}
+
+void ConfigurationFleet::restart(std::size_t index)
+{
+    if (hosts[index])
+        hosts[index]->running = false;
+    auto host = std::make_shared<Host>();
+    host->dataCentre = index < hostsPerDataCentre ? "vasteras" : "enkoping";
+    host->name = host->dataCentre + "-" + std::to_string(index);
+    host->incarnation = simulation.incarnation();
+    KeeperSettings settings;
+    settings.self = host->name;
+    settings.dataCentre = host->dataCentre;
+    settings.incarnation = host->incarnation;
+    host->keeper = ConfigurationKeeper::create(settings, m_validator, m_guards.keeper).take();
+    host->publisher = ConfigurationPublisher::create({}, m_validator, m_guards.publisher).take();
+    hosts[index] = host;
+}
+
+void ConfigurationFleet::publish(std::size_t index, const std::string& changeId, std::uint64_t base, const std::string& document)
+{
+    PublishRequest request;
+    request.changeId = changeId;
+    request.baseRevision = base;
+    request.document = document;
+    request.author = "operator";
+    results.erase(changeId);
+    hosts[index]->publisher->publish(simulation.now(), request);
+    pump(hosts[index]);
+}
+
+void ConfigurationFleet::pump(const std::shared_ptr<Host>& host)
+{
+    for (const auto& action : host->keeper->takeActions()) {
+        if (const auto* message = std::get_if<PeerSend>(&action))
+            deliver(host->name, *message);
+        else
+            run(host, std::get<PlatformAction>(action), true);
+    }
+    for (const auto& action : host->publisher->takeActions())
+        run(host, action, false);
+    for (const auto& result : host->publisher->takeResults())
+        settled(result);
+    host->publisher->setInForce(host->keeper->inForce());
+}
+
+void ConfigurationFleet::run(const std::shared_ptr<Host>& host, const PlatformAction& action, bool forKeeper)
+{
+    const auto replied = [this, host, forKeeper](const PlatformReplied& event) {
+        if (!host->running)
+            return;
+        if (forKeeper)
+            host->keeper->handle(simulation.now(), event);
+        else
+            host->publisher->handle(simulation.now(), event);
+        pump(host);
+    };
+    const auto watched = [this, host](const PlatformWatched& event) {
+        if (!host->running)
+            return;
+        host->keeper->handle(simulation.now(), event);
+        pump(host);
+    };
+    store.call(host->name, action, replied, watched);
+}
+
+void ConfigurationFleet::deliver(const std::string& from, const PeerSend& sent)
+{
+    for (const auto& host : hosts) {
+        if (host->name != sent.to)
+            continue;
+        simulation.after(simulation.between(milliseconds(1), milliseconds(5)), [this, host, from, message = sent.message] {
+            const auto now = simulation.now();
+            if (!host->running)
+                return;
+            if (const auto* beat = std::get_if<Messages::Heartbeat>(&message))
+                host->keeper->handle(now, HeartbeatReceived { from, *beat });
+            else if (const auto* asked = std::get_if<Messages::ConfigurationRequest>(&message))
+                host->keeper->handle(now, ConfigurationAsked { from, *asked });
+            else if (const auto* offer = std::get_if<Messages::ConfigurationOffer>(&message))
+                host->keeper->handle(now, ConfigurationOffered { from, *offer });
+            pump(host);
+        });
+    }
+}
+
+void ConfigurationFleet::beat()
+{
+    m_nextBeat = simulation.now() + milliseconds(500);
+    for (const auto& host : hosts) {
+        Messages::Heartbeat beat;
+        beat.incarnation = host->incarnation;
+        beat.dataCentre = host->dataCentre;
+        beat.configurationRevision = host->keeper->revision();
+        for (const auto& other : hosts) {
+            const bool isLink = host == hosts[0] || host == hosts[hostsPerDataCentre];
+            if (other != host && (other->dataCentre == host->dataCentre || isLink))
+                deliver(host->name, { other->name, beat });
+        }
+    }
+}
+
+void ConfigurationFleet::runFor(milliseconds length)
+{
+    constexpr milliseconds step { 50 };
+    for (milliseconds passed { 0 }; passed < length; passed += step) {
+        simulation.runFor(step);
+        if (simulation.now() >= m_nextBeat)
+            beat();
+        for (const auto& host : hosts) {
+            std::vector<std::string> alive;
+            for (const auto& other : hosts) {
+                if (other->dataCentre == host->dataCentre && !store.cut.count(other->name))
+                    alive.push_back(other->name);
+            }
+            host->keeper->tick(simulation.now(), alive);
+            host->publisher->tick(simulation.now());
+            pump(host);
+        }
+        check();
+    }
+}
+
+void ConfigurationFleet::check()
+{
+    for (const auto& host : hosts) {
+        const auto revision = host->keeper->revision();
+        if (revision < host->lastRevision)
+            harms.insert(ConfigurationHarm::RevisionWentDown);
+        host->lastRevision = revision;
+    }
+}
+
+void ConfigurationFleet::settled(const PublishResult& result)
+{
+    results[result.changeId] = result;
+    const auto it = m_truth.find(result.changeId);
+    acceptedCount += result.status == PublishStatus::Accepted ? 1 : 0;
+    conflictCount += result.status == PublishStatus::Conflict ? 1 : 0;
+    if (result.status == PublishStatus::Accepted && (it == m_truth.end() || it->second != result.revision))
+        harms.insert(ConfigurationHarm::AcceptedIsNotInStore);
+    if (result.status == PublishStatus::Conflict && it != m_truth.end())
+        harms.insert(ConfigurationHarm::ConflictForAcceptedChange);
+}
+
+/// An operator publishes on what a host shows, and retries the same change elsewhere while its fate is open.
+void ConfigurationFleet::operate(std::size_t index)
+{
+    auto& person = m_operators[index];
+    const auto through = simulation.below(hosts.size());
+    const auto result = results.find(person.changeId);
+    if (result != results.end() && (result->second.status == PublishStatus::Accepted || result->second.status == PublishStatus::Conflict))
+        person.changeId.clear();
+    if (person.changeId.empty()) {
+        person.changeId = "change-" + std::to_string(m_nextChange++);
+        person.base = hosts[through]->keeper->revision();
+    }
+    publish(through, person.changeId, person.base, "document of " + person.changeId);
+}
+
+void ConfigurationFleet::fault()
+{
+    const auto length = simulation.between(milliseconds(500), milliseconds(8000));
+    const auto index = simulation.below(hosts.size());
+    switch (simulation.below(4)) {
+    case 0:
+        store.faults.down = true;
+        simulation.after(length, [this] { store.faults.down = false; });
+        break;
+    case 1:
+        store.faults.longestDelay = simulation.between(milliseconds(50), milliseconds(2000));
+        simulation.after(length, [this] { store.faults.longestDelay = milliseconds(5); });
+        break;
+    case 2:
+        store.cut.insert(hosts[index]->name);
+        simulation.after(length, [this, name = hosts[index]->name] { store.cut.erase(name); });
+        break;
+    default:
+        restart(index);
+    }
+}
+
+void ConfigurationFleet::runFaults(seconds length)
+{
+    store.faults.lostAnswerPercent = 15;
+    store.faults.lateEffectPercent = 10;
+    const auto end = simulation.now() + length;
+    while (simulation.now() < end) {
+        runFor(simulation.between(milliseconds(100), milliseconds(2000)));
+        operate(0);
+        if (simulation.chance(70))
+            operate(1);
+        if (simulation.chance(30))
+            fault();
+    }
+    runFor(seconds(25));
+    store.faults = {};
+    store.cut.clear();
+    runFor(seconds(20));
+    const auto* item = store.find(headKey);
+    if (!allAt(item ? decodeHead(item->value)->revision : 0))
+        harms.insert(ConfigurationHarm::NotInForceEverywhere);
+}
+
+bool ConfigurationFleet::allAt(std::uint64_t revision) const
+{
+    return std::all_of(hosts.begin(), hosts.end(), [&](const auto& host) { return host->keeper->revision() == revision; });
+}
+
+} // namespace Testing
--- /dev/null
+++ b/Source/UnitTests/Configuration/ConfigurationTest.cpp
@@ -0,0 +1,160 @@
+/// Promises of configuration acceptance under seeded schedules, each also with its safeguard off.
+
+#include "Configuration/ConfigurationFleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace Decision;
+using namespace Testing;
+
+namespace {
+
+constexpr std::uint64_t scheduleCount = 200;
+
+bool finds(ConfigurationHarm harm, ConfigurationGuards guards)
+{
+    for (std::uint64_t seed = 1; seed <= scheduleCount; ++seed) {
+        ConfigurationFleet fleet(seed, guards);
+        fleet.runFaults(seconds(30));
+        if (fleet.harms.count(harm))
+            return true;
+    }
+    return false;
+}
+
+/// All hosts at revision 2, then the store goes back to revision 1.
+void bringOlderHeadBack(ConfigurationFleet& fleet)
+{
+    fleet.runFor(seconds(1));
+    fleet.publish(0, "first", 0, "one");
+    fleet.runFor(seconds(5));
+    const auto copy = fleet.store.list("");
+    fleet.publish(1, "second", 1, "two");
+    fleet.runFor(fleet.simulation.between(milliseconds(3000), milliseconds(6000)));
+    REQUIRE(fleet.allAt(2));
+    fleet.store.restore(copy);
+    fleet.runFor(seconds(20));
+}
+
+} // namespace
+
+TEST_CASE("configuration keeps its promises with two operators through store faults, cuts and restarts")
+{
+    std::size_t accepted = 0;
+    std::size_t conflicts = 0;
+    for (std::uint64_t seed = 1; seed <= scheduleCount; ++seed) {
+        ConfigurationFleet fleet(seed);
+        fleet.runFaults(seconds(30));
+        for (const auto harm : fleet.harms)
+            FAIL_CHECK("harm ", static_cast<int>(harm), " with seed ", seed);
+        accepted += fleet.acceptedCount;
+        conflicts += fleet.conflictCount;
+    }
+    CHECK(accepted > scheduleCount);
+    CHECK(conflicts > scheduleCount);
+}
+
+TEST_CASE("each safeguard of configuration prevents its harm")
+{
+    ConfigurationGuards guards;
+    SUBCASE("settling a lost answer by reading")
+    {
+        guards.publisher.settleByReading = false;
+        CHECK(finds(ConfigurationHarm::ConflictForAcceptedChange, guards));
+    }
+    SUBCASE("compare-and-swap of the head")
+    {
+        guards.publisher.compareHead = false;
+        CHECK(finds(ConfigurationHarm::TwoChangesAtOneRevision, guards));
+    }
+}
+
+TEST_CASE("of two operators on one base exactly one wins and the other is told what won")
+{
+    for (std::uint64_t seed = 1; seed <= scheduleCount; ++seed) {
+        ConfigurationFleet fleet(seed);
+        fleet.store.faults.lostAnswerPercent = 30;
+        fleet.publish(0, "left", 0, "left");
+        fleet.publish(4, "right", 0, "right");
+        fleet.runFor(seconds(14));
+        const auto& left = fleet.results.at("left");
+        const auto& right = fleet.results.at("right");
+        const auto& winner = left.status == PublishStatus::Accepted ? left : right;
+        const auto& loser = left.status == PublishStatus::Accepted ? right : left;
+        CHECK(winner.status == PublishStatus::Accepted);
+        CHECK(loser.status == PublishStatus::Conflict);
+        CHECK(loser.currentChangeId == winner.changeId);
+        CHECK(loser.currentRevision == 1);
+    }
+}
+
+TEST_CASE("a store that shows an older head is refused with an alarm, and published over only from what is in force")
+{
+    ConfigurationGuards off;
+    off.keeper.onlyUp = false;
+    std::size_t wentDown = 0;
+    for (std::uint64_t seed = 1; seed <= scheduleCount; ++seed) {
+        ConfigurationFleet unguarded(seed, off);
+        bringOlderHeadBack(unguarded);
+        wentDown += unguarded.harms.count(ConfigurationHarm::RevisionWentDown);
+
+        ConfigurationFleet fleet(seed);
+        bringOlderHeadBack(fleet);
+        CHECK(fleet.allAt(2));
+        CHECK(std::any_of(fleet.hosts.begin(), fleet.hosts.end(), [](const auto& host) { return !host->keeper->alarm().empty(); }));
+        fleet.publish(0, "stale", 1, "stale");
+        fleet.publish(0, "third", 2, "three");
+        fleet.runFor(seconds(20));
+        CHECK(fleet.results.at("stale").status == PublishStatus::Conflict);
+        CHECK(fleet.results.at("third").revision == 3);
+        CHECK(fleet.allAt(3));
+        CHECK(fleet.harms.empty());
+    }
+    CHECK(wentDown > 0);
+}
+
+TEST_CASE("while the store is down peers supply a new host, and it isn't ready before")
+{
+    const auto revisionOfNewHost = [](KeeperGuards keeper) {
+        ConfigurationFleet fleet(5, { keeper, {} });
+        fleet.publish(0, "first", 0, std::string(2 * maximumChunkBytes + 7, 'x'));
+        fleet.runFor(seconds(5));
+        REQUIRE((fleet.allAt(1) || !keeper.askPeers));
+        fleet.store.faults.down = true;
+        fleet.restart(1);
+        CHECK_FALSE(fleet.hosts[1]->keeper->isReady(fleet.simulation.now()));
+        fleet.runFor(seconds(5));
+        return fleet.hosts[1]->keeper->revision();
+    };
+    KeeperGuards alone;
+    alone.askPeers = false;
+    CHECK(revisionOfNewHost(alone) == 0);
+    CHECK(revisionOfNewHost({}) == 1);
+
+    ConfigurationFleet fleet(6);
+    fleet.publish(0, "first", 0, "one");
+    fleet.runFor(seconds(5));
+    fleet.store.faults.down = true;
+    for (std::size_t i = 0; i < fleet.hosts.size(); ++i)
+        fleet.restart(i);
+    fleet.runFor(seconds(30));
+    CHECK_FALSE(fleet.hosts[0]->keeper->isReady(fleet.simulation.now()));
+}
+
+TEST_CASE("a host that knows less than a peer isn't ready")
+{
+    const auto isReadyBehindPeer = [](bool guard) {
+        const FakeValidator validator;
+        KeeperGuards guards;
+        guards.readyOnlyWhenCurrent = guard;
+        auto keeper = ConfigurationKeeper::create({ "a", "asni", 1 }, validator, guards).take();
+        const Common::Instant now { seconds(1) };
+        Messages::Heartbeat beat;
+        beat.configurationRevision = 8;
+        keeper->handle(now, HeartbeatReceived { "b", beat });
+        keeper->handle(now, ConfigurationOffered { "c", { 7, "seventh", std::make_shared<const std::string>("seven") } });
+        return keeper->isReady(now);
+    };
+    CHECK(isReadyBehindPeer(false));
+    CHECK_FALSE(isReadyBehindPeer(true));
+}
--- /dev/null
+++ b/Source/UnitTests/Membership/MemberHost.h
@@ -0,0 +1,52 @@
+#pragma once
+
+/// A host that runs a membership core and a duty on the simulation; it can be paused, killed and cut off.
+
+#include "Decision/Membership/Duty.h"
+#include "Decision/Membership/Membership.h"
+#include "Membership/FakeStore.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Testing {
+
+class MemberHost : public std::enable_shared_from_this<MemberHost> {
+public:
+    using Send = std::function<void(const std::string& from, const Decision::PeerSend&)>;
+
+    MemberHost(Simulation&, FakeStore&, const Decision::MembershipSettings&, Decision::MembershipGuards, Decision::DutyGuards, Send);
+
+    void start() { wake(); }
+    void pause() { m_paused = true; }
+    void resume();
+    void kill() { m_dead = true; }
+    bool isRunning() const { return !m_dead && !m_paused; }
+    bool isDead() const { return m_dead; }
+    /// Delivers an event; a paused host sees it once it goes on.
+    void deliver(std::function<void()> event);
+    void heartbeat(const std::string& from, const Messages::Heartbeat&);
+    /// Asks the core to leave and pumps its actions.
+    void leave();
+
+    std::string name;
+    std::uint64_t incarnation = 0;
+    std::unique_ptr<Decision::Membership> membership;
+    std::unique_ptr<Decision::DutyHolder> duty;
+
+private:
+    void wake();
+    void pump();
+
+    Simulation& m_simulation;
+    FakeStore& m_store;
+    Send m_send;
+    bool m_paused = false;
+    bool m_dead = false;
+    std::uint64_t m_wakeup = 0;
+    std::vector<std::function<void()>> m_mailbox;
+};
+
+} // namespace Testing
--- /dev/null
+++ b/Source/UnitTests/Membership/MembershipTest.cpp
@@ -0,0 +1,149 @@
+/// Promises of membership and duties under seeded schedules, each also with its safeguard off.
+
+#include "Membership/Fleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace Decision;
+using namespace Testing;
+
+namespace {
+
+constexpr std::uint64_t scheduleCount = 200;
+
+/// Harm seen over all schedules.
+std::set<Harm> harmsOf(MembershipGuards guards)
+{
+    std::set<Harm> harms;
+    for (std::uint64_t seed = 1; seed <= scheduleCount; ++seed) {
+        Fleet fleet(seed, guards);
+        fleet.runFaults(seconds(60));
+        fleet.checkHealed();
+        harms.insert(fleet.harms.begin(), fleet.harms.end());
+    }
+    return harms;
+}
+
+/// True when one of the schedules shows the harm; the search ends there.
+bool finds(Harm harm, MembershipGuards guards, DutyGuards dutyGuards = {})
+{
+    for (std::uint64_t seed = 1; seed <= scheduleCount; ++seed) {
+        Fleet fleet(seed, guards, dutyGuards);
+        fleet.stopAt = harm;
+        fleet.runFaults(seconds(60));
+        if (fleet.harms.count(harm))
+            return true;
+    }
+    return false;
+}
+
+/// A host that the store can't hear but every peer can; true when it stays in the view.
+bool keepsCutOffHost(std::uint64_t seed, MembershipGuards guards)
+{
+    Fleet fleet(seed, guards);
+    fleet.runFor(seconds(10) + fleet.simulation.between(milliseconds(0), milliseconds(5000)));
+    const auto name = fleet.hosts[seed % fleet.hosts.size()]->name;
+    fleet.store.cut.insert(name);
+    fleet.runFor(seconds(60));
+    const auto view = decodeView(fleet.store.find(viewKey("imlil"))->value);
+    return view->find(name);
+}
+
+} // namespace
+
+TEST_CASE("membership keeps its promises through store faults, cuts, pauses and restarts")
+{
+    const auto harms = harmsOf({});
+    for (const auto harm : harms)
+        FAIL_CHECK("harm ", static_cast<int>(harm));
+    CHECK(harms.empty());
+}
+
+TEST_CASE("each safeguard of membership prevents its harm")
+{
+    MembershipGuards guards;
+    SUBCASE("replacing the older self")
+    {
+        guards.replaceOlderSelf = false;
+        CHECK(finds(Harm::TwoIncarnationsInView, guards));
+    }
+    SUBCASE("yielding to the newer self")
+    {
+        guards.yieldToNewer = false;
+        CHECK(finds(Harm::ReplacedHostCameBack, guards));
+    }
+    SUBCASE("waiting for the older self's lease")
+    {
+        guards.awaitOlderLease = false;
+        CHECK(finds(Harm::LeaseTrustedTooLong, guards));
+    }
+    SUBCASE("counting the lease from before asking")
+    {
+        guards.countLeaseFromAsking = false;
+        CHECK(finds(Harm::LeaseTrustedTooLong, guards));
+    }
+    SUBCASE("compare-and-swap of the view")
+    {
+        guards.compareAndSwap = false;
+        CHECK(finds(Harm::LostViewChange, guards));
+    }
+    SUBCASE("removal only once the lease key is gone")
+    {
+        guards.requireLeaseGone = false;
+        CHECK(finds(Harm::RemovedWhileLeased, guards));
+    }
+}
+
+TEST_CASE("a host that only the store can't hear stays in the view")
+{
+    MembershipGuards noSilence;
+    noSilence.requireSilence = false;
+    std::size_t removed = 0;
+    for (std::uint64_t seed = 1; seed <= scheduleCount; ++seed) {
+        CHECK(keepsCutOffHost(seed, {}));
+        removed += keepsCutOffHost(seed, noSilence) ? 0 : 1;
+    }
+    CHECK(removed > 0);
+}
+
+TEST_CASE("a paused duty holder is fenced")
+{
+    DutyGuards guards;
+    guards.fence = false;
+    CHECK(finds(Harm::StaleDutyWrite, {}, guards));
+}
+
+TEST_CASE("a host that leaves is out of the view at once, and a dead one within lease, silence and retry")
+{
+    Fleet fleet(7, {});
+    fleet.runFor(seconds(10));
+    fleet.hosts[0]->leave();
+    fleet.runFor(seconds(1));
+    CHECK(fleet.hosts[1]->membership->currentView().members.size() == 3);
+    CHECK_FALSE(fleet.hosts[0]->membership->isMember());
+    fleet.hosts[0]->kill();
+    fleet.hosts[2]->kill();
+    fleet.runFor(seconds(3));
+    CHECK_FALSE(fleet.hosts[1]->membership->alive("host-2", fleet.simulation.now()));
+    fleet.runFor(seconds(17));
+    CHECK(fleet.hosts[1]->membership->currentView().members.size() == 2);
+    CHECK(fleet.hosts[1]->membership->currentView() == fleet.hosts[3]->membership->currentView());
+}
+
+TEST_CASE("while the store is down the view stays as it is and leases lapse")
+{
+    Fleet fleet(3, {});
+    fleet.runFor(seconds(10));
+    const auto epoch = fleet.hosts[0]->membership->epoch();
+    fleet.store.faults.down = true;
+    fleet.hosts[1]->kill();
+    fleet.runFor(seconds(60));
+    CHECK(fleet.hosts[0]->membership->epoch() == epoch);
+    CHECK(fleet.hosts[0]->membership->isMember());
+    CHECK_FALSE(fleet.hosts[0]->membership->leaseValid(fleet.simulation.now()));
+    CHECK(fleet.hosts[0]->membership->aliveMembers(fleet.simulation.now()).size() == 3);
+    fleet.store.faults.down = false;
+    fleet.runFor(seconds(30));
+    CHECK(fleet.hosts[0]->membership->currentView().members.size() == 3);
+    CHECK(fleet.hosts[0]->membership->leaseValid(fleet.simulation.now()));
+}
