--- a/Source/Bench/FleetBenchModel.cpp
+++ b/Source/Bench/FleetBenchModel.cpp
@@ -1,6 +1,4 @@
-#include "FleetBenchModel.h"
-
-#include "Waves/FakeStore.h"
+#include "FleetBenchDataCentre.h"
 
 #include <algorithm>
 #include <deque>
@@ -11,16 +9,9 @@
 
 using namespace Decision;
 using namespace std::chrono_literals;
-using Common::Instant;
 
 namespace {
 
-    constexpr unsigned peakSeconds = 8;
-    constexpr unsigned troughSeconds = 34;
-    constexpr unsigned peakSpacing = 20;
-    constexpr double peakFactor = 5;
-    constexpr double troughFactor = 0.05;
-    constexpr double noise = 0.1;
     constexpr unsigned fixedMarginPercent = 20;
     constexpr auto waveStart = 600s;
     constexpr auto rebootTime = 120s;
@@ -29,443 +20,344 @@
     constexpr auto rackFailureAt = 1000s;
     constexpr double hostFailureChance = 1.0 / 1800; // a second, in a data centre
 
-    /// A host in the model.
-    struct ModelHost {
-        HostView view;
-        std::string movingTo; ///< Empty unless between two pools.
-        Instant moveEnds {};
-        Instant idleAt {};
-        Instant upAt {};
-        bool up = true;
-        bool failed = false; ///< Down by a seeded failure rather than by the wave.
-    };
-
-    /// A pool's queue, oldest work first.
-    struct ModelPool {
-        std::string name;
-        bool spare = false;
-        std::vector<double> trace;
-        std::deque<std::pair<std::size_t, double>> queue; // arrival second, slot-seconds
-        double served = 0; // in the last second
-        double late = 0; // in the last second
-    };
-
-    class Model {
-    public:
-        explicit Model(const RunSettings&);
-        RunFigures run();
-
-    private:
-        void addPools();
-        void giveFixedMargin();
-        void createPlanners();
-        void breakThings();
-        void finishMoves();
-        void advanceHosts();
-        void serve(std::size_t second);
-        void servePool(ModelPool&, std::size_t second);
-        void decideMoves();
-        void startMoves();
-        void runWave();
-        void carryOut(const WaveDecision&);
-        void settleStore(const std::vector<PlatformAction>&);
-        void releaseMove(const std::string&);
-        void count();
-        void countBudget(const ModelPool&);
-        void countPools();
-        ModelHost& host(const std::string& name);
-        bool isSpare(const std::string& pool) const;
-        FleetView view(bool withFloors) const;
-        double capacity(const std::string& pool) const;
-        Common::WallTime wall() const { return Common::WallTime(std::chrono::duration_cast<std::chrono::milliseconds>(m_now.time_since_epoch())); }
-
-        RunSettings m_settings;
-        std::mt19937_64 m_random;
-        Fakes::FakeStore m_store { {}, 1 };
-        std::vector<ModelHost> m_hosts;
-        std::vector<ModelPool> m_pools;
-        std::vector<ServiceBudget> m_budgets;
-        std::unique_ptr<BudgetLedger> m_ledger;
-        std::unique_ptr<WavePlanner> m_wave;
-        std::unique_ptr<MarginPolicy> m_policy;
-        std::vector<MoveHost> m_ordered; ///< Waiting for their reservation.
-        std::vector<LedgerChange> m_releases;
-        unsigned m_racks = 0;
-        Instant m_now {};
-        RunFigures m_figures;
-    };
+} // namespace
 
-    Model::Model(const RunSettings& settings)
-        : m_settings(settings)
-        , m_random(settings.seed)
-    {
-        addPools();
-        if (settings.policy == MovePolicy::FixedMargin)
-            giveFixedMargin();
-        createPlanners();
-    }
+Model::Model(const RunSettings& settings)
+    : m_settings(settings)
+    , m_random(settings.seed)
+{
+    addPools();
+    if (settings.policy == MovePolicy::FixedMargin)
+        giveFixedMargin();
+    createPlanners();
+}
 
-    void Model::addPools()
-    {
-        unsigned total = 0;
-        for (const auto& size : m_settings.pools)
-            total += size.hosts;
-        m_racks = (total + hostsPerRack - 1) / hostsPerRack;
-        unsigned next = 0;
-        for (std::size_t i = 0; i < m_settings.pools.size(); ++i) {
-            const auto& size = m_settings.pools[i];
-            ModelPool pool;
-            pool.name = size.pool;
-            pool.spare = size.spare;
-            pool.trace = makeTrace(m_settings, i);
-            m_pools.push_back(std::move(pool));
-            m_budgets.push_back({ size.pool + "-service", size.pool, size.spare ? 0 : budgetPercent });
-            for (unsigned n = 0; n < size.hosts; ++n) {
-                ModelHost host;
-                host.view.name = size.pool + "-" + std::to_string(n);
-                host.view.pool = host.view.homePool = size.pool;
-                host.view.rack = "rack-" + std::to_string(next++ % m_racks);
-                host.view.health = HostHealth::Up;
-                host.view.incarnation = 1;
-                host.view.serving = true;
-                m_hosts.push_back(std::move(host));
-            }
+void Model::addPools()
+{
+    unsigned total = 0;
+    for (const auto& size : m_settings.pools)
+        total += size.hosts;
+    m_racks = (total + hostsPerRack - 1) / hostsPerRack;
+    unsigned next = 0;
+    for (std::size_t i = 0; i < m_settings.pools.size(); ++i) {
+        const auto& size = m_settings.pools[i];
+        ModelPool pool;
+        pool.name = size.pool;
+        pool.spare = size.spare;
+        pool.trace = makeTrace(m_settings, i);
+        m_pools.push_back(std::move(pool));
+        m_budgets.push_back({ size.pool + "-service", size.pool, size.spare ? 0 : budgetPercent });
+        for (unsigned n = 0; n < size.hosts; ++n) {
+            ModelHost host;
+            host.view.name = size.pool + "-" + std::to_string(n);
+            host.view.pool = host.view.homePool = size.pool;
+            host.view.rack = "rack-" + std::to_string(next++ % m_racks);
+            host.view.health = HostHealth::Up;
+            host.view.incarnation = 1;
+            host.view.serving = true;
+            m_hosts.push_back(std::move(host));
         }
     }
+}
 
-    void Model::giveFixedMargin()
-    {
-        std::map<std::string, unsigned> wanted;
-        for (const auto& size : m_settings.pools) {
-            if (!size.spare)
-                wanted[size.pool] = (size.hosts * fixedMarginPercent + 99) / 100;
-        }
-        bool given = true;
-        while (given) {
-            given = false;
-            for (auto& [pool, hosts] : wanted) {
-                const auto it = std::find_if(m_hosts.begin(), m_hosts.end(), [&](const ModelHost& host) { return isSpare(host.view.pool); });
-                if (!hosts || it == m_hosts.end())
-                    continue;
-                it->view.pool = pool;
-                --hosts;
-                given = true;
-            }
-        }
+void Model::giveFixedMargin()
+{
+    std::map<std::string, unsigned> wanted;
+    for (const auto& size : m_settings.pools) {
+        if (!size.spare)
+            wanted[size.pool] = (size.hosts * fixedMarginPercent + 99) / 100;
     }
-
-    void Model::createPlanners()
-    {
-        m_ledger = BudgetLedger::create({ m_settings.dataCentre, "entry-0", m_budgets, {} }).take();
-        m_policy = MarginPolicy::create(m_settings.margin).take();
-        Objects::Wave wave;
-        wave.name = "kernel";
-        wave.windowStart = Common::WallTime(waveStart);
-        wave.windowLength = m_settings.length;
-        wave.rebootTime = rebootTime;
-        wave.paused = !m_settings.withWave;
-        WavePlannerSettings settings;
-        settings.dataCentre = m_settings.dataCentre;
-        settings.holder = "entry-0";
-        settings.maximumAtOnce = m_settings.maximumAtOnce;
-        for (const auto& size : m_settings.pools) {
-            wave.pools.push_back(size.pool);
-            if (size.spare)
-                settings.sparePools.insert(size.pool);
+    bool given = true;
+    while (given) {
+        given = false;
+        for (auto& [pool, hosts] : wanted) {
+            const auto it = std::find_if(m_hosts.begin(), m_hosts.end(), [&](const ModelHost& host) { return isSpare(host.view.pool); });
+            if (!hosts || it == m_hosts.end())
+                continue;
+            it->view.pool = pool;
+            --hosts;
+            given = true;
         }
-        m_wave = WavePlanner::create(settings, wave, *m_ledger).take();
-        m_wave->setDutyEnd(Instant::max());
-        settleStore(m_ledger->load());
     }
+}
 
-    ModelHost& Model::host(const std::string& name)
-    {
-        return *std::find_if(m_hosts.begin(), m_hosts.end(), [&](const ModelHost& it) { return it.view.name == name; });
+void Model::createPlanners()
+{
+    m_ledger = BudgetLedger::create({ m_settings.dataCentre, "entry-0", m_budgets, {} }).take();
+    m_policy = MarginPolicy::create(m_settings.margin).take();
+    Objects::Wave wave;
+    wave.name = "kernel";
+    wave.windowStart = Common::WallTime(waveStart);
+    wave.windowLength = m_settings.length;
+    wave.rebootTime = rebootTime;
+    wave.paused = !m_settings.withWave;
+    WavePlannerSettings settings;
+    settings.dataCentre = m_settings.dataCentre;
+    settings.holder = "entry-0";
+    settings.maximumAtOnce = m_settings.maximumAtOnce;
+    for (const auto& size : m_settings.pools) {
+        wave.pools.push_back(size.pool);
+        if (size.spare)
+            settings.sparePools.insert(size.pool);
     }
+    m_wave = WavePlanner::create(settings, wave, *m_ledger).take();
+    m_wave->setDutyEnd(Instant::max());
+    settleStore(m_ledger->load());
+}
 
-    bool Model::isSpare(const std::string& pool) const
-    {
-        return std::any_of(m_pools.begin(), m_pools.end(), [&](const ModelPool& it) { return it.name == pool && it.spare; });
-    }
+ModelHost& Model::host(const std::string& name)
+{
+    return *std::find_if(m_hosts.begin(), m_hosts.end(), [&](const ModelHost& it) { return it.view.name == name; });
+}
 
-    double Model::capacity(const std::string& pool) const
-    {
-        return slotsPerHost * static_cast<double>(std::count_if(m_hosts.begin(), m_hosts.end(), [&](const ModelHost& it) { return it.view.pool == pool && it.view.serving && it.up; }));
-    }
+bool Model::isSpare(const std::string& pool) const
+{
+    return std::any_of(m_pools.begin(), m_pools.end(), [&](const ModelPool& it) { return it.name == pool && it.spare; });
+}
 
-    FleetView Model::view(bool withFloors) const
-    {
-        FleetView view;
-        for (const auto& it : m_hosts) {
-            view.hosts.push_back(it.view);
-            view.hosts.back().health = it.up ? HostHealth::Up : HostHealth::Down;
-        }
-        if (withFloors && m_settings.policy == MovePolicy::Margin)
-            view.loadFloors = m_policy->loadFloors();
-        return view;
-    }
+double Model::capacity(const std::string& pool) const
+{
+    return slotsPerHost * static_cast<double>(std::count_if(m_hosts.begin(), m_hosts.end(), [&](const ModelHost& it) { return it.view.pool == pool && it.view.serving && it.up; }));
+}
 
-    void Model::settleStore(const std::vector<PlatformAction>& calls)
-    {
-        auto next = calls;
-        while (!next.empty()) {
-            for (const auto& call : next)
-                m_store.call(0, call, m_now);
-            next.clear();
-            for (const auto& reply : m_store.advance(m_now + 1s)) {
-                for (const auto& call : m_ledger->handle(reply.event))
-                    next.push_back(call);
-            }
-        }
+FleetView Model::view(bool withFloors) const
+{
+    FleetView view;
+    for (const auto& it : m_hosts) {
+        view.hosts.push_back(it.view);
+        view.hosts.back().health = it.up ? HostHealth::Up : HostHealth::Down;
     }
+    if (withFloors && m_settings.policy == MovePolicy::Margin)
+        view.loadFloors = m_policy->loadFloors();
+    return view;
+}
 
-    void Model::breakThings()
-    {
-        if (!m_settings.withFailures)
-            return;
-        const auto failedRack = "rack-" + std::to_string(m_settings.seed % m_racks);
-        const bool rackFails = m_now.time_since_epoch() == rackFailureAt;
-        const bool hostFails = std::uniform_real_distribution<double>(0, 1)(m_random) < hostFailureChance;
-        const auto victim = m_random() % m_hosts.size();
-        for (std::size_t i = 0; i < m_hosts.size(); ++i) {
-            auto& it = m_hosts[i];
-            if (!(rackFails && it.view.rack == failedRack) && !(hostFails && i == victim))
-                continue;
-            it.up = false;
-            it.failed = true;
-            it.upAt = std::max(it.upAt, m_now + failureTime);
+void Model::settleStore(const std::vector<PlatformAction>& calls)
+{
+    auto next = calls;
+    while (!next.empty()) {
+        for (const auto& call : next)
+            m_store.call(0, call, m_now);
+        next.clear();
+        for (const auto& reply : m_store.advance(m_now + 1s)) {
+            for (const auto& call : m_ledger->handle(reply.event))
+                next.push_back(call);
         }
     }
+}
 
-    void Model::finishMoves()
-    {
-        for (auto& it : m_hosts) {
-            if (it.movingTo.empty() || m_now < it.moveEnds)
-                continue;
-            m_figures.poolChanges += !isSpare(it.view.pool);
-            m_figures.poolChanges += !isSpare(it.movingTo);
-            ++m_figures.moves;
-            it.view.pool = std::exchange(it.movingTo, {});
-            it.view.serving = true;
-            it.view.knownIdle = false;
-            releaseMove(it.view.name);
-        }
+void Model::breakThings()
+{
+    if (!m_settings.withFailures)
+        return;
+    const auto failedRack = "rack-" + std::to_string(m_settings.seed % m_racks);
+    const bool rackFails = m_now.time_since_epoch() == rackFailureAt;
+    const bool hostFails = std::uniform_real_distribution<double>(0, 1)(m_random) < hostFailureChance;
+    const auto victim = m_random() % m_hosts.size();
+    for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+        auto& it = m_hosts[i];
+        if (!(rackFails && it.view.rack == failedRack) && !(hostFails && i == victim))
+            continue;
+        it.up = false;
+        it.failed = true;
+        it.upAt = std::max(it.upAt, m_now + failureTime);
     }
+}
 
-    void Model::releaseMove(const std::string& name)
-    {
-        m_releases.push_back({ LedgerChange::Kind::Release, { name, "", "entry-0", ReservationPhase::Moving, 0, false, {} }, "", "", false });
+void Model::finishMoves()
+{
+    for (auto& it : m_hosts) {
+        if (it.movingTo.empty() || m_now < it.moveEnds)
+            continue;
+        m_figures.poolChanges += !isSpare(it.view.pool);
+        m_figures.poolChanges += !isSpare(it.movingTo);
+        ++m_figures.moves;
+        it.view.pool = std::exchange(it.movingTo, {});
+        it.view.serving = true;
+        it.view.knownIdle = false;
+        releaseMove(it.view.name);
     }
+}
+
+void Model::releaseMove(const std::string& name)
+{
+    m_releases.push_back({ LedgerChange::Kind::Release, { name, "", "entry-0", ReservationPhase::Moving, 0, false, {} }, "", "", false });
+}
 
-    void Model::advanceHosts()
-    {
-        for (auto& it : m_hosts) {
-            if (!it.up && m_now >= it.upAt) {
-                it.up = true;
-                it.failed = false;
-                ++it.view.incarnation;
-            }
-            if (!it.view.serving && it.movingTo.empty() && m_now >= it.idleAt)
-                it.view.knownIdle = true;
+void Model::advanceHosts()
+{
+    for (auto& it : m_hosts) {
+        if (!it.up && m_now >= it.upAt) {
+            it.up = true;
+            it.failed = false;
+            ++it.view.incarnation;
         }
+        if (!it.view.serving && it.movingTo.empty() && m_now >= it.idleAt)
+            it.view.knownIdle = true;
     }
+}
 
-    void Model::serve(std::size_t second)
-    {
-        for (auto& pool : m_pools) {
-            if (!pool.spare)
-                servePool(pool, second);
-        }
+void Model::serve(std::size_t second)
+{
+    for (auto& pool : m_pools) {
+        if (!pool.spare)
+            servePool(pool, second);
     }
+}
 
-    void Model::servePool(ModelPool& pool, std::size_t second)
-    {
-        pool.queue.emplace_back(second, pool.trace[second]);
-        m_figures.offered += pool.trace[second];
-        double room = capacity(pool.name);
-        pool.served = pool.late = 0;
-        const auto patience = static_cast<std::size_t>(deadline.count());
-        while (!pool.queue.empty() && second - pool.queue.front().first >= patience) {
-            pool.late += pool.queue.front().second;
+void Model::servePool(ModelPool& pool, std::size_t second)
+{
+    pool.queue.emplace_back(second, pool.trace[second]);
+    m_figures.offered += pool.trace[second];
+    double room = capacity(pool.name);
+    pool.served = pool.late = 0;
+    const auto patience = static_cast<std::size_t>(deadline.count());
+    while (!pool.queue.empty() && second - pool.queue.front().first >= patience) {
+        pool.late += pool.queue.front().second;
+        pool.queue.pop_front();
+    }
+    while (!pool.queue.empty() && room > 0) {
+        const double taken = std::min(room, pool.queue.front().second);
+        room -= taken;
+        pool.served += taken;
+        pool.queue.front().second -= taken;
+        if (pool.queue.front().second <= 0)
             pool.queue.pop_front();
-        }
-        while (!pool.queue.empty() && room > 0) {
-            const double taken = std::min(room, pool.queue.front().second);
-            room -= taken;
-            pool.served += taken;
-            pool.queue.front().second -= taken;
-            if (pool.queue.front().second <= 0)
-                pool.queue.pop_front();
-        }
-        m_figures.served += pool.served;
     }
+    m_figures.served += pool.served;
+}
 
-    void Model::decideMoves()
-    {
-        if (m_settings.policy != MovePolicy::Margin)
-            return;
-        const auto fleet = view(false);
-        MoveInput input { fleet, *m_ledger, {}, m_ordered, m_wave->loans(fleet), {} };
-        for (const auto& it : m_hosts) {
-            if (!it.movingTo.empty())
-                input.inFlight.push_back({ it.view.name, it.view.pool, it.movingTo });
-            if (m_wave->isDue(it.view) && m_settings.withWave)
-                input.due.insert(it.view.name);
-        }
-        for (const auto& pool : m_pools) {
-            double queued = 0;
-            for (const auto& [second, work] : pool.queue)
-                queued += work;
-            const double offered = pool.spare ? 0 : pool.trace[static_cast<std::size_t>(std::chrono::floor<std::chrono::seconds>(m_now.time_since_epoch()).count())];
-            input.demands.push_back({ pool.name, pool.spare, offered, queued, slotsPerHost, 0 });
-        }
-        for (const auto& move : m_policy->decide(m_now, input))
-            m_ordered.push_back(move);
-        startMoves();
+void Model::decideMoves()
+{
+    if (m_settings.policy != MovePolicy::Margin)
+        return;
+    const auto fleet = view(false);
+    MoveInput input { fleet, *m_ledger, {}, m_ordered, m_wave->loans(fleet), {} };
+    for (const auto& it : m_hosts) {
+        if (!it.movingTo.empty())
+            input.inFlight.push_back({ it.view.name, it.view.pool, it.movingTo });
+        if (m_wave->isDue(it.view) && m_settings.withWave)
+            input.due.insert(it.view.name);
     }
-
-    /// Reserves the hosts that are to move and sets those in motion whose reservation is stored.
-    void Model::startMoves()
-    {
-        auto changes = std::exchange(m_releases, {});
-        for (const auto& move : m_ordered)
-            changes.push_back({ LedgerChange::Kind::Reserve, { move.upstream, "", "entry-0", ReservationPhase::Moving, 0, false, wall() }, move.from, "", false });
-        settleStore(m_ledger->submit(view(false), changes));
-        const auto reserved = m_ledger->reservedHosts();
-        for (const auto& move : std::exchange(m_ordered, {})) {
-            auto& it = host(move.upstream);
-            if (!reserved.contains(move.upstream) || !it.view.serving)
-                continue;
-            it.view.serving = false;
-            it.movingTo = move.to;
-            it.moveEnds = m_now + m_settings.margin.moveTime;
-        }
+    for (const auto& pool : m_pools) {
+        double queued = 0;
+        for (const auto& [second, work] : pool.queue)
+            queued += work;
+        const double offered = pool.spare ? 0 : pool.trace[static_cast<std::size_t>(std::chrono::floor<std::chrono::seconds>(m_now.time_since_epoch()).count())];
+        input.demands.push_back({ pool.name, pool.spare, offered, queued, slotsPerHost, 0 });
     }
+    for (const auto& move : m_policy->decide(m_now, input))
+        m_ordered.push_back(move);
+    startMoves();
+}
 
-    void Model::runWave()
-    {
-        const auto output = m_wave->tick(m_now, wall(), view(true));
-        settleStore(output.calls);
-        for (const auto& decision : output.decisions)
-            carryOut(decision);
-        const bool finishes = m_settings.withWave && !m_figures.waveFinished && m_now.time_since_epoch() > waveStart;
-        if (!finishes || std::any_of(m_hosts.begin(), m_hosts.end(), [&](const ModelHost& it) { return m_wave->isDue(it.view); }))
-            return;
-        m_figures.waveFinished = true;
-        m_figures.rollOut = std::chrono::floor<std::chrono::seconds>(m_now.time_since_epoch()) - waveStart;
+/// Reserves the hosts that are to move and sets those in motion whose reservation is stored.
+void Model::startMoves()
+{
+    auto changes = std::exchange(m_releases, {});
+    for (const auto& move : m_ordered)
+        changes.push_back({ LedgerChange::Kind::Reserve, { move.upstream, "", "entry-0", ReservationPhase::Moving, 0, false, wall() }, move.from, "", false });
+    settleStore(m_ledger->submit(view(false), changes));
+    const auto reserved = m_ledger->reservedHosts();
+    for (const auto& move : std::exchange(m_ordered, {})) {
+        auto& it = host(move.upstream);
+        if (!reserved.contains(move.upstream) || !it.view.serving)
+            continue;
+        it.view.serving = false;
+        it.movingTo = move.to;
+        it.moveEnds = m_now + m_settings.margin.moveTime;
     }
+}
 
-    void Model::carryOut(const WaveDecision& decision)
-    {
-        if (const auto* it = std::get_if<DrainHost>(&decision)) {
-            auto& drained = host(it->upstream);
-            drained.view.serving = false;
-            drained.idleAt = m_now + drainTime;
-        }
-        if (const auto* it = std::get_if<RebootHost>(&decision)) {
-            auto& rebooted = host(it->upstream);
-            if (!rebooted.up || rebooted.view.incarnation != it->incarnation)
-                return;
-            rebooted.up = false;
-            rebooted.upAt = std::max(rebooted.upAt, m_now + rebootTime);
-        }
-        if (const auto* it = std::get_if<ReturnHost>(&decision)) {
-            auto& returned = host(it->upstream);
-            returned.view.serving = returned.up;
-            returned.view.knownIdle = false;
-        }
-    }
+void Model::runWave()
+{
+    const auto output = m_wave->tick(m_now, wall(), view(true));
+    settleStore(output.calls);
+    for (const auto& decision : output.decisions)
+        carryOut(decision);
+    const bool finishes = m_settings.withWave && !m_figures.waveFinished && m_now.time_since_epoch() > waveStart;
+    if (!finishes || std::any_of(m_hosts.begin(), m_hosts.end(), [&](const ModelHost& it) { return m_wave->isDue(it.view); }))
+        return;
+    m_figures.waveFinished = true;
+    m_figures.rollOut = std::chrono::floor<std::chrono::seconds>(m_now.time_since_epoch()) - waveStart;
+}
 
-    void Model::count()
-    {
-        for (const auto& pool : m_pools) {
-            if (pool.spare) {
-                m_figures.spareHostSeconds += capacity(pool.name) / slotsPerHost;
-                continue;
-            }
-            m_figures.bufferHostSeconds += std::max(0.0, (capacity(pool.name) - pool.served) / slotsPerHost);
-            double leaving = 0;
-            for (const auto& it : m_hosts)
-                leaving += it.view.pool == pool.name && !it.movingTo.empty() ? slotsPerHost : 0;
-            m_figures.lostToMoves += std::min(pool.late, leaving);
-            countBudget(pool);
-        }
-        for (const auto& it : m_hosts)
-            m_figures.bufferHostSeconds += it.movingTo.empty() ? 0 : 1;
-        countPools();
+void Model::carryOut(const WaveDecision& decision)
+{
+    if (const auto* it = std::get_if<DrainHost>(&decision)) {
+        auto& drained = host(it->upstream);
+        drained.view.serving = false;
+        drained.idleAt = m_now + drainTime;
     }
-
-    /// Below the budget is a violation unless failures beyond one rack, which no planner can foresee, explain it.
-    void Model::countBudget(const ModelPool& pool)
-    {
-        unsigned published = 0;
-        std::set<std::string> failedRacks;
-        for (const auto& it : m_hosts) {
-            published += it.view.homePool == pool.name;
-            if (it.failed && it.view.pool == pool.name)
-                failedRacks.insert(it.view.rack);
-        }
-        const auto available = static_cast<unsigned>(capacity(pool.name) / slotsPerHost);
-        if (available < requiredHosts(published, budgetPercent) && failedRacks.size() <= 1)
-            ++m_figures.budgetViolations;
+    if (const auto* it = std::get_if<RebootHost>(&decision)) {
+        auto& rebooted = host(it->upstream);
+        if (!rebooted.up || rebooted.view.incarnation != it->incarnation)
+            return;
+        rebooted.up = false;
+        rebooted.upAt = std::max(rebooted.upAt, m_now + rebootTime);
     }
-
-    /// A host that serves while it is on its way to another pool would be in two.
-    void Model::countPools()
-    {
-        for (const auto& it : m_hosts)
-            m_figures.hostsInTwoPools += it.view.serving && !it.movingTo.empty();
+    if (const auto* it = std::get_if<ReturnHost>(&decision)) {
+        auto& returned = host(it->upstream);
+        returned.view.serving = returned.up;
+        returned.view.knownIdle = false;
     }
+}
 
-    RunFigures Model::run()
-    {
-        const auto seconds = static_cast<std::size_t>(m_settings.length.count());
-        for (std::size_t second = 0; second < seconds; ++second) {
-            m_now = Instant(std::chrono::seconds(second));
-            breakThings();
-            finishMoves();
-            advanceHosts();
-            serve(second);
-            count();
-            decideMoves();
-            runWave();
+void Model::count()
+{
+    for (const auto& pool : m_pools) {
+        if (pool.spare) {
+            m_figures.spareHostSeconds += capacity(pool.name) / slotsPerHost;
+            continue;
         }
-        return m_figures;
+        m_figures.bufferHostSeconds += std::max(0.0, (capacity(pool.name) - pool.served) / slotsPerHost);
+        double leaving = 0;
+        for (const auto& it : m_hosts)
+            leaving += it.view.pool == pool.name && !it.movingTo.empty() ? slotsPerHost : 0;
+        m_figures.lostToMoves += std::min(pool.late, leaving);
+        countBudget(pool);
     }
+    for (const auto& it : m_hosts)
+        m_figures.bufferHostSeconds += it.movingTo.empty() ? 0 : 1;
+    countPools();
+}
 
-} // namespace
+/// Below the budget is a violation unless failures beyond one rack, which no planner can foresee, explain it.
+void Model::countBudget(const ModelPool& pool)
+{
+    unsigned published = 0;
+    std::set<std::string> failedRacks;
+    for (const auto& it : m_hosts) {
+        published += it.view.homePool == pool.name;
+        if (it.failed && it.view.pool == pool.name)
+            failedRacks.insert(it.view.rack);
+    }
+    const auto available = static_cast<unsigned>(capacity(pool.name) / slotsPerHost);
+    if (available < requiredHosts(published, budgetPercent) && failedRacks.size() <= 1)
+        ++m_figures.budgetViolations;
+}
 
-RunFigures& RunFigures::operator+=(const RunFigures& other)
+/// A host that serves while it is on its way to another pool would be in two.
+void Model::countPools()
 {
-    bufferHostSeconds += other.bufferHostSeconds;
-    spareHostSeconds += other.spareHostSeconds;
-    offered += other.offered;
-    served += other.served;
-    lostToMoves += other.lostToMoves;
-    moves += other.moves;
-    poolChanges += other.poolChanges;
-    budgetViolations += other.budgetViolations;
-    hostsInTwoPools += other.hostsInTwoPools;
-    waveFinished = waveFinished && other.waveFinished;
-    rollOut = std::max(rollOut, other.rollOut);
-    return *this;
+    for (const auto& it : m_hosts)
+        m_figures.hostsInTwoPools += it.view.serving && !it.movingTo.empty();
 }
 
-std::vector<double> makeTrace(const RunSettings& settings, std::size_t poolIndex)
+RunFigures Model::run()
 {
-    const auto pools = settings.pools.size() - 1;
-    const auto period = peakSpacing * pools;
-    const auto& size = settings.pools[poolIndex];
-    std::mt19937_64 random(settings.seed * 31 + poolIndex);
-    std::uniform_real_distribution<double> spread(1 - noise, 1 + noise);
-    std::vector<double> trace;
-    for (std::int64_t second = 0; second < settings.length.count(); ++second) {
-        const auto phase = (static_cast<std::size_t>(second) + period - peakSpacing * (poolIndex % pools) + settings.seed * 7) % period;
-        const double factor = phase < peakSeconds ? peakFactor : phase < peakSeconds + troughSeconds ? troughFactor
-                                                                                                     : 1;
-        trace.push_back(size.spare ? 0 : factor * meanLoad * size.hosts * slotsPerHost * spread(random));
+    const auto seconds = static_cast<std::size_t>(m_settings.length.count());
+    for (std::size_t second = 0; second < seconds; ++second) {
+        m_now = Instant(std::chrono::seconds(second));
+        breakThings();
+        finishMoves();
+        advanceHosts();
+        serve(second);
+        count();
+        decideMoves();
+        runWave();
     }
-    return trace;
+    return m_figures;
 }
 
 RunFigures run(const RunSettings& settings)
--- a/Source/UnitTests/Moves/MarginPolicyTest.cpp
+++ b/Source/UnitTests/Moves/MarginPolicyTest.cpp
@@ -10,6 +10,16 @@
 
 namespace {
 
+/// Serves a peak in full and clears a queue at once, so that counts follow from the load alone.
+MarginSettings eager()
+{
+    MarginSettings settings;
+    settings.peakShare = 1.1;
+    settings.headroom = 1.1;
+    settings.clearTime = 3000ms;
+    return settings;
+}
+
 /// Two pools of eight hosts and a spare pool of eight, each host of a pool in its own rack. Moves take effect at once.
 struct PolicyFixture {
     FleetView view;
@@ -19,7 +29,7 @@
     std::map<std::string, double> offered { { "desk", 20 }, { "hotels", 20 } };
     std::chrono::seconds now { 0 };
 
-    explicit PolicyFixture(MarginSettings settings = {})
+    explicit PolicyFixture(MarginSettings settings = eager())
     {
         for (const auto* pool : { "desk", "hotels", "backoffice" }) {
             for (int i = 0; i < 8; ++i)
@@ -96,7 +106,7 @@
 
 TEST_CASE("a load that flaps faster than the keep time moves nothing twice")
 {
-    MarginSettings settings;
+    MarginSettings settings = eager();
     settings.moveCostWeight = 4;
     PolicyFixture fixture(settings);
     fixture.offered["desk"] = 100;
@@ -112,9 +122,9 @@
 
 TEST_CASE("a dearer buffer is given back sooner, and roll-out time lowers the floors that waves must leave")
 {
-    MarginSettings dear;
+    MarginSettings dear = eager();
     dear.bufferCostWeight = 4;
-    MarginSettings fast;
+    MarginSettings fast = eager();
     fast.rollOutTimeWeight = 4;
     PolicyFixture buffer(dear);
     PolicyFixture rollOut(fast);
