--- a/Source/Bench/FleetBench.cpp
+++ b/Source/Bench/FleetBench.cpp
@@ -137,15 +137,6 @@
     report.add(name + ".rollOutTime", static_cast<double>(figures.rollOut.count()), "seconds");
 }
 
-unsigned movableMinimum(unsigned hosts, unsigned racks)
-{
-    const auto required = Decision::requiredHosts(hosts, budgetPercent);
-    unsigned minimum = required;
-    while (minimum < hosts && minimum - (minimum + racks - 1) / racks < required)
-        ++minimum;
-    return minimum;
-}
-
 /// Moves of the policy and of the offline best on the same trace, without waves and failures.
 void compareOffline(Report& report, const Fleet& fleet)
 {
@@ -188,6 +179,8 @@
     addFigures(report, fleet.name + ".fixed20", fixed);
     addFigures(report, fleet.name + ".oneAtATime", oneAtATime);
     report.add(fleet.name + ".bufferOverFixed", margin.bufferHostSeconds / fixed.bufferHostSeconds, "ratio", Bound { bufferBound });
+    report.add(fleet.name + ".forcedOverFixed", margin.forcedHostSeconds / fixed.bufferHostSeconds, "ratio");
+    report.add(fleet.name + ".transitOverFixed", margin.transitHostSeconds / fixed.bufferHostSeconds, "ratio");
     report.add(fleet.name + ".goodputOverFixed", margin.goodput() / fixed.goodput(), "ratio", Bound { 1, true });
     // A wave that doesn't finish has no roll-out time; one host at a time then counts with the length of the run, a lower bound.
     const auto slow = oneAtATime.waveFinished ? oneAtATime.rollOut : runLength - 600s;
--- a/Source/Bench/FleetBenchDataCentre.h
+++ b/Source/Bench/FleetBenchDataCentre.h
@@ -32,6 +32,7 @@
 struct ModelPool {
     std::string name;
     bool spare = false;
+    unsigned minimumHosts = 0; ///< That the budget leaves it, the loss of one more rack included.
     std::vector<double> trace;
     std::deque<std::pair<std::size_t, double>> queue; // arrival second, slot-seconds
     double served = 0; // in the last second
--- a/Source/Bench/FleetBenchModel.cpp
+++ b/Source/Bench/FleetBenchModel.cpp
@@ -45,6 +45,7 @@
         pool.name = size.pool;
         pool.spare = size.spare;
         pool.trace = makeTrace(m_settings, i);
+        pool.minimumHosts = movableMinimum(size.hosts, m_racks);
         m_pools.push_back(std::move(pool));
         m_budgets.push_back({ size.pool + "-service", size.pool, size.spare ? 0 : budgetPercent });
         for (unsigned n = 0; n < size.hosts; ++n) {
@@ -303,6 +304,15 @@
     }
 }
 
+unsigned movableMinimum(unsigned hosts, unsigned racks)
+{
+    const auto required = requiredHosts(hosts, budgetPercent);
+    unsigned minimum = required;
+    while (minimum < hosts && minimum - (minimum + racks - 1) / racks < required)
+        ++minimum;
+    return minimum;
+}
+
 void Model::count()
 {
     for (const auto& pool : m_pools) {
@@ -310,7 +320,9 @@
             m_figures.spareHostSeconds += capacity(pool.name) / slotsPerHost;
             continue;
         }
-        m_figures.bufferHostSeconds += std::max(0.0, (capacity(pool.name) - pool.served) / slotsPerHost);
+        const double idle = std::max(0.0, (capacity(pool.name) - pool.served) / slotsPerHost);
+        m_figures.bufferHostSeconds += idle;
+        m_figures.forcedHostSeconds += std::min(idle, std::max(0.0, pool.minimumHosts - pool.served / slotsPerHost));
         double leaving = 0;
         for (const auto& it : m_hosts)
             leaving += it.view.pool == pool.name && !it.movingTo.empty() ? slotsPerHost : 0;
@@ -318,7 +330,7 @@
         countBudget(pool);
     }
     for (const auto& it : m_hosts)
-        m_figures.bufferHostSeconds += it.movingTo.empty() ? 0 : 1;
+        m_figures.transitHostSeconds += it.movingTo.empty() ? 0 : 1;
     countPools();
 }
 
@@ -357,6 +369,7 @@
         decideMoves();
         runWave();
     }
+    m_figures.bufferHostSeconds += m_figures.transitHostSeconds;
     return m_figures;
 }
 
--- a/Source/Bench/FleetBenchModel.h
+++ b/Source/Bench/FleetBenchModel.h
@@ -45,6 +45,8 @@
     /// per host, plus every host between two pools. Hosts of the spare pool run work that can always wait, so they are
     /// never idle. Hosts that are down or in maintenance don't count. The same for every policy.
     double bufferHostSeconds = 0;
+    double forcedHostSeconds = 0; ///< The part of the above that the budgets force on any policy which serves as much.
+    double transitHostSeconds = 0; ///< The part of the above that stood between two pools.
     double spareHostSeconds = 0; ///< Hosts that serve the spare pool.
     double offered = 0; ///< Slot-seconds of work.
     double served = 0; ///< Slot-seconds within the deadline.
@@ -70,6 +72,9 @@
 /// the mean; one pool after another.
 std::vector<double> makeTrace(const RunSettings&, std::size_t poolIndex);
 
+/// Hosts that a pool of `hosts` over `racks` may be brought down to, the loss of one more rack included.
+unsigned movableMinimum(unsigned hosts, unsigned racks);
+
 RunFigures run(const RunSettings&);
 
 } // namespace FleetBench
--- a/Source/Bench/FleetBenchTrace.cpp
+++ b/Source/Bench/FleetBenchTrace.cpp
@@ -19,6 +19,8 @@
 RunFigures& RunFigures::operator+=(const RunFigures& other)
 {
     bufferHostSeconds += other.bufferHostSeconds;
+    forcedHostSeconds += other.forcedHostSeconds;
+    transitHostSeconds += other.transitHostSeconds;
     spareHostSeconds += other.spareHostSeconds;
     offered += other.offered;
     served += other.served;
--- a/Source/Core/Decision/Waves/WavePlanner.cpp
+++ b/Source/Core/Decision/Waves/WavePlanner.cpp
@@ -55,6 +55,7 @@
     std::map<std::string, unsigned> deficits(const FleetView&) const;
     std::optional<std::chrono::seconds> forecast(const FleetView&) const;
     unsigned concurrency(const std::string& pool, const FleetView&) const;
+    bool suffices(const std::string& pool, const FleetView&) const;
 };
 
 bool WavePlanner::Private::isInWave(const HostView& host) const
@@ -218,6 +219,17 @@
     return settings.maximumAtOnce ? std::min(atOnce, settings.maximumAtOnce) : atOnce;
 }
 
+/// True when the pool's own hosts, all at home, could spare one: then it needs no loan, only its hosts back.
+bool WavePlanner::Private::suffices(const std::string& pool, const FleetView& view) const
+{
+    PoolTally atHome;
+    for (const auto& host : view.hosts) {
+        if (host.homePool == pool && host.health == HostHealth::Up)
+            atHome.add(host.rack);
+    }
+    return safeConcurrency(atHome, ledger.required(view, pool)) > 0;
+}
+
 std::optional<std::chrono::seconds> WavePlanner::Private::forecast(const FleetView& view) const
 {
     std::map<std::string, unsigned> left;
@@ -340,7 +352,7 @@
     std::set<std::string> lent;
     std::map<std::string, std::vector<const HostView*>> waitingByPool;
     for (const auto* host : state.waiting(view))
-        waitingByPool[host->homePool].push_back(host);
+        waitingByPool[host->pool].push_back(host); // A host is missed where it serves, be it a guest there.
     std::map<std::string, bool> active;
     for (const auto& entry : state.own()) {
         if (const auto* host = view.find(entry.upstream))
@@ -348,7 +360,7 @@
     }
     const auto reserved = state.ledger.reservedHosts();
     for (const auto& [pool, hosts] : waitingByPool) {
-        if (active[pool] || state.wave.paused)
+        if (active[pool] || state.wave.paused || state.suffices(pool, view))
             continue;
         std::vector<const HostView*> free;
         for (const auto& host : view.hosts) {
--- a/Source/UnitTests/Waves/WavePlannerTest.cpp
+++ b/Source/UnitTests/Waves/WavePlannerTest.cpp
@@ -184,3 +184,35 @@
     fixture.tick();
     CHECK(fixture.ledger->reservedHosts().size() == 1);
 }
+
+TEST_CASE("a due host that serves elsewhere is no reason to think that its own pool can spare one")
+{
+    // Three racks, three hosts published, one of them a guest elsewhere in the very rack of the pool's two guests.
+    PlannerFixture fixture(0, 0);
+    fixture.addHost("desk", 0);
+    fixture.addHost("desk", 1);
+    fixture.addHost("desk", 2);
+    fixture.view.hosts.back().pool = "hotels";
+    for (const auto* name : { "hotels-0", "hotels-1" }) {
+        fixture.view.hosts.push_back(Fakes::makeHost(name, "hotels", "rack-2"));
+        fixture.view.hosts.back().pool = "desk";
+    }
+    fixture.addHost("backoffice", 0);
+    fixture.tick();
+    CHECK(fixture.ledger->reservedHosts().empty());
+    const auto loans = fixture.planner->loans(fixture.view);
+    REQUIRE(loans.size() == 3);
+    CHECK(loans.back() == MoveHost { "backoffice-0", "backoffice", "desk" });
+    fixture.view.hosts.back().pool = "desk";
+    fixture.tick();
+    CHECK(fixture.ledger->reservedHosts() == std::set<std::string> { "desk-0", "desk-2" });
+}
+
+TEST_CASE("a pool that could spare a host of its own borrows none while some of them are away")
+{
+    PlannerFixture fixture(6, 2);
+    for (int i = 0; i < 3; ++i)
+        fixture.view.hosts[i].pool = "hotels";
+    fixture.tick();
+    CHECK(fixture.planner->loans(fixture.view).empty());
+}
