--- a/Source/Core/Adapters/Platform/EventLoop.cpp
+++ b/Source/Core/Adapters/Platform/EventLoop.cpp
@@ -171,6 +171,16 @@
     m_private->cancel(id);
 }
 
+Common::Instant EventLoop::now() const
+{
+    return Common::BootClock::now();
+}
+
+Common::WallTime EventLoop::wallNow() const
+{
+    return Common::wallNow();
+}
+
 uv_loop_s* EventLoop::handle()
 {
     return &m_private->m_loop;
--- a/Source/Core/Adapters/Platform/EventLoop.h
+++ b/Source/Core/Adapters/Platform/EventLoop.h
@@ -2,9 +2,9 @@
 
 /// A libuv loop with a task queue and one-shot timers.
 
+#include "Common/TaskLoop.h"
+
 #include <chrono>
-#include <cstdint>
-#include <functional>
 #include <memory>
 
 struct uv_loop_s;
@@ -13,13 +13,10 @@
 
 /// Runs tasks and timers on one thread. post() and stop() may be called from any thread, the rest on the loop's only
 /// (or before it runs).
-class EventLoop {
+class EventLoop final : public Common::TaskLoop {
 public:
-    using Task = std::function<void()>;
-    using TimerId = std::uint64_t;
-
     static std::unique_ptr<EventLoop> create();
-    ~EventLoop();
+    ~EventLoop() override;
     EventLoop(const EventLoop&) = delete;
     EventLoop& operator=(const EventLoop&) = delete;
 
@@ -30,11 +27,13 @@
     /// Ends the loop after the tasks posted so far; joins the thread that start() made. Tasks posted later are dropped.
     void stop();
     /// Runs the task on the loop's thread, in the order of posting.
-    void post(Task);
+    void post(Task) override;
     /// Runs the task once after the delay.
-    TimerId after(std::chrono::milliseconds delay, Task);
+    TimerId after(std::chrono::milliseconds delay, Task) override;
     /// Forgets a timer; unknown and expired ones are ignored.
-    void cancel(TimerId);
+    void cancel(TimerId) override;
+    Common::Instant now() const override;
+    Common::WallTime wallNow() const override;
     /// The libuv loop, for handles of other classes; they must close them before the loop can end.
     uv_loop_s* handle();
 
--- /dev/null
+++ b/Source/Core/Jobs/Decision/Placement.cpp
@@ -0,0 +1,133 @@
+#include "Jobs/Decision/Placement.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace Jobs {
+
+namespace {
+
+    unsigned countOf(const std::map<std::string, unsigned>& counts, const std::string& worker)
+    {
+        const auto it = counts.find(worker);
+        return it == counts.end() ? 0 : it->second;
+    }
+
+    bool isSuitable(const Candidate& candidate, const PlacementRequest& request)
+    {
+        const auto& step = *request.step;
+        const auto& worker = *candidate.worker;
+        if (!reservedBy(step).fitsInto(candidate.room))
+            return false;
+        if (!step.requiredLabel.empty() && !worker.entry.hasLabel(step.requiredLabel))
+            return false;
+        if (step.maximumPerWorker > 0 && countOf(*request.placedByWorker, worker.entry.id) >= step.maximumPerWorker)
+            return false;
+        if (!request.mayRunRemote && !step.dataRack.empty() && worker.entry.rack != step.dataRack)
+            return false;
+        return !request.isAllowed || request.isAllowed(worker);
+    }
+
+    /// Runs beside which a task of the step would do harm or be harmed.
+    unsigned conflictsOn(const Worker& worker, const StepSpec& step)
+    {
+        unsigned conflicts = 0;
+        for (const auto& [key, it] : worker.runs) {
+            const bool harmsUsers = step.isFiller && it.targetLatency > milliseconds(0);
+            const bool isHarmed = step.targetLatency > milliseconds(0) && it.isFiller;
+            conflicts += harmsUsers || isHarmed ? 1 : 0;
+        }
+        return conflicts;
+    }
+
+    /// Lower is better, compared from the first item on.
+    using Score = std::tuple<bool, bool, unsigned, unsigned, std::int64_t>;
+
+    Score scoreOf(const Candidate& candidate, const PlacementRequest& request)
+    {
+        const auto& step = *request.step;
+        const auto& worker = *candidate.worker;
+        const bool isRemote = !step.dataRack.empty() && worker.entry.rack != step.dataRack;
+        const bool isApart = !request.preferredRack.empty() && worker.entry.rack != request.preferredRack;
+        const auto room = static_cast<std::int64_t>(candidate.room.milliCores);
+        if (step.isLasting || step.isFiller)
+            return { isRemote, isApart, conflictsOn(worker, step), countOf(*request.placedByWorker, worker.entry.id), -room };
+        return { isRemote, isApart, worker.failuresInRow, 0, room };
+    }
+
+} // namespace
+
+Resources reservedBy(const StepSpec& step)
+{
+    Resources need = step.need;
+    if (step.isFiller)
+        need.milliCores = 0;
+    return need;
+}
+
+Candidate* choosePlace(std::vector<Candidate>& candidates, const PlacementRequest& request)
+{
+    Candidate* best = nullptr;
+    Score bestScore {};
+    for (auto& it : candidates) {
+        if (!isSuitable(it, request))
+            continue;
+        const auto score = scoreOf(it, request);
+        if (best && score >= bestScore)
+            continue;
+        best = &it;
+        bestScore = score;
+    }
+    return best;
+}
+
+namespace {
+
+    std::vector<Candidate*> tryGang(std::vector<Candidate>& candidates, PlacementRequest request, unsigned count)
+    {
+        auto counts = *request.placedByWorker;
+        request.placedByWorker = &counts;
+        std::vector<Resources> rooms;
+        for (const auto& it : candidates)
+            rooms.push_back(it.room);
+        std::vector<Candidate*> places;
+        while (places.size() < count) {
+            auto* place = choosePlace(candidates, request);
+            if (!place)
+                break;
+            place->room -= reservedBy(*request.step);
+            ++counts[place->worker->entry.id];
+            places.push_back(place);
+        }
+        for (std::size_t n = 0; n < candidates.size(); ++n)
+            candidates[n].room = rooms[n];
+        if (places.size() < count)
+            places.clear();
+        return places;
+    }
+
+} // namespace
+
+std::vector<Candidate*> chooseGangPlaces(std::vector<Candidate>& candidates, const PlacementRequest& request, unsigned count)
+{
+    if (!request.step->sameRack)
+        return tryGang(candidates, request, count);
+    std::set<std::string> racks;
+    for (const auto& it : candidates)
+        racks.insert(it.worker->entry.rack);
+    for (const auto& rack : racks) {
+        std::vector<Candidate> inRack;
+        std::ranges::copy_if(candidates, std::back_inserter(inRack), [&rack](const auto& it) { return it.worker->entry.rack == rack; });
+        const auto places = tryGang(inRack, request, count);
+        if (places.empty())
+            continue;
+        std::vector<Candidate*> found;
+        for (const auto* place : places)
+            found.push_back(&*std::ranges::find(candidates, place->worker, &Candidate::worker));
+        return found;
+    }
+    return tryGang(candidates, request, count);
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/Source/Core/Jobs/Decision/QueueOrder.cpp
@@ -0,0 +1,29 @@
+#include "Jobs/Decision/QueueOrder.h"
+
+namespace Jobs {
+
+QueueKey queueKeyOf(const Job& job, unsigned occurrence, unsigned step, Common::WallTime now)
+{
+    QueueKey key;
+    key.priority = job.accepted.priority;
+    key.isBegun = job.state == JobState::Running;
+    const auto dueAt = job.dueAt(occurrence);
+    if (job.spec().steps[step].isLasting) {
+        // Earns while it runs: every moment of waiting is lost, and none makes it too late.
+        key.isBegun = true;
+        key.milliseconds = 0;
+        return key;
+    }
+    const auto toSpare = dueAt + job.accepted.objective - now - chainFrom(job.spec(), step);
+    key.isLate = toSpare < milliseconds(0);
+    key.milliseconds = key.isLate ? dueAt.time_since_epoch().count() : toSpare.count();
+    return key;
+}
+
+milliseconds objectiveOf(const JobSpec& spec, unsigned stretchPermille, milliseconds targetDuration)
+{
+    constexpr std::int64_t permille = 1000;
+    return longestChain(spec) * std::int64_t { stretchPermille } / permille + targetDuration;
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/Source/Core/Jobs/Model/JobTypes.cpp
@@ -0,0 +1,94 @@
+#include "Jobs/Model/JobTypes.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Jobs {
+
+namespace {
+
+    constexpr std::size_t maximumPayloadBytes = 4000;
+    constexpr std::size_t maximumSteps = 256;
+    constexpr unsigned maximumTasksPerStep = 10000;
+
+    constexpr std::array<const char*, 7> runEndNames { "done", "failed", "stopped", "lapsed", "broken", "alone", "lost" };
+    constexpr std::array<const char*, 5> jobStateNames { "queued", "running", "completed", "failed", "cancelled" };
+
+    std::string faultOf(const StepSpec& step, std::size_t number)
+    {
+        const std::string name = "step " + std::to_string(number);
+        if (step.taskCount == 0)
+            return name + " has no tasks";
+        if (step.taskCount > maximumTasksPerStep)
+            return name + " has more than " + std::to_string(maximumTasksPerStep) + " tasks";
+        const auto isLater = [number](unsigned it) { return it >= number; };
+        if (std::ranges::any_of(step.after, isLater))
+            return name + " comes after a step that isn't before it";
+        return {};
+    }
+
+} // namespace
+
+Resources& Resources::operator+=(const Resources& it)
+{
+    milliCores += it.milliCores;
+    memoryMb += it.memoryMb;
+    accelerators += it.accelerators;
+    return *this;
+}
+
+Resources& Resources::operator-=(const Resources& it)
+{
+    milliCores -= std::min(milliCores, it.milliCores);
+    memoryMb -= std::min(memoryMb, it.memoryMb);
+    accelerators -= std::min(accelerators, it.accelerators);
+    return *this;
+}
+
+const char* nameOf(RunEnd end) { return runEndNames.at(static_cast<std::size_t>(end)); }
+
+const char* nameOf(JobState state) { return jobStateNames.at(static_cast<std::size_t>(state)); }
+
+std::string faultOf(const JobSpec& spec)
+{
+    if (spec.payload.size() > maximumPayloadBytes)
+        return "the payload is longer than " + std::to_string(maximumPayloadBytes) + " bytes";
+    if (spec.steps.empty())
+        return "there are no steps";
+    if (spec.steps.size() > maximumSteps)
+        return "there are more than " + std::to_string(maximumSteps) + " steps";
+    for (std::size_t n = 0; n < spec.steps.size(); ++n) {
+        if (auto fault = faultOf(spec.steps[n], n); !fault.empty())
+            return fault;
+    }
+    if (spec.repeatCount > 1 && spec.interval <= milliseconds(0))
+        return "occurrences repeat without an interval";
+    return {};
+}
+
+milliseconds chainFrom(const JobSpec& spec, unsigned step)
+{
+    milliseconds longest { 0 };
+    for (unsigned n = step + 1; n < spec.steps.size(); ++n) {
+        if (std::ranges::find(spec.steps[n].after, step) != spec.steps[n].after.end())
+            longest = std::max(longest, chainFrom(spec, n));
+    }
+    return spec.steps[step].estimate + longest;
+}
+
+milliseconds longestChain(const JobSpec& spec)
+{
+    // Ends of chains by step; steps only come after earlier ones.
+    std::vector<milliseconds> ends;
+    milliseconds longest { 0 };
+    for (const auto& step : spec.steps) {
+        milliseconds start { 0 };
+        for (const auto it : step.after)
+            start = std::max(start, ends[it]);
+        ends.push_back(start + step.estimate);
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+} // namespace Jobs
--- a/Source/Core/Messages/Codec.h
+++ b/Source/Core/Messages/Codec.h
@@ -6,6 +6,7 @@
 #include "Common/Error.h"
 #include "Common/Result.h"
 #include "Messages/PeerMessages.h"
+#include "Messages/TextLimit.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -18,8 +19,6 @@
 constexpr std::uint8_t frameVersion = 1;
 /// Longest frame that is decoded.
 constexpr std::size_t maximumFrameBytes = std::size_t { 16 } << 20;
-/// Longest name, key or content type in a frame; bodies are bounded by the frame only.
-constexpr std::size_t maximumTextBytes = std::size_t { 64 } << 10;
 
 /// A frame that can't be read.
 class CodecError : public Common::Error {
