--- a/Source/Apps/Marigoldstile/Main.cpp
+++ b/Source/Apps/Marigoldstile/Main.cpp
@@ -1,16 +1,18 @@
 /// marigoldstile: one entry host. Exit codes: 0 stopped as asked, 1 could not run, 2 wrong command line or settings.
 
+#include "Jobs/Host/JobHost.h"
 #include "Kernel/EntryHost.h"
 #include "Kernel/Logging.h"
 #include "Kernel/Settings.h"
 
 #include <atomic>
 #include <csignal>
+#include <cstdlib>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <string>
 
-DEFINE_string(settings, "", "file with the settings of this host, JSON with comments");
+DEFINE_string(settings, "", "file with the settings of this host, JSON with comments; MARIGOLDSTILE_SETTINGS when left out");
 DEFINE_bool(check, false, "check the settings, print every error and exit");
 
 namespace {
@@ -37,6 +39,7 @@
     return "Runs one entry host.\n\n"
            "  marigoldstile --settings FILE          serve until SIGTERM or SIGINT\n"
            "  marigoldstile --settings FILE --check  check the settings, print every error and exit\n"
+           "Without --settings, the file that MARIGOLDSTILE_SETTINGS names is read.\n\n"
            "  marigoldstile --help TOPIC             one of: usage, settings, exit-codes, signals\n";
 }
 
@@ -70,6 +73,22 @@
     return exitUsage;
 }
 
+int serveJobs(const Kernel::Settings& settings)
+{
+    auto host = Jobs::JobHost::create(settings);
+    if (!host) {
+        std::cerr << host.error().what() << "\n";
+        return exitFailed;
+    }
+    try {
+        host.value()->run();
+    } catch (const Kernel::KernelError& e) {
+        std::cerr << e.what() << "\n";
+        return exitFailed;
+    }
+    return exitOk;
+}
+
 int serve(const Kernel::Settings& settings)
 {
     auto logging = Kernel::Logging::create(settings.logging);
@@ -77,6 +96,8 @@
         std::cerr << logging.error().what() << "\n";
         return exitUsage;
     }
+    if (!settings.jobs.platform.empty())
+        return serveJobs(settings);
     auto host = Kernel::EntryHost::create(settings);
     if (!host) {
         std::cerr << host.error().what() << "\n";
@@ -99,6 +120,8 @@
         return help(argc > 2 ? argv[2] : "");
     gflags::SetUsageMessage("runs one entry host; see marigoldstile --help");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (const char* path = std::getenv("MARIGOLDSTILE_SETTINGS"); path && FLAGS_settings.empty())
+        FLAGS_settings = path;
     if (FLAGS_settings.empty()) {
         std::cerr << "needed: --settings FILE\n";
         return exitUsage;
--- a/Source/Core/Adapters/Callers/PistacheCallers.cpp
+++ b/Source/Core/Adapters/Callers/PistacheCallers.cpp
@@ -1,218 +1,63 @@
 #include "Adapters/Callers/PistacheCallers.h"
 
+#include "Adapters/Callers/HttpEndpoint.h"
 #include "Adapters/Callers/RequestReader.h"
 
-#include <array>
-#include <atomic>
-#include <csignal>
-#include <mutex>
-#include <pistache/endpoint.h>
-#include <pistache/peer.h>
-#include <unordered_map>
 #include <utility>
 
 namespace Adapters {
-namespace {
-
-    namespace Http = Pistache::Http;
-    using Pistache::Tcp::Peer;
-
-    constexpr const char* connectionData = "marigold-connection";
-    /// Room for the request line and headers beside the largest body.
-    constexpr std::size_t headerAllowanceBytes = 65536;
-    constexpr int listenBacklog = 1024;
-    /// The library counts a connection's idle time from its last request, also while that waits for its answer.
-    constexpr std::chrono::milliseconds keepAliveMargin = std::chrono::minutes(1);
-
-    /// Unanswered requests by handle, in shards with a lock each. The locks are leaves.
-    class RequestTable {
-    public:
-        Ports::CallerHandle add(std::shared_ptr<Connection> connection)
-        {
-            const auto handle = ++m_lastHandle;
-            auto& shard = shardOf(handle);
-            const std::lock_guard lock(shard.mutex);
-            shard.connections.emplace(handle, std::move(connection));
-            ++m_size;
-            return handle;
-        }
-
-        /// Null when the request has been taken before.
-        std::shared_ptr<Connection> take(Ports::CallerHandle handle)
-        {
-            auto& shard = shardOf(handle);
-            const std::lock_guard lock(shard.mutex);
-            auto node = shard.connections.extract(handle);
-            if (node.empty())
-                return nullptr;
-            --m_size;
-            return std::move(node.mapped());
-        }
-
-        std::size_t size() const { return m_size; }
-
-    private:
-        struct Shard {
-            std::mutex mutex;
-            std::unordered_map<Ports::CallerHandle, std::shared_ptr<Connection>> connections;
-        };
-
-        static constexpr std::size_t shardCount = 16;
-
-        Shard& shardOf(Ports::CallerHandle handle) { return m_shards[handle % shardCount]; }
-
-        std::array<Shard, shardCount> m_shards;
-        std::atomic<Ports::CallerHandle> m_lastHandle { 0 };
-        std::atomic<std::size_t> m_size { 0 };
-    };
-
-    /// What the handlers of all threads share.
-    struct Shared {
-        Ports::CallerSettings settings;
-        CallerGuards guards;
-        Ports::CallerSink* sink = nullptr;
-        RequestTable requests;
-    };
-
-    /// Pistache copies it once for each of its threads.
-    class Handler final : public Http::Handler {
-        HTTP_PROTOTYPE(Handler)
-
-    public:
-        explicit Handler(std::shared_ptr<Shared> shared)
-            : m_shared(std::move(shared))
-        {
-        }
-
-        void onRequest(const Http::Request& request, Http::ResponseWriter writer) override
-        {
-            const auto peer = writer.getPeer();
-            if (!peer)
-                return;
-            const auto connection = connectionOf(*peer);
-            // The time limits are for reading: without this the library ends connections that wait for their answer.
-            peer->setIdle(true);
-            prepareKeepAlive(request, writer);
-            const auto handle = m_shared->requests.add(connection);
-            connection->expect(handle, std::move(writer));
-            std::visit([&](auto command) { run(handle, std::move(command)); }, readCommand(request, m_shared->settings));
-        }
-
-        void onDisconnection(const std::shared_ptr<Peer>& peer) override
-        {
-            const auto connection = std::static_pointer_cast<Connection>(peer->tryGetData(connectionData));
-            if (!connection)
-                return;
-            const auto unanswered = connection->close();
-            // The library addresses writes by descriptor. Those still queued go out or fail now,
-            // before the descriptor is closed and given to another caller.
-            if (connection->mayHaveQueuedWrites())
-                transport()->flush();
-            for (const auto handle : unanswered) {
-                if (m_shared->requests.take(handle))
-                    m_shared->sink->callerGone(handle);
-            }
-        }
-
-    private:
-        std::shared_ptr<Connection> connectionOf(Peer& peer) const
-        {
-            auto data = peer.tryGetData(connectionData);
-            if (!data) {
-                data = std::make_shared<Connection>(m_shared->guards);
-                peer.putData(connectionData, data);
-            }
-            return std::static_pointer_cast<Connection>(data);
-        }
-
-        /// HTTP/1.1 keeps connections unless told otherwise; the library closes them unless told otherwise.
-        static void prepareKeepAlive(const Http::Request& request, Http::ResponseWriter& writer)
-        {
-            using Http::Header::Connection;
-            const auto header = request.headers().tryGet<Connection>();
-            if (request.version() != Http::Version::Http11 || (header && header->control() == Http::ConnectionControl::Close))
-                return;
-            writer.headers().remove<Connection>();
-            writer.headers().add<Connection>(Http::ConnectionControl::KeepAlive);
-        }
-
-        void reply(Ports::CallerHandle handle, Reply reply)
-        {
-            if (const auto connection = m_shared->requests.take(handle))
-                connection->reply(handle, std::move(reply));
-        }
-
-        void run(Ports::CallerHandle handle, RequestFault fault) { reply(handle, formatFault(fault)); }
-
-        void run(Ports::CallerHandle handle, Ports::CallerRequest request)
-        {
-            request.handle = handle;
-            m_shared->sink->requestArrived(std::move(request));
-        }
-
-        void run(Ports::CallerHandle handle, const CancelCommand& command)
-        {
-            reply(handle, formatCancellation(m_shared->sink->cancelByKey(command.team, command.idempotencyKey)));
-        }
-
-        void run(Ports::CallerHandle handle, HealthCheck) { reply(handle, formatCheck(true)); }
-
-        void run(Ports::CallerHandle handle, ReadinessCheck) { reply(handle, formatCheck(m_shared->sink->isReady())); }
-
-        std::shared_ptr<Shared> m_shared;
-    };
-
-} // namespace
 
 class PistacheCallers::Private {
 public:
     Private(const Ports::CallerSettings& settings, CallerGuards guards)
+        : m_settings(settings)
+        , m_endpoint({ settings.listenAddress, settings.threads, settings.maximumBodyBytes, settings.readTimeout, maximumTimeout }, hooks(), guards)
     {
-        m_shared->settings = settings;
-        m_shared->guards = guards;
     }
 
     void start(Ports::CallerSink& sink)
     {
-        std::signal(SIGPIPE, SIG_IGN);
-        m_shared->sink = &sink;
-        const auto& settings = m_shared->settings;
-        try {
-            m_endpoint = std::make_unique<Http::Endpoint>(Pistache::Address(settings.listenAddress));
-            m_endpoint->init(Http::Endpoint::options()
-                                 .threads(static_cast<int>(settings.threads))
-                                 .flags(Pistache::Tcp::Options::ReuseAddr | Pistache::Tcp::Options::NoDelay)
-                                 .backlog(listenBacklog)
-                                 .maxRequestSize(settings.maximumBodyBytes + headerAllowanceBytes)
-                                 .headerTimeout(settings.readTimeout)
-                                 .bodyTimeout(settings.readTimeout)
-                                 .keepaliveTimeout(maximumTimeout + keepAliveMargin));
-            m_endpoint->setHandler(std::make_shared<Handler>(m_shared));
-            m_endpoint->serveThreaded();
-        } catch (const std::exception& ex) {
-            m_endpoint.reset();
-            throw Ports::PortError("callers at " + settings.listenAddress + ": " + ex.what());
-        }
+        m_sink = &sink;
+        m_endpoint.start();
     }
 
-    void answer(Ports::CallerHandle handle, const Ports::Answer& answer)
+    void answer(Ports::CallerHandle handle, const Ports::Answer& answer) { m_endpoint.reply(handle, formatAnswer(answer)); }
+
+    std::size_t unanswered() const { return m_endpoint.unanswered(); }
+
+    void stop() { m_endpoint.stop(); }
+
+private:
+    HttpEndpoint::Hooks hooks()
     {
-        if (const auto connection = m_shared->requests.take(handle))
-            connection->reply(handle, formatAnswer(answer));
+        HttpEndpoint::Hooks result;
+        result.request = [this](Ports::CallerHandle handle, const Pistache::Http::Request& request) {
+            std::visit([&](auto command) { run(handle, std::move(command)); }, readCommand(request, m_settings));
+        };
+        result.gone = [this](Ports::CallerHandle handle) { m_sink->callerGone(handle); };
+        return result;
     }
 
-    std::size_t unanswered() const { return m_shared->requests.size(); }
+    void run(Ports::CallerHandle handle, RequestFault fault) { m_endpoint.reply(handle, formatFault(fault)); }
 
-    void stop()
+    void run(Ports::CallerHandle handle, Ports::CallerRequest request)
     {
-        if (m_endpoint)
-            m_endpoint->shutdown();
-        m_endpoint.reset();
+        request.handle = handle;
+        m_sink->requestArrived(std::move(request));
     }
 
-private:
-    std::shared_ptr<Shared> m_shared = std::make_shared<Shared>();
-    std::unique_ptr<Http::Endpoint> m_endpoint;
+    void run(Ports::CallerHandle handle, const CancelCommand& command)
+    {
+        m_endpoint.reply(handle, formatCancellation(m_sink->cancelByKey(command.team, command.idempotencyKey)));
+    }
+
+    void run(Ports::CallerHandle handle, HealthCheck) { m_endpoint.reply(handle, formatCheck(true)); }
+
+    void run(Ports::CallerHandle handle, ReadinessCheck) { m_endpoint.reply(handle, formatCheck(m_sink->isReady())); }
+
+    Ports::CallerSettings m_settings;
+    Ports::CallerSink* m_sink = nullptr;
+    HttpEndpoint m_endpoint;
 };
 
 PistacheCallers::PistacheCallers(std::unique_ptr<Private> impl)
--- a/Source/Core/Adapters/Platform/CurlClient.cpp
+++ b/Source/Core/Adapters/Platform/CurlClient.cpp
@@ -6,6 +6,9 @@
 #include <cctype>
 #include <curl/curl.h>
 #include <map>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <utility>
 #include <uv.h>
 
@@ -13,9 +16,7 @@
 
 namespace {
 
-    constexpr long maximumIdleConnections = 64;
-    constexpr long keepAliveIdleSeconds = 10;
-    constexpr long keepAliveIntervalSeconds = 5;
+    constexpr int keepAliveProbes = 3;
 
     struct Poll {
         uv_poll_t handle {};
@@ -60,8 +61,9 @@
         }
     };
 
-    explicit Private(EventLoop& loop)
+    Private(EventLoop& loop, const CurlLimits& limits)
         : m_loop(loop)
+        , m_limits(limits)
     {
         static const GlobalInit s_init;
         m_multi = curl_multi_init();
@@ -69,7 +71,8 @@
         curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
         curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, onTimer);
         curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
-        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maximumIdleConnections);
+        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, m_limits.idleConnections);
+        curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS, m_limits.connectionsPerServer);
     }
 
     ~Private() { cleanUp(); }
@@ -124,7 +127,7 @@
         curl_easy_setopt(easy, CURLOPT_HTTPHEADER, running.headers);
     }
 
-    static void setTransport(Running& running, const HttpCall& call)
+    void setTransport(Running& running, const HttpCall& call)
     {
         CURL* easy = running.easy;
         curl_easy_setopt(easy, CURLOPT_PRIVATE, &running);
@@ -134,9 +137,8 @@
         curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
         curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(call.connectTimeout.count()));
         curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
-        curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
-        curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, keepAliveIdleSeconds);
-        curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, keepAliveIntervalSeconds);
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, onSocketMade);
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, this);
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.freshConnection ? 1L : 0L);
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, onData);
         curl_easy_setopt(easy, CURLOPT_WRITEDATA, &running);
@@ -144,6 +146,21 @@
         curl_easy_setopt(easy, CURLOPT_HEADERDATA, &running);
     }
 
+    /// A peer that is cut off doesn't answer probes; one that doesn't acknowledge data is given up as soon.
+    static int onSocketMade(void* data, curl_socket_t socket, curlsocktype)
+    {
+        const auto deadPeer = static_cast<Private*>(data)->m_limits.deadPeer;
+        const int interval = std::max(1, static_cast<int>(deadPeer.count() / 1000 / (keepAliveProbes + 1)));
+        const auto userTimeout = static_cast<unsigned>(deadPeer.count());
+        const int on = 1;
+        setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+        setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &interval, sizeof interval);
+        setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof interval);
+        setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof keepAliveProbes);
+        setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeout, sizeof userTimeout);
+        return CURL_SOCKOPT_OK;
+    }
+
     static std::size_t onData(char* bytes, std::size_t size, std::size_t count, void* data)
     {
         auto* running = static_cast<Running*>(data);
@@ -274,22 +291,23 @@
     }
 
     EventLoop& m_loop;
+    CurlLimits m_limits;
     CURLM* m_multi = nullptr;
     EventLoop::TimerId m_timer = 0;
     CallId m_lastCall = 0;
     std::map<CallId, std::unique_ptr<Running>> m_running;
 };
 
-CurlClient::CurlClient(EventLoop& loop)
-    : m_private(std::make_unique<Private>(loop))
+CurlClient::CurlClient(EventLoop& loop, const CurlLimits& limits)
+    : m_private(std::make_unique<Private>(loop, limits))
 {
 }
 
 CurlClient::~CurlClient() = default;
 
-std::unique_ptr<CurlClient> CurlClient::create(EventLoop& loop)
+std::unique_ptr<CurlClient> CurlClient::create(EventLoop& loop, const CurlLimits& limits)
 {
-    return std::unique_ptr<CurlClient>(new CurlClient(loop));
+    return std::unique_ptr<CurlClient>(new CurlClient(loop, limits));
 }
 
 CurlClient::CallId CurlClient::start(HttpCall call, HttpCallback callback, HttpDataCallback dataCallback)
--- a/Source/Core/Adapters/Platform/CurlClient.h
+++ b/Source/Core/Adapters/Platform/CurlClient.h
@@ -55,12 +55,19 @@
 /// Takes a part of a streamed answer; false ends the call. Must not call the client.
 using HttpDataCallback = std::function<bool(std::string_view)>;
 
+/// Bounds of a client's connections.
+struct CurlLimits {
+    long idleConnections = 64;
+    long connectionsPerServer = 0; ///< Further calls wait for one; zero for no bound.
+    std::chrono::milliseconds deadPeer { 15000 }; ///< Without a sign of life of the peer, a connection is given up.
+};
+
 /// Runs calls at once and side by side. Used on the loop's thread only.
 class CurlClient {
 public:
     using CallId = std::uint64_t;
 
-    static std::unique_ptr<CurlClient> create(EventLoop&);
+    static std::unique_ptr<CurlClient> create(EventLoop&, const CurlLimits& = {});
     /// Call shutdown() before, on the loop's thread.
     ~CurlClient();
 
@@ -74,7 +81,7 @@
 private:
     class Private;
 
-    explicit CurlClient(EventLoop&);
+    CurlClient(EventLoop&, const CurlLimits&);
 
     std::unique_ptr<Private> m_private;
 };
--- a/Source/Core/Adapters/Platform/EventLoop.cpp
+++ b/Source/Core/Adapters/Platform/EventLoop.cpp
@@ -20,6 +20,11 @@
         Task task;
     };
 
+    struct Signal {
+        uv_signal_t handle {};
+        Task task;
+    };
+
     Private()
     {
         uv_loop_init(&m_loop);
@@ -77,6 +82,16 @@
         closeTimer(timer);
     }
 
+    void onSignal(int signal, Task task)
+    {
+        auto* watcher = new Signal;
+        watcher->task = std::move(task);
+        watcher->handle.data = watcher;
+        uv_signal_init(&m_loop, &watcher->handle);
+        uv_signal_start(&watcher->handle, [](uv_signal_t* it, int) { static_cast<Signal*>(it->data)->task(); }, signal);
+        m_signals.push_back(watcher);
+    }
+
     uv_loop_t m_loop {};
     std::thread m_thread;
 
@@ -112,6 +127,8 @@
         m_closed = true;
         while (!m_timers.empty())
             cancel(m_timers.begin()->first);
+        for (auto* it : std::exchange(m_signals, {}))
+            uv_close(reinterpret_cast<uv_handle_t*>(&it->handle), [](uv_handle_t* handle) { delete static_cast<Signal*>(handle->data); });
         uv_close(reinterpret_cast<uv_handle_t*>(&m_async), nullptr);
     }
 
@@ -122,6 +139,7 @@
     bool m_closed = false;
     TimerId m_lastTimer = 0;
     std::map<TimerId, Timer*> m_timers;
+    std::vector<Signal*> m_signals;
 };
 
 EventLoop::EventLoop()
@@ -181,6 +199,11 @@
     return Common::wallNow();
 }
 
+void EventLoop::onSignal(int signal, Task task)
+{
+    m_private->onSignal(signal, std::move(task));
+}
+
 uv_loop_s* EventLoop::handle()
 {
     return &m_private->m_loop;
--- a/Source/Core/Adapters/Platform/EventLoop.h
+++ b/Source/Core/Adapters/Platform/EventLoop.h
@@ -34,6 +34,8 @@
     void cancel(TimerId) override;
     Common::Instant now() const override;
     Common::WallTime wallNow() const override;
+    /// Runs the task on the loop whenever the process gets the signal. Before the loop runs, or on its thread.
+    void onSignal(int signal, Task);
     /// The libuv loop, for handles of other classes; they must close them before the loop can end.
     uv_loop_s* handle();
 
--- a/Source/Core/Common/Time.h
+++ b/Source/Core/Common/Time.h
@@ -25,6 +25,12 @@
 /// A point in civil time, in milliseconds since the Unix epoch; compared between hosts only with a skew allowance.
 using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
 
+/// One moment on both clocks, as events are handed to decision cores.
+struct Moment {
+    Instant now {};
+    WallTime wall {};
+};
+
 /// The wall clock now, in milliseconds.
 WallTime wallNow();
 
--- a/Source/Core/Decision/Requests/RequestCore.h
+++ b/Source/Core/Decision/Requests/RequestCore.h
@@ -22,11 +22,7 @@
     std::uint64_t seed = 0; ///< Of the spread of retry times.
 };
 
-/// The two clocks at an event.
-struct Moment {
-    Instant now {};
-    WallTime wall {};
-};
+using Common::Moment;
 
 /// Counts of what happened, for metrics and experiments.
 struct RequestCounts {
--- a/Source/Core/Jobs/Decision/JobTable.cpp
+++ b/Source/Core/Jobs/Decision/JobTable.cpp
@@ -179,6 +179,19 @@
     m_finished[record.job] = { record.queue, record.state, record.at };
 }
 
+void JobTable::forEachTask(const std::function<void(const Job&, const TaskKey&, const Task&)>& visit) const
+{
+    for (const auto& [id, job] : m_active) {
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (unsigned step = 0; step < occurrence.steps.size(); ++step) {
+                const auto& tasks = occurrence.steps[step].tasks;
+                for (unsigned index = 0; index < tasks.size(); ++index)
+                    visit(job, { id, number, step, index }, tasks[index]);
+            }
+        }
+    }
+}
+
 void JobTable::forgetFinished(Common::WallTime before)
 {
     std::erase_if(m_finished, [before](const auto& it) { return it.second.at < before; });
--- a/Source/Core/Jobs/Decision/JobTable.h
+++ b/Source/Core/Jobs/Decision/JobTable.h
@@ -80,6 +80,9 @@
     const std::unordered_map<JobId, Job>& active() const { return m_active; }
     std::size_t finishedCount() const { return m_finished.size(); }
 
+    /// Visits every task of the occurrences under way.
+    void forEachTask(const std::function<void(const Job&, const TaskKey&, const Task&)>&) const;
+
     /// Drops jobs that were final before that time.
     void forgetFinished(Common::WallTime before);
     /// Records that give this state again.
--- a/Source/Core/Jobs/Decision/Placement.cpp
+++ b/Source/Core/Jobs/Decision/Placement.cpp
@@ -66,6 +66,21 @@
     return need;
 }
 
+WorkerRun makeRun(const StepSpec& step, RunNumber number, Common::Instant now)
+{
+    WorkerRun run;
+    run.run = number;
+    run.reserved = reservedBy(step);
+    run.isLasting = step.isLasting;
+    run.isFiller = step.isFiller;
+    run.targetLatency = step.targetLatency;
+    run.estimate = step.estimate;
+    run.image = step.image;
+    run.orderedAt = now;
+    run.progressAt = now;
+    return run;
+}
+
 Candidate* choosePlace(std::vector<Candidate>& candidates, const PlacementRequest& request)
 {
     Candidate* best = nullptr;
--- /dev/null
+++ b/Source/Core/Jobs/Decision/PoolCore.cpp
@@ -0,0 +1,247 @@
+#include "Jobs/Decision/PoolCore.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Jobs {
+
+using Ports::JobAnswer;
+using Ports::JobOutcome;
+
+PoolCore::PoolCore(const PoolLimits& limits)
+    : m_limits(limits)
+{
+}
+
+void PoolCore::load(const std::vector<JobRecord>& records)
+{
+    for (const auto& it : records)
+        m_jobs.apply(it);
+}
+
+void PoolCore::loaded(Moment at)
+{
+    // What the journal says to be placed may still run: it keeps its place until the worker is heard or surely silent.
+    m_jobs.forEachTask([this, at](const Job& job, const TaskKey& key, const Task& task) {
+        if (task.state != Task::State::Placed)
+            return;
+        auto& worker = m_workers[task.worker];
+        if (worker.entry.id.empty()) {
+            worker.entry.id = task.worker;
+            worker.isListed = false;
+        }
+        auto run = makeRun(job.spec().steps[key.step], task.lastRun, at.now);
+        run.phase = WorkerRun::Phase::Confirmed;
+        run.confirmedAt = at.now;
+        run.checkpoint = task.checkpoint;
+        worker.runs[key] = std::move(run);
+    });
+}
+
+void PoolCore::configure(const JobConfiguration& configuration)
+{
+    m_configuration = configuration;
+}
+
+void PoolCore::workerListed(const WorkerEntry& entry, Moment at)
+{
+    auto& worker = m_workers[entry.id];
+    const bool isNewIncarnation = entry.incarnation != 0 && worker.entry.incarnation != 0 && entry.incarnation != worker.entry.incarnation;
+    const bool isOlder = entry.incarnation != 0 && entry.incarnation < worker.entry.incarnation;
+    if (isOlder)
+        return;
+    if (isNewIncarnation)
+        workerLost(entry.id, "new-incarnation", at);
+    if (worker.entry.state != entry.state || !worker.isListed || worker.entry.address.empty())
+        log("worker-listed", entry.id, { { "state", entry.state == WorkerEntry::State::Ready ? "ready" : "draining" }, { "address", entry.address }, { "incarnation", std::to_string(entry.incarnation) } });
+    worker.entry = entry;
+    worker.isListed = true;
+    worker.isCordoned = m_cordoned.contains(entry.id);
+}
+
+void PoolCore::workerUnlisted(const std::string& id, Moment)
+{
+    const auto it = m_workers.find(id);
+    if (it == m_workers.end() || !it->second.isListed)
+        return;
+    log("worker-unlisted", id, { { "runs", std::to_string(it->second.runs.size()) } });
+    it->second.isListed = false;
+    if (it->second.runs.empty())
+        m_workers.erase(it);
+}
+
+void PoolCore::workerSilent(const std::string& id, Moment)
+{
+    const auto it = m_workers.find(id);
+    if (it == m_workers.end() || !it->second.isOpen)
+        return;
+    log("worker-silent", id, { { "runs", std::to_string(it->second.runs.size()) } });
+    it->second.isOpen = false;
+}
+
+void PoolCore::workerLost(const std::string& id, const char* reason, Moment at)
+{
+    const auto it = m_workers.find(id);
+    if (it == m_workers.end())
+        return;
+    auto& worker = it->second;
+    log("worker-lost", id, { { "reason", reason }, { "runs", std::to_string(worker.runs.size()) } });
+    worker.isOpen = false;
+    worker.endsSeen = 0;
+    m_advice.dropWorker(id);
+    const auto runs = std::exchange(worker.runs, {});
+    for (const auto& [key, run] : runs) {
+        const auto* task = m_jobs.findTask(key);
+        if (task && task->state == Task::State::Placed && task->lastRun == run.run && task->worker == id)
+            recordEnd({ key, run.run, RunEnd::Lost, run.checkpoint, at.wall });
+    }
+    if (!worker.isListed)
+        m_workers.erase(it);
+}
+
+void PoolCore::cordon(const std::set<std::string>& workers, Moment)
+{
+    m_cordoned = workers;
+    for (auto& [id, worker] : m_workers)
+        worker.isCordoned = workers.contains(id);
+}
+
+std::string PoolCore::faultFor(const JobSpec& spec) const
+{
+    if (auto fault = faultOf(spec); !fault.empty())
+        return fault;
+    for (std::size_t n = 0; n < spec.steps.size() && !m_workers.empty(); ++n) {
+        const auto couldHold = [need = reservedBy(spec.steps[n])](const auto& it) { return !it.second.isListed || need.fitsInto(it.second.entry.capacity); };
+        if (std::ranges::none_of(m_workers, couldHold))
+            return "no worker of the pool could ever hold a task of step " + std::to_string(n);
+    }
+    return {};
+}
+
+JobAnswer PoolCore::submit(const JobId& id, const QueueRule& queue, JobSpec spec, Moment at)
+{
+    JobAnswer answer;
+    if (m_jobs.stateOf(id)) {
+        log("job-submitted-again", id, { { "queue", queue.name } });
+        answer.outcome = JobOutcome::Accepted;
+        return answer;
+    }
+    answer.reason = faultFor(spec);
+    if (!answer.reason.empty()) {
+        log("job-malformed", id, { { "queue", queue.name }, { "reason", answer.reason } });
+        answer.outcome = JobOutcome::Malformed;
+        return answer;
+    }
+    JobAccepted accepted;
+    accepted.job = id;
+    accepted.queue = queue.name;
+    accepted.priority = queue.priority;
+    accepted.maximumAttempts = std::max(1U, queue.maximumAttempts);
+    accepted.objective = objectiveOf(spec, queue.stretchPermille, queue.targetDuration);
+    accepted.acceptedAt = at.wall;
+    accepted.spec = std::move(spec);
+    log("job-accepted", id, { { "queue", queue.name }, { "steps", std::to_string(accepted.spec.steps.size()) }, { "objectiveMs", std::to_string(accepted.objective.count()) } });
+    record(std::move(accepted));
+    answer.outcome = JobOutcome::Accepted;
+    return answer;
+}
+
+JobAnswer PoolCore::cancel(const JobId& id, Moment at)
+{
+    JobAnswer answer;
+    const auto* state = m_jobs.stateOf(id);
+    answer.outcome = state ? JobOutcome::Cancelled : JobOutcome::NoSuchJob;
+    if (!state || isFinal(*state))
+        return answer;
+    log("job-cancelled", id, { { "state", nameOf(*state) } });
+    record(JobCancelled { id, at.wall });
+    stopJob(id);
+    return answer;
+}
+
+JobAnswer PoolCore::show(const JobId& id) const
+{
+    JobAnswer answer;
+    const auto* state = m_jobs.stateOf(id);
+    answer.outcome = state ? JobOutcome::Shown : JobOutcome::NoSuchJob;
+    if (state)
+        answer.state = *state;
+    return answer;
+}
+
+std::uint64_t PoolCore::backlog(const std::string& queue) const
+{
+    const auto waits = [&queue](const auto& it) { return it.second.accepted.queue == queue && it.second.state == JobState::Queued && it.second.spec().repeatCount == 0; };
+    return static_cast<std::uint64_t>(std::ranges::count_if(m_jobs.active(), waits));
+}
+
+PoolOutput PoolCore::takeOutput()
+{
+    return std::exchange(m_output, {});
+}
+
+std::vector<JobRecord> PoolCore::snapshot(Moment at)
+{
+    m_jobs.forgetFinished(at.wall - m_limits.retention);
+    return m_jobs.snapshot();
+}
+
+const Worker* PoolCore::findWorker(const std::string& id) const
+{
+    const auto it = m_workers.find(id);
+    return it == m_workers.end() ? nullptr : &it->second;
+}
+
+PoolLoad PoolCore::loadReport(Moment at) const
+{
+    PoolLoad load;
+    for (const auto& [id, worker] : m_workers) {
+        const auto isLasting = [](const auto& it) { return it.second.isLasting; };
+        if (worker.mayTake(at.now))
+            load.capacityMilliCores += worker.entry.capacity.milliCores;
+        for (const auto& [key, run] : worker.runs)
+            load.busyMilliCores += run.reserved.milliCores;
+        load.workers.push_back({ id, worker.entry.machine, static_cast<unsigned>(worker.runs.size()), static_cast<unsigned>(std::ranges::count_if(worker.runs, isLasting)), worker.isCordoned });
+    }
+    for (const auto& [id, job] : m_jobs.active()) {
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (unsigned step = 0; step < occurrence.steps.size(); ++step) {
+                const auto& spec = job.spec().steps[step];
+                if (!job.isReleased(number, step))
+                    continue;
+                const auto milliCores = occurrence.steps[step].waitingCount() * reservedBy(spec).milliCores;
+                load.waitingMilliCores += milliCores;
+                load.waitingWork += milliCores * static_cast<std::uint64_t>(std::max<std::int64_t>(0, spec.estimate.count())) / 1000;
+                if (queueKeyOf(job, number, step, at.wall).isLate)
+                    load.lateMilliCores += milliCores;
+            }
+        }
+    }
+    return load;
+}
+
+void PoolCore::record(JobRecord record)
+{
+    m_jobs.apply(record);
+    m_output.records.push_back(std::move(record));
+}
+
+void PoolCore::recordEnd(RunEnded end)
+{
+    const auto job = end.task.job;
+    record(std::move(end));
+    const auto* state = m_jobs.stateOf(job);
+    if (!state || !isFinal(*state))
+        return;
+    log("job-finished", job, { { "state", nameOf(*state) } });
+    m_advice.dropJob(job);
+    if (*state == JobState::Failed)
+        stopJob(job);
+}
+
+void PoolCore::log(const char* event, const std::string& id, std::vector<std::pair<const char*, std::string>> fields)
+{
+    m_output.log.push_back({ event, id, std::move(fields) });
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -0,0 +1,238 @@
+/// Which waiting task goes where, and which running one gives way.
+
+#include "Jobs/Decision/PoolCore.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Jobs {
+
+namespace {
+
+    constexpr std::size_t workersPerAdvice = 12; ///< A call costs a decision and a time for each worker named.
+
+} // namespace
+
+void PoolCore::decide(Moment at)
+{
+    beginDue(at);
+    vacate(at);
+    std::vector<Candidate> candidates;
+    for (auto& [id, worker] : m_workers) {
+        if (worker.mayTake(at.now))
+            candidates.push_back({ &worker, worker.room() });
+    }
+    if (candidates.empty())
+        return;
+    for (const auto& it : waitingSteps(at))
+        placeStep(it, candidates, at);
+}
+
+std::optional<Instant> PoolCore::nextDecision(Moment at) const
+{
+    std::optional<Instant> next;
+    const auto consider = [&next](Instant it) { next = next ? std::min(*next, it) : it; };
+    bool isWaiting = false;
+    for (const auto& [id, job] : m_jobs.active()) {
+        if (job.occurrencesBegun < job.occurrenceCount())
+            consider(at.now + std::max(milliseconds(1), job.dueAt(job.occurrencesBegun) - at.wall));
+        for (const auto& [number, occurrence] : job.occurrences)
+            isWaiting = isWaiting || std::ranges::any_of(occurrence.steps, [](const auto& it) { return it.waitingCount() > 0; });
+    }
+    for (const auto& [id, worker] : m_workers) {
+        if (isWaiting && worker.avoidUntil > at.now)
+            consider(worker.avoidUntil);
+    }
+    return next;
+}
+
+void PoolCore::beginDue(Moment at)
+{
+    for (auto& [id, job] : m_jobs.active()) {
+        while (job.occurrencesBegun < job.occurrenceCount() && job.dueAt(job.occurrencesBegun) <= at.wall)
+            m_jobs.beginOccurrence(job);
+    }
+}
+
+bool PoolCore::isAtWork(const TaskKey& key, const Task& task) const
+{
+    if (task.state != Task::State::Placed)
+        return false;
+    const auto* worker = findWorker(task.worker);
+    if (!worker)
+        return false;
+    const auto it = worker->runs.find(key);
+    return it != worker->runs.end() && it->second.phase == WorkerRun::Phase::Confirmed && it->second.percent >= 100;
+}
+
+/// True when stopping the task keeps the step within the number of tasks that may be away.
+bool PoolCore::mayInterrupt(const TaskKey& key) const
+{
+    const auto* job = m_jobs.find(key.job);
+    const auto* step = job ? job->stepOf(key) : nullptr;
+    if (!step)
+        return true;
+    if (!isAtWork(key, step->tasks[key.index]))
+        return true;
+    unsigned away = 0;
+    TaskKey other = key;
+    for (other.index = 0; other.index < step->tasks.size(); ++other.index)
+        away += isAtWork(other, step->tasks[other.index]) ? 0 : 1;
+    return away < job->spec().steps[key.step].mayMiss;
+}
+
+/// Lasting tasks leave workers that are to be empty, as far as their steps may miss them and another worker has room.
+void PoolCore::vacate(Moment at)
+{
+    for (auto& [id, worker] : m_workers) {
+        const bool isDraining = worker.entry.state == WorkerEntry::State::Draining;
+        if (!worker.isOpen || (!worker.isCordoned && !isDraining))
+            continue;
+        for (auto& [key, run] : worker.runs) {
+            if (!run.isLasting || run.phase != WorkerRun::Phase::Confirmed)
+                continue;
+            const auto hasRoom = [&, reserved = run.reserved](const auto& it) { return it.second.mayTake(at.now) && reserved.fitsInto(it.second.room()); };
+            if (std::ranges::none_of(m_workers, hasRoom) || !(isDraining || mayInterrupt(key)))
+                continue;
+            log("run-vacated", key.job, { { "task", std::to_string(key.step) + "." + std::to_string(key.index) }, { "worker", id }, { "reason", isDraining ? "draining" : "cordoned" } });
+            orderStop(worker, key, run);
+        }
+    }
+}
+
+std::vector<PoolCore::WaitingStep> PoolCore::waitingSteps(Moment at)
+{
+    std::vector<WaitingStep> waiting;
+    for (auto& [id, job] : m_jobs.active()) {
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (unsigned step = 0; step < occurrence.steps.size(); ++step) {
+                if (occurrence.steps[step].waitingCount() > 0 && job.isReleased(number, step))
+                    waiting.push_back({ queueKeyOf(job, number, step, at.wall), &job, number, step });
+            }
+        }
+    }
+    std::ranges::sort(waiting, [](const auto& left, const auto& right) {
+        if (left.key != right.key)
+            return left.key < right.key;
+        return std::tie(left.job->accepted.job, left.occurrence, left.step) < std::tie(right.job->accepted.job, right.occurrence, right.step);
+    });
+    return waiting;
+}
+
+bool PoolCore::mayRunRemote(const WaitingStep& it, Moment at) const
+{
+    const auto& spec = it.job->spec().steps[it.step];
+    const auto isNear = [&spec](const auto& entry) { return entry.second.isListed && entry.second.entry.rack == spec.dataRack; };
+    if (spec.dataRack.empty() || std::ranges::none_of(m_workers, isNear))
+        return true;
+    // Waiting for the rack pays as long as it takes less than the extra run time elsewhere.
+    constexpr int permille = 1000;
+    const auto extra = spec.estimate * static_cast<int>(m_limits.remoteFactorPermille - permille) / permille;
+    return at.wall - it.job->dueAt(it.occurrence) > extra;
+}
+
+bool PoolCore::isAdvised(const WaitingStep& it, const Worker& worker, Instant now) const
+{
+    const auto* queue = m_configuration.findQueue(it.job->accepted.queue);
+    return !queue || !queue->advice || m_advice.ticketOf({ it.job->accepted.job, it.occurrence, it.step, 0 }, worker.entry.id, now);
+}
+
+void PoolCore::askAdvice(const WaitingStep& it, const std::vector<Candidate>& candidates, Moment at)
+{
+    const TaskKey key { it.job->accepted.job, it.occurrence, it.step, 0 };
+    const auto* queue = m_configuration.findQueue(it.job->accepted.queue);
+    if (!queue || !queue->advice || m_advice.isAsking(key))
+        return;
+    AskAdvice order { key, {} };
+    for (const auto& candidate : candidates) {
+        const auto& worker = candidate.worker->entry.id;
+        if (order.workers.size() < workersPerAdvice && m_advice.isWorthAsking(key, worker, at.now))
+            order.workers.push_back(worker);
+    }
+    if (order.workers.empty())
+        return;
+    m_advice.asking(key);
+    m_output.orders.emplace_back(std::move(order));
+}
+
+void PoolCore::advised(const AskAdvice& order, const std::vector<AdvisedWorker>& good, milliseconds validity, Moment at)
+{
+    const bool isAnswered = validity > milliseconds(0);
+    log("advice", order.step.job, { { "step", std::to_string(order.step.step) }, { "asked", std::to_string(order.workers.size()) }, { "good", std::to_string(good.size()) } });
+    m_advice.add(order.step, isAnswered ? order.workers : std::vector<std::string>(), good, at.now + validity);
+}
+
+void PoolCore::placeStep(const WaitingStep& it, std::vector<Candidate>& candidates, Moment at)
+{
+    auto& job = *it.job;
+    const auto& spec = job.spec().steps[it.step];
+    TaskKey key { job.accepted.job, it.occurrence, it.step, 0 };
+    auto& step = *job.stepOf(key);
+    std::map<std::string, unsigned> placed;
+    for (const auto& task : step.tasks) {
+        if (task.state == Task::State::Placed)
+            ++placed[task.worker];
+    }
+    PlacementRequest request { &spec, &placed };
+    request.mayRunRemote = mayRunRemote(it, at);
+    request.isAllowed = [&](const Worker& worker) { return isAdvised(it, worker, at.now); };
+    if (spec.sameRack && !placed.empty()) {
+        if (const auto* worker = findWorker(placed.begin()->first))
+            request.preferredRack = worker->entry.rack;
+    }
+    if (spec.isGang) {
+        placeGang(it, candidates, request, at);
+        return;
+    }
+    for (key.index = 0; key.index < step.tasks.size(); ++key.index) {
+        const auto& task = step.tasks[key.index];
+        if (task.state != Task::State::Waiting)
+            continue;
+        auto* place = choosePlace(candidates, request);
+        if (!place) {
+            askAdvice(it, candidates, at);
+            return;
+        }
+        ++placed[place->worker->entry.id];
+        placeTask(job, key, task.lastRun + 1, *place, at);
+    }
+}
+
+void PoolCore::placeGang(const WaitingStep& it, std::vector<Candidate>& candidates, const PlacementRequest& request, Moment at)
+{
+    auto& job = *it.job;
+    TaskKey key { job.accepted.job, it.occurrence, it.step, 0 };
+    const auto& tasks = job.stepOf(key)->tasks;
+    const auto count = static_cast<unsigned>(tasks.size());
+    if (job.stepOf(key)->waitingCount() != count)
+        return;
+    const auto places = chooseGangPlaces(candidates, request, count);
+    if (places.empty()) {
+        askAdvice(it, candidates, at);
+        return;
+    }
+    const auto run = std::ranges::max(tasks, {}, &Task::lastRun).lastRun + 1;
+    // All members resume from one checkpoint, or none does.
+    std::string checkpoint;
+    for (const auto& task : tasks)
+        checkpoint = std::max(checkpoint, task.checkpoint);
+    for (key.index = 0; key.index < count; ++key.index) {
+        m_jobs.findTask(key)->checkpoint = checkpoint;
+        placeTask(job, key, run, *places[key.index], at);
+    }
+}
+
+void PoolCore::placeTask(Job& job, const TaskKey& key, RunNumber run, Candidate& place, Moment at)
+{
+    const auto& spec = job.spec().steps[key.step];
+    auto& worker = *place.worker;
+    const auto checkpoint = m_jobs.findTask(key)->checkpoint;
+    place.room -= reservedBy(spec);
+    worker.runs[key] = makeRun(spec, run, at.now);
+    record(RunStarted { key, run, worker.entry.id });
+    const auto ticket = m_advice.ticketOf(key, worker.entry.id, at.now).value_or("");
+    log("run-placed", key.job, { { "task", std::to_string(key.step) + "." + std::to_string(key.index) }, { "run", std::to_string(run) }, { "worker", worker.entry.id }, { "roomMilliCores", std::to_string(place.room.milliCores) } });
+    m_output.orders.emplace_back(StartRun { key, run, worker.entry.id, job.spec().payload, checkpoint, ticket });
+}
+
+} // namespace Jobs
--- a/Source/Core/Jobs/Decision/Worker.h
+++ b/Source/Core/Jobs/Decision/Worker.h
@@ -27,12 +27,16 @@
     std::string image;
     Common::Instant orderedAt {};
     Common::Instant confirmedAt {}; ///< A look that was sent later and doesn't show the run proves that it is gone.
+    Common::Instant progressAt {}; ///< When the percentage or the checkpoint last changed.
     std::string checkpoint; ///< Newest one seen.
     unsigned percent = 0;
     std::uint64_t measure = 0; ///< See Ports::RunningTask.
     unsigned throttlePercent = 100;
 };
 
+/// The run of a task of that step, just ordered.
+WorkerRun makeRun(const StepSpec&, RunNumber, Common::Instant now);
+
 /// A worker with the runs that occupy it.
 struct Worker {
     WorkerEntry entry;
--- /dev/null
+++ b/Source/Core/Jobs/Fleet/WaveRun.cpp
@@ -0,0 +1,120 @@
+#include "Jobs/Fleet/WaveRun.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace Jobs {
+
+namespace {
+
+    constexpr milliseconds vacateLimit { 4000 }; ///< A machine that isn't empty by then gives way to another for a while.
+    constexpr milliseconds vacatePause { 3000 };
+    constexpr milliseconds downMargin { 400 }; ///< A new worker takes a moment to register.
+    constexpr unsigned lookahead = 2; ///< Machines being vacated beyond those that may go down at once.
+
+} // namespace
+
+WaveRun::WaveRun(MaintenanceWave wave, Instant publishedAt, std::set<std::string> done)
+    : m_wave(std::move(wave))
+    , m_publishedAt(publishedAt)
+    , m_done(std::move(done))
+{
+}
+
+bool WaveRun::isDue(const std::string& machine, const MachineView& view) const
+{
+    return !m_done.contains(machine) && !m_underWay.contains(machine) && view.machine.state == Machine::State::Up;
+}
+
+unsigned WaveRun::downCount(Instant now) const
+{
+    const auto isDown = [now](const auto& it) { return it.second > now; };
+    return static_cast<unsigned>(m_underWay.size() + static_cast<std::size_t>(std::ranges::count_if(m_downUntil, isDown)));
+}
+
+std::set<std::string> WaveRun::chooseCordon(const std::map<std::string, MachineView>& views, Instant now)
+{
+    using Rank = std::tuple<bool, unsigned, unsigned, std::string>;
+    std::vector<Rank> ranked;
+    for (const auto& name : m_wave.machines) {
+        const auto it = views.find(name);
+        if (it == views.end() || !isDue(name, it->second) || it->second.isOff || !it->second.load)
+            continue;
+        auto& attempt = m_attempts[name];
+        const bool isCordoned = m_cordon.contains(name);
+        if (isCordoned && it->second.load->runs > 0 && now - attempt.cordonedAt > vacateLimit) {
+            attempt.pauseUntil = now + vacatePause;
+            continue;
+        }
+        if (attempt.pauseUntil > now)
+            continue;
+        ranked.emplace_back(!isCordoned, it->second.load->lastingRuns, it->second.load->runs, name);
+    }
+    std::ranges::sort(ranked);
+    const auto down = downCount(now);
+    const std::size_t room = (m_wave.maximumDown > down ? m_wave.maximumDown - down : 0) + lookahead;
+    std::set<std::string> chosen;
+    for (const auto& it : ranked) {
+        if (chosen.size() >= room)
+            break;
+        const auto& name = std::get<std::string>(it);
+        if (!m_cordon.contains(name))
+            m_attempts[name].cordonedAt = now;
+        chosen.insert(name);
+    }
+    m_cordon = chosen;
+    return chosen;
+}
+
+std::vector<std::string> WaveRun::chooseOrders(const std::map<std::string, MachineView>& views, Instant now) const
+{
+    std::vector<std::string> chosen;
+    const auto down = downCount(now);
+    for (const auto& name : m_wave.machines) {
+        if (down + chosen.size() >= m_wave.maximumDown)
+            break;
+        const auto it = views.find(name);
+        if (it == views.end() || !isDue(name, it->second))
+            continue;
+        const auto attempt = m_attempts.find(name);
+        if (attempt != m_attempts.end() && attempt->second.pauseUntil > now)
+            continue;
+        const auto& view = it->second;
+        const bool isEmpty = view.load && view.load->isCordoned && view.load->runs == 0 && m_cordon.contains(name);
+        if (view.isOff || isEmpty)
+            chosen.push_back(name);
+    }
+    return chosen;
+}
+
+void WaveRun::ordered(const std::string& machine, Instant)
+{
+    m_underWay.insert(machine);
+}
+
+void WaveRun::began(const std::string& machine, Instant now, milliseconds maintenanceTime)
+{
+    m_underWay.erase(machine);
+    m_done.insert(machine);
+    m_cordon.erase(machine);
+    m_downUntil[machine] = now + maintenanceTime + downMargin;
+}
+
+void WaveRun::refused(const std::string& machine, Instant now)
+{
+    m_underWay.erase(machine);
+    m_attempts[machine].pauseUntil = now + vacatePause / 4;
+}
+
+std::vector<std::string> WaveRun::unanswered() const
+{
+    return { m_underWay.begin(), m_underWay.end() };
+}
+
+bool WaveRun::isCompleted(const std::map<std::string, MachineView>& views) const
+{
+    return std::ranges::all_of(m_wave.machines, [&](const auto& it) { return m_done.contains(it) || !views.contains(it); });
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/Source/Core/Jobs/Fleet/WaveRun.h
@@ -0,0 +1,65 @@
+#pragma once
+
+/// One maintenance wave: which machines are due, down and done. No I/O, no clock.
+
+#include "Jobs/Decision/PoolCore.h"
+#include "Jobs/Model/FleetTypes.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Jobs {
+
+/// What is known of a machine that a wave may take.
+struct MachineView {
+    Machine machine;
+    const WorkerLoad* load = nullptr; ///< As its pool's owner reported it; null when the owner wasn't heard or knows no worker there.
+    bool isOwnerHeard = false; ///< Its pool's owner has reported lately.
+    bool isOff = false; ///< Of a standby pool: nothing runs there.
+};
+
+/// Answers the load pattern in which each queue peaks in its turn: machines that are off or idle go first, those with
+/// short tasks when these have ended, and those with lasting tasks once the tasks have moved away.
+class WaveRun {
+public:
+    WaveRun(MaintenanceWave, Instant publishedAt, std::set<std::string> done);
+
+    /// Machines to vacate now, at most as many as may go down.
+    std::set<std::string> chooseCordon(const std::map<std::string, MachineView>&, Instant now);
+    /// Machines that are empty and may go into maintenance now.
+    std::vector<std::string> chooseOrders(const std::map<std::string, MachineView>&, Instant now) const;
+    void ordered(const std::string& machine, Instant now);
+    /// The order was carried out (now or before).
+    void began(const std::string& machine, Instant now, milliseconds maintenanceTime);
+    /// The order surely did nothing.
+    void refused(const std::string& machine, Instant now);
+    /// Without an answer, the order may have been carried out: it is given again.
+    std::vector<std::string> unanswered() const;
+    /// True when every machine of the wave that is still listed has begun its maintenance.
+    bool isCompleted(const std::map<std::string, MachineView>&) const;
+
+    const MaintenanceWave& wave() const { return m_wave; }
+    const std::set<std::string>& done() const { return m_done; }
+    unsigned downCount(Instant now) const;
+
+private:
+    struct Attempt {
+        Instant cordonedAt {};
+        Instant pauseUntil {};
+    };
+
+    bool isDue(const std::string& machine, const MachineView&) const;
+
+    MaintenanceWave m_wave;
+    Instant m_publishedAt;
+    std::set<std::string> m_done;
+    std::set<std::string> m_underWay; ///< Ordered, without an answer yet.
+    std::map<std::string, Instant> m_downUntil;
+    std::map<std::string, Attempt> m_attempts;
+    std::set<std::string> m_cordon;
+};
+
+} // namespace Jobs
--- /dev/null
+++ b/Source/Core/Jobs/Runtime/FleetDuty.cpp
@@ -0,0 +1,315 @@
+#include "Jobs/Runtime/FleetDuty.h"
+
+#include "Jobs/Fleet/WaveRun.h"
+#include "Jobs/Runtime/Events.h"
+#include "Jobs/Runtime/Ownership.h"
+#include "Jobs/Runtime/StoreKeys.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Jobs {
+
+namespace {
+
+    constexpr milliseconds stepInterval { 300 }; ///< While machines are to be vacated: a fraction of a task's run time.
+    constexpr milliseconds orderRetry { 400 };
+    constexpr milliseconds silenceMargin { 300 }; ///< On top of the silence between two holders, for orders under way.
+    constexpr milliseconds listInterval { 2500 };
+
+    std::set<std::string> readNames(const std::string& text)
+    {
+        std::set<std::string> names;
+        for (std::size_t begin = 0; begin < text.size();) {
+            const auto end = std::min(text.find(' ', begin), text.size());
+            if (end > begin)
+                names.insert(text.substr(begin, end - begin));
+            begin = end + 1;
+        }
+        return names;
+    }
+
+    std::string joinNames(const std::set<std::string>& names)
+    {
+        std::string text;
+        for (const auto& it : names)
+            text += (text.empty() ? "" : " ") + it;
+        return text;
+    }
+
+} // namespace
+
+struct FleetDuty::State : std::enable_shared_from_this<FleetDuty::State> {
+    State(const FleetContext& given, Fence ownFence)
+        : context(given)
+        , loop(given.loop)
+        , fence(ownFence)
+        , firstOrderAt(given.loop.now() + given.limits.holderSilence + silenceMargin)
+    {
+    }
+
+    static void log(const char* event, const std::string& id, std::vector<std::pair<const char*, std::string>> fields)
+    {
+        writeEvent("fleet", { event, id, std::move(fields) });
+    }
+
+    void stepAfter(milliseconds delay)
+    {
+        loop.cancel(timer);
+        timer = loop.after(delay, [self = weak_from_this()] {
+            if (const auto state = self.lock(); state && !state->isOver)
+                state->step();
+        });
+    }
+
+    bool hasWork() const { return !waves.empty(); }
+
+    /// Reads the machines when that is due, then asks all pools for their loads, then decides.
+    void step()
+    {
+        if (!hasWork())
+            return;
+        if (loop.now() >= nextList) {
+            context.machines.list([self = weak_from_this()](bool isWhole, std::vector<Machine> list) {
+                const auto state = self.lock();
+                if (!state || state->isOver)
+                    return;
+                if (isWhole)
+                    state->take(std::move(list));
+                state->askLoads();
+            });
+            return;
+        }
+        askLoads();
+    }
+
+    void take(std::vector<Machine> list)
+    {
+        nextList = loop.now() + listInterval;
+        machines.clear();
+        for (auto& it : list)
+            machines[it.name] = std::move(it);
+    }
+
+    void askLoads()
+    {
+        std::set<std::string> pools;
+        for (const auto& it : configuration.pools)
+            pools.insert(it.name);
+        waitingLoads = pools.size();
+        loads.clear();
+        if (pools.empty())
+            stepAfter(stepInterval);
+        for (const auto& pool : pools) {
+            LoadCall call { 0, pool, {}, {} };
+            for (const auto& machine : cordon) {
+                if (const auto it = machines.find(machine); it != machines.end() && it->second.pool == pool)
+                    call.cordonedMachines.push_back(machine);
+            }
+            call.goneWorkers.assign(goneWorkers.begin(), goneWorkers.end());
+            context.askLoad(std::move(call), [self = weak_from_this(), pool](const LoadCallAnswer& answer) {
+                const auto state = self.lock();
+                if (!state || state->isOver)
+                    return;
+                if (answer.isOwner)
+                    state->loads[pool] = answer.load;
+                if (--state->waitingLoads == 0)
+                    state->decide();
+            });
+        }
+        goneWorkers.clear();
+    }
+
+    std::map<std::string, MachineView> views() const
+    {
+        std::map<std::string, MachineView> result;
+        for (const auto& [name, machine] : machines) {
+            auto& view = result[name];
+            view.machine = machine;
+            const auto* pool = configuration.findPool(machine.pool);
+            view.isOff = pool && pool->isStandby;
+            const auto load = loads.find(machine.pool);
+            view.isOwnerHeard = load != loads.end();
+            if (!view.isOwnerHeard)
+                continue;
+            const auto& workers = load->second.workers;
+            const auto it = std::ranges::find(workers, name, &WorkerLoad::machine);
+            if (it != workers.end())
+                view.load = &*it;
+        }
+        return result;
+    }
+
+    void decide()
+    {
+        const auto now = loop.now();
+        const auto seen = views();
+        cordon.clear();
+        for (auto& [number, run] : waves) {
+            if (!machines.empty() && run.isCompleted(seen)) {
+                complete(number);
+                stepAfter(stepInterval);
+                return;
+            }
+            cordon.merge(run.chooseCordon(seen, now));
+            if (now < firstOrderAt || !context.mayOrder())
+                continue;
+            for (const auto& machine : run.chooseOrders(seen, now))
+                order(number, machine);
+        }
+        stepAfter(stepInterval);
+    }
+
+    void order(std::uint64_t number, const std::string& machine)
+    {
+        auto& run = waves.at(number);
+        run.ordered(machine, loop.now());
+        log("maintenance-ordered", machine, { { "wave", std::to_string(number) }, { "fence", std::to_string(fence) }, { "down", std::to_string(run.downCount(loop.now())) }, { "maximum", std::to_string(run.wave().maximumDown) } });
+        send(number, machine);
+    }
+
+    void send(std::uint64_t number, const std::string& machine)
+    {
+        if (!context.mayOrder()) {
+            again(number, machine);
+            return;
+        }
+        const Ports::MachineOrder order { machine, context.holder, fence, {}, number };
+        context.machines.maintain(order, [self = weak_from_this(), number, machine](Ports::MachineStatus status) {
+            if (const auto state = self.lock(); state && !state->isOver)
+                state->answered(number, machine, status);
+        });
+    }
+
+    void again(std::uint64_t number, const std::string& machine)
+    {
+        loop.after(orderRetry, [self = weak_from_this(), number, machine] {
+            if (const auto state = self.lock(); state && !state->isOver)
+                state->send(number, machine);
+        });
+    }
+
+    void answered(std::uint64_t number, const std::string& machine, Ports::MachineStatus status)
+    {
+        using Ports::MachineStatus;
+        const auto it = waves.find(number);
+        if (it == waves.end())
+            return;
+        log("maintenance-answered", machine, { { "wave", std::to_string(number) }, { "status", std::to_string(static_cast<int>(status)) } });
+        if (status == MachineStatus::Done) {
+            it->second.began(machine, loop.now(), context.limits.maintenanceTime);
+            if (const auto found = machines.find(machine); found != machines.end() && !found->second.worker.empty())
+                goneWorkers.insert(found->second.worker);
+            save(it->second);
+        } else if (status == MachineStatus::NoAnswer) {
+            again(number, machine); // It may have been carried out, and is answered alike when it was.
+        } else {
+            it->second.refused(machine, loop.now());
+            nextList = {};
+        }
+    }
+
+    std::string progressKey(std::uint64_t number) const { return "/marigold/waves/" + std::to_string(number); }
+
+    void save(const WaveRun& run)
+    {
+        Ports::Transaction transaction;
+        transaction.compares = { { Ownership::keyOf("fleet"), static_cast<std::int64_t>(fence) } };
+        transaction.puts = { { progressKey(run.wave().number), joinNames(run.done()), 0 } };
+        context.platform.transact(std::move(transaction), [](const Ports::PlatformReply&) {});
+    }
+
+    void complete(std::uint64_t number)
+    {
+        log("wave-completed", std::to_string(number), {});
+        finished.insert(number);
+        waves.erase(number);
+        writeStatus(number, true);
+    }
+
+    void writeStatus(std::uint64_t number, bool isCompleted)
+    {
+        Ports::Transaction transaction;
+        transaction.compares = { { Ownership::keyOf("fleet"), static_cast<std::int64_t>(fence) } };
+        transaction.puts = { context.published.waveStatus(number, isCompleted) };
+        context.platform.transact(std::move(transaction), [self = weak_from_this(), number, isCompleted](const Ports::PlatformReply& reply) {
+            const auto state = self.lock();
+            if (!state || state->isOver || reply.status == Ports::PlatformStatus::Ok || reply.status == Ports::PlatformStatus::ComparesFailed)
+                return;
+            state->loop.after(orderRetry, [self, number, isCompleted] {
+                if (const auto it = self.lock(); it && !it->isOver)
+                    it->writeStatus(number, isCompleted);
+            });
+        });
+    }
+
+    void wavePublished(const MaintenanceWave& wave)
+    {
+        if (waves.contains(wave.number) || finished.contains(wave.number) || loading.contains(wave.number))
+            return;
+        loading.insert(wave.number);
+        readProgress(wave);
+    }
+
+    void readProgress(const MaintenanceWave& wave)
+    {
+        context.platform.read(progressKey(wave.number), false, [self = weak_from_this(), wave](const Ports::PlatformReply& reply) {
+            const auto state = self.lock();
+            if (!state || state->isOver)
+                return;
+            if (reply.status != Ports::PlatformStatus::Ok) {
+                state->loop.after(orderRetry, [self, wave] {
+                    if (const auto it = self.lock(); it && !it->isOver)
+                        it->readProgress(wave);
+                });
+                return;
+            }
+            state->loading.erase(wave.number);
+            const auto done = reply.values.empty() ? std::set<std::string>() : readNames(reply.values.front().value);
+            log("wave-begun", std::to_string(wave.number), { { "machines", std::to_string(wave.machines.size()) }, { "done", std::to_string(done.size()) }, { "maximum", std::to_string(wave.maximumDown) } });
+            state->waves.emplace(wave.number, WaveRun(wave, state->loop.now(), done));
+            state->writeStatus(wave.number, false);
+            state->nextList = {};
+            state->stepAfter(milliseconds(1));
+        });
+    }
+
+    FleetContext context;
+    Common::TaskLoop& loop;
+    Fence fence;
+    Common::Instant firstOrderAt;
+    Common::Instant nextList {};
+    JobConfiguration configuration;
+    std::map<std::string, Machine> machines;
+    std::map<std::string, PoolLoad> loads;
+    std::map<std::uint64_t, WaveRun> waves;
+    std::set<std::uint64_t> finished;
+    std::set<std::uint64_t> loading; ///< Waves whose progress is being read.
+    std::set<std::string> cordon;
+    std::set<std::string> goneWorkers;
+    std::size_t waitingLoads = 0;
+    Common::TaskLoop::TimerId timer = 0;
+    bool isOver = false;
+};
+
+FleetDuty::FleetDuty(const FleetContext& context, Fence fence)
+    : m_state(std::make_shared<State>(context, fence))
+{
+}
+
+FleetDuty::~FleetDuty()
+{
+    m_state->isOver = true;
+    m_state->loop.cancel(m_state->timer);
+}
+
+void FleetDuty::begin()
+{
+    m_state->stepAfter(milliseconds(1));
+}
+
+void FleetDuty::configure(const JobConfiguration& configuration) { m_state->configuration = configuration; }
+
+void FleetDuty::wavePublished(const MaintenanceWave& wave) { m_state->wavePublished(wave); }
+
+} // namespace Jobs
--- /dev/null
+++ b/Source/Core/Jobs/Runtime/JobNodeState.h
@@ -0,0 +1,71 @@
+#pragma once
+
+/// State of a host of the job subsystem; see JobNode.
+
+#include "Jobs/Runtime/FleetDuty.h"
+#include "Jobs/Runtime/JobNode.h"
+#include "Jobs/Runtime/PeerCalls.h"
+
+#include <atomic>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Jobs {
+
+/// Name of the duty that gives orders to machines; pools' names have no such sign.
+constexpr const char* fleetDuty = "~fleet";
+
+struct JobNode::State : std::enable_shared_from_this<JobNode::State> {
+    State(const JobNodePorts&, JobNodeSettings);
+
+    void start();
+    void leave(std::function<void()> left);
+    void handOver(Common::Instant limit, std::function<void()> left);
+
+    // What operators and workers publish.
+    void published(const Ports::KeyValue&);
+    void unreadable(const std::string& kind, const std::string& key);
+    void configure(JobConfiguration);
+    void followWorkers();
+    void workerChanged(const Ports::KeyValue&);
+    void workerRemoved(const std::string& id);
+
+    // Duties.
+    Ownership::Hooks ownershipHooks();
+    void acquired(const std::string& duty, Fence);
+    void beginFleet(Fence);
+    void lost(const std::string& duty);
+    void drop(const std::string& duty);
+    void membersChanged();
+
+    // Peers.
+    void frame(const std::string& from, const std::string& text);
+    void poolCalled(const std::string& from, PoolCall);
+    LoadCallAnswer loadAnswer(const LoadCall&);
+    void askLoad(LoadCall, std::function<void(const LoadCallAnswer&)>);
+
+    // Callers; in JobDoor.cpp.
+    void called(Ports::JobCall, Ports::JobReply);
+    void pass(const QueueRule&, const JobId&, Ports::JobCall, Ports::JobReply);
+    void passToPeer(const std::string& host, const QueueRule&, const JobId&, Ports::JobCall, Ports::JobReply);
+
+    JobNodePorts ports;
+    Common::TaskLoop& loop;
+    JobNodeSettings settings;
+    std::unique_ptr<JobMetrics> metrics;
+    PeerCalls peerCalls;
+    std::unique_ptr<PrefixFeed> operatorFeed;
+    std::unique_ptr<PrefixFeed> workerFeed; ///< Since the first duty.
+    JobConfiguration configuration;
+    std::map<std::uint64_t, MaintenanceWave> waves;
+    std::map<std::string, WorkerEntry> workers;
+    std::map<std::string, std::unique_ptr<PoolOwner>> owners;
+    std::unique_ptr<FleetDuty> fleet;
+    std::vector<Ports::PeerAddress> knownPeers;
+    std::atomic<bool> isConfigured { false };
+    std::atomic<bool> isLeaving { false };
+    Ownership ownership; ///< Last: its hooks use the others.
+};
+
+} // namespace Jobs
--- /dev/null
+++ b/Source/Core/Jobs/Runtime/Journal.cpp
@@ -0,0 +1,197 @@
+#include "Jobs/Runtime/Journal.h"
+
+#include "Jobs/Runtime/JournalLoader.h"
+#include "Jobs/Runtime/SnapshotWriter.h"
+#include "Jobs/Runtime/StoreKeys.h"
+
+#include <optional>
+#include <utility>
+
+namespace Jobs {
+
+namespace {
+
+    constexpr milliseconds retryDelay { 60 }; ///< After a commit without an answer; the store answers in a few milliseconds.
+
+} // namespace
+
+struct Journal::State : std::enable_shared_from_this<Journal::State> {
+    struct Batch {
+        std::string records;
+        std::vector<Effect> effects;
+    };
+
+    State(Common::TaskLoop& taskLoop, Ports::PlatformPort& platformPort, JournalSettings given, Hooks journalHooks)
+        : loop(taskLoop)
+        , platform(platformPort)
+        , settings(std::move(given))
+        , hooks(std::move(journalHooks))
+    {
+    }
+
+    std::string segmentKey(std::uint64_t number) const
+    {
+        return StoreKeys::journals + settings.pool + '/' + StoreKeys::numberText(number);
+    }
+
+    void schedule()
+    {
+        if (inFlight || isScheduled || waiting.records.empty())
+            return;
+        isScheduled = true;
+        const auto sinceLast = std::chrono::duration_cast<milliseconds>(loop.now() - lastCommit);
+        const auto delay = std::max(milliseconds(0), settings.commitInterval - sinceLast);
+        timer = loop.after(delay, [self = shared_from_this()] {
+            self->isScheduled = false;
+            self->commit();
+        });
+    }
+
+    void commit()
+    {
+        if (isOver || inFlight || waiting.records.empty())
+            return;
+        inFlight = std::exchange(waiting, {});
+        // The fence makes the segment's text this owner's own, which settles a commit without an answer.
+        segment = std::to_string(settings.fence) + '\n' + inFlight->records;
+        lastCommit = loop.now();
+        if (nextSegment - snapshotSegment >= settings.segmentsPerSnapshot && !snapshots.isBusy())
+            snapshotRecords = hooks.snapshot();
+        send();
+    }
+
+    void send()
+    {
+        Ports::Transaction transaction;
+        transaction.compares = { { settings.ownerKey, static_cast<std::int64_t>(settings.fence) }, { segmentKey(nextSegment), 0 } };
+        transaction.puts = { { segmentKey(nextSegment), segment, 0 } };
+        platform.transact(std::move(transaction), [self = shared_from_this()](const Ports::PlatformReply& reply) { self->answered(reply); });
+    }
+
+    void answered(const Ports::PlatformReply& reply)
+    {
+        if (isOver)
+            return;
+        if (reply.status == Ports::PlatformStatus::Ok)
+            committed();
+        else if (reply.status == Ports::PlatformStatus::ComparesFailed)
+            settle();
+        else
+            timer = loop.after(retryDelay, [self = shared_from_this()] { self->isOver ? void() : self->send(); });
+    }
+
+    /// The segment exists or the owner key has changed: only an own segment means that an earlier try was carried out.
+    void settle()
+    {
+        platform.read(segmentKey(nextSegment), false, [self = shared_from_this()](const Ports::PlatformReply& reply) {
+            if (self->isOver)
+                return;
+            if (reply.status != Ports::PlatformStatus::Ok) {
+                self->timer = self->loop.after(retryDelay, [self] { self->isOver ? void() : self->settle(); });
+                return;
+            }
+            if (!reply.values.empty() && reply.values.front().value == self->segment)
+                self->committed();
+            else
+                self->depose();
+        });
+    }
+
+    void committed()
+    {
+        ++nextSegment;
+        const auto effects = std::move(inFlight->effects);
+        inFlight.reset();
+        if (hooks.committed)
+            hooks.committed(std::chrono::duration_cast<milliseconds>(loop.now() - lastCommit));
+        if (!snapshotRecords.empty()) {
+            snapshotSegment = nextSegment;
+            snapshots.write(std::exchange(snapshotRecords, {}), nextSegment);
+        }
+        for (const auto& it : effects) {
+            if (isOver)
+                return;
+            it();
+        }
+        schedule();
+    }
+
+    void depose()
+    {
+        isOver = true;
+        if (const auto deposed = hooks.deposed)
+            deposed();
+    }
+
+    Common::TaskLoop& loop;
+    Ports::PlatformPort& platform;
+    JournalSettings settings;
+    Hooks hooks;
+    SnapshotWriter snapshots { platform, settings.pool, settings.ownerKey, settings.fence };
+    Batch waiting;
+    std::optional<Batch> inFlight;
+    std::string segment; ///< Text of the segment in flight.
+    std::vector<JobRecord> snapshotRecords; ///< State as of the segment in flight.
+    std::uint64_t nextSegment = 1;
+    std::uint64_t snapshotSegment = 1; ///< First segment that the newest snapshot doesn't cover.
+    Common::Instant lastCommit {};
+    Common::TaskLoop::TimerId timer = 0;
+    bool isScheduled = false;
+    bool isOver = false;
+};
+
+Journal::Journal(Common::TaskLoop& loop, Ports::PlatformPort& platform, JournalSettings settings, Hooks hooks)
+    : m_state(std::make_shared<State>(loop, platform, std::move(settings), std::move(hooks)))
+{
+}
+
+Journal::~Journal()
+{
+    m_state->isOver = true;
+    m_state->loop.cancel(m_state->timer);
+    m_state->hooks = {};
+    // What waits is dropped now, not when the last call under way ends: callers are to hear at once that nothing is certain.
+    m_state->waiting = {};
+    m_state->inFlight.reset();
+}
+
+void Journal::load(LoadCallback callback)
+{
+    const auto state = m_state;
+    const auto loader = std::make_shared<JournalLoader>(state->loop, state->platform, state->settings.pool);
+    loader->load([state, callback = std::move(callback)](JournalContents contents) {
+        if (state->isOver)
+            return;
+        state->nextSegment = contents.nextSegment;
+        state->snapshotSegment = contents.firstSegment;
+        state->snapshots.inherit(contents.oldestSegment, std::move(contents.snapshotKeys));
+        callback(contents.records);
+    });
+}
+
+void Journal::append(const std::vector<JobRecord>& records, Effect effect)
+{
+    auto& state = *m_state;
+    if (state.isOver)
+        return;
+    for (const auto& it : records)
+        appendRecord(state.waiting.records, it);
+    if (!state.waiting.records.empty())
+        state.waiting.effects.push_back(std::move(effect));
+    else if (state.inFlight)
+        state.inFlight->effects.push_back(std::move(effect));
+    else
+        effect();
+    state.schedule();
+}
+
+milliseconds Journal::stalledFor() const
+{
+    if (!m_state->inFlight)
+        return milliseconds(0);
+    return std::chrono::duration_cast<milliseconds>(m_state->loop.now() - m_state->lastCommit);
+}
+
+bool Journal::isIdle() const { return !m_state->inFlight && m_state->waiting.records.empty(); }
+
+} // namespace Jobs
--- /dev/null
+++ b/Source/Core/Jobs/Runtime/JournalLoader.cpp
@@ -0,0 +1,138 @@
+#include "Jobs/Runtime/JournalLoader.h"
+
+#include "Jobs/Runtime/Events.h"
+#include "Jobs/Runtime/StoreKeys.h"
+
+#include <charconv>
+#include <utility>
+
+namespace Jobs {
+
+namespace {
+
+    constexpr milliseconds retryDelay { 100 }; ///< The pool is without an owner meanwhile.
+
+    bool readNumber(std::string_view text, std::uint64_t& number)
+    {
+        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), number);
+        return ec == std::errc {} && end == text.data() + text.size();
+    }
+
+    bool readHeadText(std::string_view text, JournalHead& head)
+    {
+        const auto space = text.find(' ');
+        std::uint64_t parts = 0;
+        if (space == std::string_view::npos || !readNumber(text.substr(0, space), head.firstSegment) || !readNumber(text.substr(space + 1), parts))
+            return false;
+        head.parts = static_cast<unsigned>(parts);
+        return true;
+    }
+
+} // namespace
+
+std::string headText(const JournalHead& head)
+{
+    return std::to_string(head.firstSegment) + ' ' + std::to_string(head.parts);
+}
+
+std::string snapshotPrefix(const std::string& pool, std::uint64_t firstSegment)
+{
+    return StoreKeys::snapshots + pool + '/' + StoreKeys::numberText(firstSegment) + '/';
+}
+
+JournalLoader::JournalLoader(Common::TaskLoop& loop, Ports::PlatformPort& platform, std::string pool)
+    : m_loop(loop)
+    , m_platform(platform)
+    , m_pool(std::move(pool))
+{
+}
+
+void JournalLoader::load(Callback callback)
+{
+    m_callback = std::move(callback);
+    readHead();
+}
+
+void JournalLoader::again()
+{
+    m_contents = {};
+    m_loop.after(retryDelay, [self = shared_from_this()] { self->readHead(); });
+}
+
+void JournalLoader::readHead()
+{
+    m_platform.read(StoreKeys::heads + m_pool, false, [self = shared_from_this()](const Ports::PlatformReply& reply) {
+        JournalHead head;
+        if (reply.status != Ports::PlatformStatus::Ok)
+            self->again();
+        else if (reply.values.empty())
+            self->readSegments();
+        else if (readHeadText(reply.values.front().value, head))
+            self->readSnapshot(head);
+        else
+            self->again();
+    });
+}
+
+void JournalLoader::readSnapshot(const JournalHead& head)
+{
+    m_platform.read(snapshotPrefix(m_pool, head.firstSegment), true, [self = shared_from_this(), head](const Ports::PlatformReply& reply) {
+        if (reply.status == Ports::PlatformStatus::Ok && self->takeSnapshot(reply.values, head))
+            self->readSegments();
+        else
+            self->again();
+    });
+}
+
+bool JournalLoader::takeSnapshot(const std::vector<Ports::KeyValue>& parts, const JournalHead& head)
+{
+    if (parts.size() != head.parts)
+        return false;
+    std::string text;
+    for (const auto& it : parts) {
+        text += it.value;
+        m_contents.snapshotKeys.push_back(it.key);
+    }
+    if (!readRecords(text, m_contents.records)) {
+        writeEvent("journal", { "snapshot-unreadable", m_pool, { { "segment", std::to_string(head.firstSegment) } } });
+        return false;
+    }
+    m_contents.firstSegment = head.firstSegment;
+    m_contents.nextSegment = head.firstSegment;
+    return true;
+}
+
+void JournalLoader::readSegments()
+{
+    m_platform.read(StoreKeys::journals + m_pool + '/', true, [self = shared_from_this()](const Ports::PlatformReply& reply) {
+        if (reply.status == Ports::PlatformStatus::Ok && self->takeSegments(reply.values))
+            self->m_callback(std::move(self->m_contents));
+        else
+            self->again();
+    });
+}
+
+/// Segments are numbered without gaps; those that the snapshot covers may not be deleted yet.
+bool JournalLoader::takeSegments(const std::vector<Ports::KeyValue>& segments)
+{
+    for (const auto& it : segments) {
+        std::uint64_t number = 0;
+        if (!readNumber(std::string_view(it.key).substr(it.key.rfind('/') + 1), number)) {
+            writeEvent("journal", { "segment-unreadable", m_pool, { { "key", it.key } } });
+            continue;
+        }
+        if (m_contents.oldestSegment == 0)
+            m_contents.oldestSegment = number;
+        if (number < m_contents.firstSegment)
+            continue;
+        if (number != m_contents.nextSegment)
+            return false; // Deleted between the pages of the read: a newer head stands by now.
+        const auto fenceEnd = it.value.find('\n');
+        if (fenceEnd == std::string::npos || !readRecords(std::string_view(it.value).substr(fenceEnd + 1), m_contents.records))
+            writeEvent("journal", { "segment-unreadable", m_pool, { { "key", it.key } } });
+        m_contents.nextSegment = number + 1;
+    }
+    return true;
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/Source/Core/Jobs/Runtime/NodeMessages.cpp
@@ -0,0 +1,90 @@
+#include "Jobs/Runtime/NodeMessages.h"
+
+#include "Messages/FlatCodec.h"
+
+#include <array>
+#include <utility>
+
+namespace Ports {
+
+constexpr JobVerb lastValue(JobVerb) { return JobVerb::Cancel; }
+
+} // namespace Ports
+
+namespace Jobs {
+
+template<typename V, MaybeConst<PoolCall> M>
+void visitFields(V& v, M& m)
+{
+    v(m.call, m.pool, m.verb, m.job, m.queue, m.priority, m.maximumAttempts, m.stretchPermille, m.targetDuration, m.spec);
+}
+
+template<typename V, MaybeConst<PoolCallAnswer> M>
+void visitFields(V& v, M& m)
+{
+    v(m.call, m.outcome, m.state, m.backlog, m.retryAfter, m.reason);
+}
+
+template<typename V, MaybeConst<LoadCall> M>
+void visitFields(V& v, M& m)
+{
+    v(m.call, m.pool, m.cordonedMachines, m.goneWorkers);
+}
+
+template<typename V, MaybeConst<WorkerLoad> M>
+void visitFields(V& v, M& m)
+{
+    v(m.worker, m.machine, m.runs, m.lastingRuns, m.isCordoned);
+}
+
+template<typename V, MaybeConst<PoolLoad> M>
+void visitFields(V& v, M& m)
+{
+    v(m.pool, m.waitingMilliCores, m.lateMilliCores, m.busyMilliCores, m.capacityMilliCores, m.waitingWork, m.workers);
+}
+
+template<typename V, MaybeConst<LoadCallAnswer> M>
+void visitFields(V& v, M& m)
+{
+    v(m.call, m.isOwner, m.fence, m.load);
+}
+
+namespace {
+
+    using Decoder = std::optional<NodeMessage> (*)(std::string_view);
+
+    template<std::size_t index>
+    std::optional<NodeMessage> decodeAs(std::string_view text)
+    {
+        std::size_t offset = 0;
+        auto message = Messages::unpackFields<std::variant_alternative_t<index, NodeMessage>>(text, offset);
+        if (!message || offset != text.size())
+            return std::nullopt;
+        return NodeMessage(std::in_place_index<index>, std::move(*message));
+    }
+
+    template<std::size_t... indexes>
+    constexpr std::array<Decoder, sizeof...(indexes)> makeDecoders(std::index_sequence<indexes...>)
+    {
+        return { &decodeAs<indexes>... };
+    }
+
+    constexpr auto decoders = makeDecoders(std::make_index_sequence<std::variant_size_v<NodeMessage>> {});
+
+} // namespace
+
+std::string encodeNodeMessage(const NodeMessage& message)
+{
+    std::string frame(1, static_cast<char>(message.index()));
+    std::visit([&frame](const auto& it) { Messages::packFields(frame, it); }, message);
+    return frame;
+}
+
+std::optional<NodeMessage> decodeNodeMessage(std::string_view frame)
+{
+    if (frame.empty() || static_cast<unsigned char>(frame[0]) >= decoders.size())
+        return std::nullopt;
+    return decoders[static_cast<unsigned char>(frame[0])](frame.substr(1));
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/Source/Core/Jobs/Runtime/Ownership.cpp
@@ -0,0 +1,379 @@
+#include "Jobs/Runtime/Ownership.h"
+
+#include "Common/Rendezvous.h"
+#include "Jobs/Runtime/Events.h"
+#include "Jobs/Runtime/StoreKeys.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace Jobs {
+
+namespace {
+
+    using Ports::PlatformStatus;
+
+    constexpr std::chrono::milliseconds retryDelay { 400 }; ///< While the store doesn't answer or refuses.
+
+    std::string memberText(const MemberInfo& member)
+    {
+        return member.address + ' ' + member.dataCentre;
+    }
+
+    MemberInfo readMember(const std::string& host, const std::string& text)
+    {
+        const auto space = text.find(' ');
+        return { host, text.substr(0, space), space == std::string::npos ? std::string() : text.substr(space + 1) };
+    }
+
+} // namespace
+
+struct Ownership::State : std::enable_shared_from_this<Ownership::State> {
+    State(Common::TaskLoop& taskLoop, Ports::PlatformPort& platformPort, OwnershipSettings given, Hooks ownershipHooks)
+        : loop(taskLoop)
+        , platform(platformPort)
+        , settings(std::move(given))
+        , hooks(std::move(ownershipHooks))
+    {
+    }
+
+    void start()
+    {
+        startedAt = loop.now();
+        PrefixFeed::Hooks feedHooks;
+        feedHooks.changed = [this](const Ports::KeyValue& pair) { keyChanged(pair); };
+        feedHooks.removed = [this](const std::string& key) { keyRemoved(key); };
+        feedHooks.synced = [this](bool) { considerSoon(); };
+        feed = std::make_unique<PrefixFeed>(loop, platform, StoreKeys::control, std::move(feedHooks));
+        feed->start();
+        grant();
+    }
+
+    void later(std::chrono::milliseconds delay, void (State::*step)())
+    {
+        leaseTimer = loop.after(delay, [self = shared_from_this(), step] {
+            if (!self->isOver)
+                (self.get()->*step)();
+        });
+    }
+
+    void grant()
+    {
+        const auto sentAt = loop.now();
+        platform.grantLease(settings.leaseTime, [self = shared_from_this(), sentAt](const Ports::PlatformReply& reply) {
+            if (self->isOver)
+                return;
+            if (reply.status != PlatformStatus::Ok || reply.lease == 0) {
+                self->later(retryDelay, &State::grant);
+                return;
+            }
+            self->lease = reply.lease;
+            self->renewed(sentAt);
+            self->enroll();
+        });
+    }
+
+    void enroll()
+    {
+        Ports::Transaction transaction;
+        transaction.puts = { { StoreKeys::members + settings.self.host, memberText(settings.self), lease } };
+        platform.transact(std::move(transaction), [self = shared_from_this()](const Ports::PlatformReply& reply) {
+            if (self->isOver)
+                return;
+            if (reply.status == PlatformStatus::Ok) {
+                self->isRegistered = true;
+                writeEvent("ownership", { "registered", self->settings.self.host, { { "lease", std::to_string(self->lease) } } });
+                self->later(self->settings.renewInterval, &State::renew);
+                self->considerSoon();
+            } else if (reply.status == PlatformStatus::ComparesFailed) {
+                self->leaseLapsed();
+            } else {
+                self->later(retryDelay, &State::enroll);
+            }
+        });
+    }
+
+    void renew()
+    {
+        const auto sentAt = loop.now();
+        platform.renewLease(lease, [self = shared_from_this(), sentAt](const Ports::PlatformReply& reply) {
+            if (self->isOver)
+                return;
+            if (reply.status == PlatformStatus::Ok && reply.timeToLive.count() == 0) {
+                self->leaseLapsed();
+                return;
+            }
+            if (reply.status == PlatformStatus::Ok)
+                self->renewed(sentAt);
+            self->later(reply.status == PlatformStatus::Ok ? self->settings.renewInterval : retryDelay, &State::renew);
+        });
+    }
+
+    void renewed(Common::Instant sentAt)
+    {
+        leaseSureUntil = sentAt + settings.leaseTime;
+        lastContact = loop.now();
+    }
+
+    void leaseLapsed()
+    {
+        writeEvent("ownership", { "lease-lapsed", settings.self.host, { { "lease", std::to_string(lease) }, { "duties", std::to_string(own.size()) } } });
+        lease = 0;
+        isRegistered = false;
+        leaseSureUntil = {};
+        loseAll("lease-lapsed");
+        grant();
+    }
+
+    void loseAll(const char* reason)
+    {
+        for (const auto& [duty, fence] : std::exchange(own, {}))
+            lose(duty, fence, reason);
+    }
+
+    void lose(const std::string& duty, Fence fence, const char* reason)
+    {
+        writeEvent("ownership", { "duty-lost", duty, { { "fence", std::to_string(fence) }, { "reason", reason } } });
+        hooks.lost(duty);
+    }
+
+    void keyChanged(const Ports::KeyValue& pair)
+    {
+        const std::string_view key = pair.key;
+        if (key.starts_with(StoreKeys::members)) {
+            const std::string host(key.substr(std::string_view(StoreKeys::members).size()));
+            members[host] = readMember(host, pair.value);
+        } else if (key.starts_with(StoreKeys::owners)) {
+            const std::string duty(key.substr(std::string_view(StoreKeys::owners).size()));
+            ownerChanged(duty, pair.value, static_cast<Fence>(pair.modRevision));
+        }
+        hooks.changed();
+    }
+
+    void ownerChanged(const std::string& duty, const std::string& text, Fence fence)
+    {
+        owners[duty] = { text.substr(0, text.find(' ')), fence };
+        const auto it = own.find(duty);
+        if (it != own.end() && it->second < fence) {
+            const auto lostFence = it->second;
+            own.erase(it);
+            lose(duty, lostFence, "taken");
+        }
+        const bool wasReleased = released.contains(duty) && fence <= released.at(duty);
+        if (wasReleased || isLeaving)
+            return;
+        if (text == ownerText())
+            gained(duty, fence); // A claim whose answer was lost.
+        else if (owners[duty].host == settings.self.host && duties.contains(duty) && isRegistered)
+            claim(duty, fence); // Left by this host's earlier incarnation, which is surely gone.
+    }
+
+    std::string ownerText() const { return settings.self.host + ' ' + std::to_string(settings.incarnation); }
+
+    void keyRemoved(const std::string& text)
+    {
+        const std::string_view key = text;
+        if (key.starts_with(StoreKeys::members)) {
+            members.erase(std::string(key.substr(std::string_view(StoreKeys::members).size())));
+        } else if (key.starts_with(StoreKeys::owners)) {
+            const std::string duty(key.substr(std::string_view(StoreKeys::owners).size()));
+            owners.erase(duty);
+            const auto it = own.find(duty);
+            if (it != own.end()) {
+                const auto fence = it->second;
+                own.erase(it);
+                lose(duty, fence, "key-removed");
+            }
+        }
+        considerSoon();
+        hooks.changed();
+    }
+
+    /// Members in the order in which they should take a duty: those with the fewest duties first.
+    std::vector<std::string> candidates(const std::string& duty, const std::map<std::string, unsigned>& dutyCounts) const
+    {
+        std::vector<std::string> names;
+        for (const auto& [host, info] : members)
+            names.push_back(host);
+        auto ranked = Common::rendezvousTop(duty, names, names.size());
+        std::ranges::stable_sort(ranked, [&dutyCounts](const auto& left, const auto& right) { return dutyCounts.at(left) < dutyCounts.at(right); });
+        return ranked;
+    }
+
+    void considerSoon()
+    {
+        if (isLeaving || considerTimer != 0)
+            return;
+        const auto settled = startedAt + settings.settleTime;
+        const auto delay = std::max(std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(settled - loop.now()));
+        considerTimer = loop.after(delay, [self = shared_from_this()] {
+            self->considerTimer = 0;
+            if (!self->isOver)
+                self->consider();
+        });
+    }
+
+    /// Every host gives the open duties out in its mind, in the same way, and takes its own when its turn comes.
+    void consider()
+    {
+        if (isLeaving || !isRegistered || !feed->isSynced() || !members.contains(settings.self.host))
+            return;
+        std::map<std::string, unsigned> dutyCounts;
+        for (const auto& [host, info] : members)
+            dutyCounts[host] = 0;
+        for (const auto& [duty, owner] : owners)
+            ++dutyCounts[owner.host];
+        for (const auto& duty : duties) {
+            if (owners.contains(duty))
+                continue;
+            const auto ranked = candidates(duty, dutyCounts);
+            ++dutyCounts[ranked.front()];
+            const auto turn = std::ranges::find(ranked, settings.self.host) - ranked.begin();
+            claimAt(duty, settings.turnTime * turn);
+        }
+    }
+
+    void claimAt(const std::string& duty, std::chrono::milliseconds delay)
+    {
+        if (!claims.insert(duty).second)
+            return;
+        loop.after(delay, [self = shared_from_this(), duty] {
+            if (self->isOver || self->isLeaving || self->owners.contains(duty) || !self->isRegistered || !self->duties.contains(duty)) {
+                self->claims.erase(duty);
+                return;
+            }
+            self->claim(duty, 0);
+        });
+    }
+
+    /// Takes a duty whose key is at that revision; zero when there is none.
+    void claim(const std::string& duty, Fence from)
+    {
+        claims.insert(duty);
+        Ports::Transaction transaction;
+        transaction.compares = { { keyOf(duty), static_cast<std::int64_t>(from) } };
+        transaction.puts = { { keyOf(duty), ownerText(), lease } };
+        platform.transact(std::move(transaction), [self = shared_from_this(), duty](const Ports::PlatformReply& reply) {
+            self->claims.erase(duty);
+            if (self->isOver)
+                return;
+            if (reply.status == PlatformStatus::Ok)
+                self->gained(duty, static_cast<Fence>(reply.revision));
+            else if (reply.status != PlatformStatus::ComparesFailed)
+                self->claimLater(); // It may have been carried out, of which the feed tells.
+        });
+    }
+
+    void claimLater()
+    {
+        loop.after(retryDelay, [self = shared_from_this()] {
+            if (!self->isOver)
+                self->considerSoon();
+        });
+    }
+
+    void gained(const std::string& duty, Fence fence)
+    {
+        const auto known = owners.find(duty);
+        if (own.contains(duty) || (known != owners.end() && known->second.fence > fence))
+            return;
+        owners[duty] = { settings.self.host, fence };
+        own[duty] = fence;
+        writeEvent("ownership", { "duty-acquired", duty, { { "fence", std::to_string(fence) } } });
+        hooks.acquired(duty, fence);
+        hooks.changed();
+    }
+
+    void release(const std::string& duty)
+    {
+        const auto it = own.find(duty);
+        if (it == own.end())
+            return;
+        const auto fence = it->second;
+        own.erase(it);
+        released[duty] = fence;
+        Ports::Transaction transaction;
+        transaction.compares = { { keyOf(duty), static_cast<std::int64_t>(fence) } };
+        transaction.deletes = { keyOf(duty) };
+        writeEvent("ownership", { "duty-released", duty, { { "fence", std::to_string(fence) } } });
+        platform.transact(std::move(transaction), [](const Ports::PlatformReply&) {});
+    }
+
+    Common::TaskLoop& loop;
+    Ports::PlatformPort& platform;
+    OwnershipSettings settings;
+    Hooks hooks;
+    std::unique_ptr<PrefixFeed> feed;
+    std::map<std::string, MemberInfo> members;
+    std::map<std::string, OwnerInfo> owners;
+    std::map<std::string, Fence> own;
+    std::map<std::string, Fence> released; ///< Events of these and older keys are late ones.
+    std::set<std::string> duties;
+    std::set<std::string> claims; ///< Duties that a claim is waiting or under way for.
+    Ports::LeaseId lease = 0;
+    Common::Instant startedAt {};
+    Common::Instant leaseSureUntil {};
+    Common::Instant lastContact {};
+    Common::TaskLoop::TimerId leaseTimer = 0;
+    Common::TaskLoop::TimerId considerTimer = 0;
+    bool isRegistered = false;
+    bool isLeaving = false;
+    bool isOver = false;
+};
+
+Ownership::Ownership(Common::TaskLoop& loop, Ports::PlatformPort& platform, OwnershipSettings settings, Hooks hooks)
+    : m_state(std::make_shared<State>(loop, platform, std::move(settings), std::move(hooks)))
+{
+}
+
+Ownership::~Ownership()
+{
+    m_state->isOver = true;
+    m_state->loop.cancel(m_state->leaseTimer);
+    m_state->loop.cancel(m_state->considerTimer);
+    m_state->feed.reset();
+    m_state->hooks = {};
+}
+
+void Ownership::start() { m_state->start(); }
+
+void Ownership::setDuties(const std::set<std::string>& duties)
+{
+    if (m_state->duties == duties)
+        return;
+    m_state->duties = duties;
+    m_state->considerSoon();
+}
+
+void Ownership::release(const std::string& duty) { m_state->release(duty); }
+
+void Ownership::leave()
+{
+    m_state->isLeaving = true;
+    Ports::Transaction transaction;
+    transaction.deletes = { StoreKeys::members + m_state->settings.self.host };
+    m_state->platform.transact(std::move(transaction), [](const Ports::PlatformReply&) {});
+}
+
+const std::map<std::string, MemberInfo>& Ownership::members() const { return m_state->members; }
+
+const std::map<std::string, OwnerInfo>& Ownership::owners() const { return m_state->owners; }
+
+const OwnerInfo* Ownership::ownerOf(const std::string& duty) const
+{
+    const auto it = m_state->owners.find(duty);
+    return it == m_state->owners.end() ? nullptr : &it->second;
+}
+
+bool Ownership::owns(const std::string& duty) const { return m_state->own.contains(duty); }
+
+bool Ownership::isLeaseSure() const { return m_state->loop.now() < m_state->leaseSureUntil; }
+
+Common::Instant Ownership::lastContact() const { return m_state->lastContact; }
+
+bool Ownership::isRegistered() const { return m_state->isRegistered; }
+
+std::string Ownership::keyOf(const std::string& duty) { return StoreKeys::owners + duty; }
+
+} // namespace Jobs
--- /dev/null
+++ b/Source/Core/Jobs/Runtime/Ownership.h
@@ -0,0 +1,84 @@
+#pragma once
+
+/// Who has which duty. A duty (the jobs of a pool, or the machines of the fleet) is held through a key in the platform's
+/// store under the host's lease; the revision of the key is the fence. Every host follows all of these keys.
+
+#include "Common/TaskLoop.h"
+#include "Jobs/Runtime/PrefixFeed.h"
+#include "Ports/PlatformPort.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace Jobs {
+
+using Fence = std::uint64_t;
+
+/// This host, as others reach it.
+struct MemberInfo {
+    std::string host;
+    std::string address; ///< "ip:port" for peers.
+    std::string dataCentre;
+};
+
+/// Holder of a duty.
+struct OwnerInfo {
+    std::string host;
+    Fence fence = 0;
+};
+
+/// Times of ownership.
+struct OwnershipSettings {
+    MemberInfo self;
+    std::uint64_t incarnation = 0; ///< Of this process; random.
+    std::chrono::seconds leaseTime { 2 }; ///< Workers' leases outlast a takeover with it.
+    std::chrono::milliseconds renewInterval { 600 }; ///< Two renewals may be lost.
+    std::chrono::milliseconds settleTime { 700 }; ///< After the start, for the other hosts to register.
+    std::chrono::milliseconds turnTime { 150 }; ///< Between candidates, so that the first choice usually gets a duty.
+};
+
+/// Used on the loop's thread only.
+class Ownership {
+public:
+    struct Hooks {
+        std::function<void(const std::string& duty, Fence)> acquired;
+        std::function<void(const std::string& duty)> lost;
+        std::function<void()> changed; ///< Members or owners changed.
+    };
+
+    Ownership(Common::TaskLoop&, Ports::PlatformPort&, OwnershipSettings, Hooks);
+    ~Ownership();
+    Ownership(const Ownership&) = delete;
+    Ownership& operator=(const Ownership&) = delete;
+
+    void start();
+    /// The duties that some host is to have.
+    void setDuties(const std::set<std::string>&);
+    /// Gives a duty up, once what it did is over.
+    void release(const std::string& duty);
+    /// Takes no more duties, and gives them all up.
+    void leave();
+
+    const std::map<std::string, MemberInfo>& members() const;
+    const std::map<std::string, OwnerInfo>& owners() const;
+    /// Null when nobody has it, as far as this host knows.
+    const OwnerInfo* ownerOf(const std::string& duty) const;
+    bool owns(const std::string& duty) const;
+    /// True while the own lease surely stands.
+    bool isLeaseSure() const;
+    /// When the store last answered a renewal.
+    Common::Instant lastContact() const;
+    bool isRegistered() const;
+
+    /// Key of a duty, which journals are fenced by.
+    static std::string keyOf(const std::string& duty);
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace Jobs
--- /dev/null
+++ b/Source/Core/Jobs/Runtime/PeerCalls.cpp
@@ -0,0 +1,59 @@
+#include "Jobs/Runtime/PeerCalls.h"
+
+#include <utility>
+#include <vector>
+
+namespace Jobs {
+
+PeerCalls::PeerCalls(Common::TaskLoop& loop, Ports::PeerPort& port)
+    : m_loop(loop)
+    , m_port(port)
+{
+}
+
+void PeerCalls::call(const std::string& host, NodeMessage message, milliseconds timeout, Callback callback)
+{
+    const auto number = ++m_lastCall;
+    std::visit([number](auto& it) { it.call = number; }, message);
+    if (!m_port.send(host, encodeNodeMessage(message))) {
+        callback(PeerStatus::NotSent, {});
+        return;
+    }
+    const auto timer = m_loop.after(timeout, [this, number] { end(number, PeerStatus::NoAnswer, {}); });
+    m_pending[number] = { host, std::move(callback), timer };
+}
+
+void PeerCalls::answered(const NodeMessage& message)
+{
+    const auto number = std::visit([](const auto& it) { return it.call; }, message);
+    end(number, PeerStatus::Answered, message);
+}
+
+void PeerCalls::disconnected(const std::string& host)
+{
+    std::vector<std::uint64_t> lost;
+    for (const auto& [number, pending] : m_pending) {
+        if (pending.host == host)
+            lost.push_back(number);
+    }
+    for (const auto number : lost)
+        end(number, PeerStatus::NoAnswer, {});
+}
+
+void PeerCalls::reply(const std::string& host, const NodeMessage& message)
+{
+    m_port.send(host, encodeNodeMessage(message));
+}
+
+void PeerCalls::end(std::uint64_t number, PeerStatus status, const NodeMessage& message)
+{
+    const auto it = m_pending.find(number);
+    if (it == m_pending.end())
+        return; // It was given up before.
+    const auto pending = std::move(it->second);
+    m_pending.erase(it);
+    m_loop.cancel(pending.timer);
+    pending.callback(status, message);
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/Source/Core/Jobs/Runtime/WorkerClock.h
@@ -0,0 +1,79 @@
+#pragma once
+
+/// Bounds of a worker's clock and of its lease, as seen on the own clock.
+
+#include "Common/Time.h"
+#include "Ports/WorkerPort.h"
+
+#include <chrono>
+#include <cstdint>
+
+namespace Jobs {
+
+/// Never too early about the end of a lease: a worker's clock may be slow, and calls without an answer count as carried out.
+class WorkerClock {
+public:
+    /// Before the worker was heard, a lease by an earlier owner may last until `lapsedAt`.
+    explicit WorkerClock(Common::Instant lapsedAt)
+        : m_lapsedAt(lapsedAt)
+    {
+    }
+
+    bool isKnown() const { return m_isKnown; }
+
+    /// An answer with that clock came in.
+    void heard(Common::Instant now, Ports::WorkerTime clock)
+    {
+        if (m_isKnown && clock < m_clock)
+            return; // Overtaken by a later answer, or of an earlier incarnation.
+        m_isKnown = true;
+        m_heardAt = now;
+        m_clock = clock;
+        m_lapsedAt = lapseOf(m_latestLease);
+    }
+
+    /// The end of a lease of that length, on the worker's clock; noted as granted. Zero while the clock isn't known.
+    Ports::WorkerTime leaseUntil(Common::Instant now, std::chrono::milliseconds length)
+    {
+        if (!m_isKnown)
+            return Ports::WorkerTime(0);
+        const auto until = m_clock + std::chrono::duration_cast<std::chrono::milliseconds>(now - m_heardAt) + length;
+        m_latestLease = std::max(m_latestLease, until);
+        m_lapsedAt = lapseOf(m_latestLease);
+        return until;
+    }
+
+    /// From then on no lease stands that was asked for so far.
+    Common::Instant lapsedAt() const { return m_lapsedAt; }
+
+    /// The worker's leases have lapsed, or it has gone: what comes next is heard anew.
+    void forget(Common::Instant now)
+    {
+        m_isKnown = false;
+        m_latestLease = Ports::WorkerTime(0);
+        m_lapsedAt = now;
+        ++m_epoch;
+    }
+
+    /// Rises with each forget(): orders of an earlier epoch are void.
+    std::uint64_t epoch() const { return m_epoch; }
+
+private:
+    Common::Instant lapseOf(Ports::WorkerTime until) const
+    {
+        constexpr int slowestPermille = 980; // Workers' clocks are up to 2% slow.
+        constexpr int permille = 1000;
+        constexpr std::chrono::milliseconds margin { 250 }; // Of the kill of what has lapsed, and of timers.
+        const auto left = std::max(Ports::WorkerTime(0), until - m_clock);
+        return m_heardAt + left * permille / slowestPermille + margin;
+    }
+
+    bool m_isKnown = false;
+    Common::Instant m_heardAt {};
+    Ports::WorkerTime m_clock { 0 };
+    Ports::WorkerTime m_latestLease { 0 };
+    Common::Instant m_lapsedAt;
+    std::uint64_t m_epoch = 0;
+};
+
+} // namespace Jobs
--- /dev/null
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -0,0 +1,263 @@
+#include "Jobs/Runtime/WorkerSession.h"
+
+#include "Jobs/Runtime/WorkerClock.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Jobs {
+
+using Common::Instant;
+using Ports::WorkerAnswer;
+using Ports::WorkerRefusal;
+using Ports::WorkerStatus;
+
+namespace {
+
+    constexpr milliseconds firstRetry { 60 }; ///< A lost answer costs little; the worker answers in a few milliseconds.
+    constexpr milliseconds longestRetry { 1000 }; ///< Each try of a look and each new connection is paid for.
+    constexpr milliseconds storeWait { 300 }; ///< For ends to be stored before a look that takes none is sent.
+    constexpr unsigned orderTries = 40; ///< Of a start or stop; the worker is given up long before.
+
+} // namespace
+
+struct WorkerSession::State : std::enable_shared_from_this<WorkerSession::State> {
+    State(Common::TaskLoop& taskLoop, Ports::WorkerPort& workerPort, const SessionLimits& given, Fence ownFence, const WorkerEntry& workerEntry, Hooks sessionHooks)
+        : loop(taskLoop)
+        , port(workerPort)
+        , limits(given)
+        , fence(ownFence)
+        , entry(workerEntry)
+        , hooks(std::move(sessionHooks))
+        , clock(taskLoop.now() + given.takeoverLapse)
+    {
+    }
+
+    Ports::WorkerTarget target() const { return { entry.id, entry.address }; }
+
+    /// Until when the lease is to last, on the worker's clock; zero while that isn't known or the owner mustn't extend it.
+    Ports::WorkerTime leaseUntil()
+    {
+        if (!clock.isKnown() || !hooks.mayExtend())
+            return Ports::WorkerTime(0);
+        return clock.leaseUntil(loop.now(), limits.leaseTime);
+    }
+
+    void look()
+    {
+        if (isOver || isLooking || entry.address.empty())
+            return;
+        isLooking = true;
+        loop.cancel(lookTimer);
+        Ports::LookOrder order { target(), fence, endsTaken, leaseUntil(), milliseconds(0) };
+        // The first look, and one after silence, are to tell at once whether the worker is there.
+        if (clock.isKnown() && failures == 0)
+            order.wait = hooks.needsCloseLook() ? limits.closeLookWait : limits.lookWait;
+        const auto sentAt = loop.now();
+        port.look(order, [self = shared_from_this(), sentAt](const Ports::LookAnswer& answer) {
+            self->isLooking = false;
+            if (!self->isOver)
+                self->lookAnswered(answer, sentAt);
+        });
+    }
+
+    void lookAnswered(const Ports::LookAnswer& look, Instant sentAt)
+    {
+        if (look.incarnation != 0 && look.incarnation != incarnation) {
+            if (incarnation != 0)
+                clock.forget(loop.now()); // Its clock, ends and runs begin anew.
+            endsTaken = 0;
+            incarnation = look.incarnation;
+        }
+        if (!take(look.answer)) {
+            lookFailed();
+            return;
+        }
+        failures = 0;
+        loop.cancel(silenceTimer);
+        loop.cancel(lapseTimer);
+        std::uint64_t newest = endsTaken;
+        for (const auto& it : look.ended)
+            newest = std::max(newest, it.number);
+        hooks.looked(look, sentAt);
+        if (isOver)
+            return;
+        // With ends it comes as soon as those are stored.
+        lookAfter(newest == endsTaken ? milliseconds(0) : storeWait);
+    }
+
+    void lookAfter(milliseconds delay)
+    {
+        loop.cancel(lookTimer);
+        lookTimer = loop.after(delay, [self = shared_from_this()] { self->look(); });
+    }
+
+    void lookFailed()
+    {
+        if (failures++ == 0) {
+            silenceTimer = loop.after(limits.silence, [self = shared_from_this()] { self->isOver ? void() : self->hooks.silent(); });
+            waitForLapse();
+        }
+        lookAfter(std::min(longestRetry, firstRetry * (1 << std::min(failures, 5U))));
+    }
+
+    void waitForLapse()
+    {
+        const auto left = std::chrono::ceil<milliseconds>(clock.lapsedAt() - loop.now());
+        lapseTimer = loop.after(std::max(milliseconds(1), left), [self = shared_from_this()] {
+            if (self->isOver || self->failures == 0)
+                return;
+            // Orders sent meanwhile may have put the lapse off.
+            if (self->clock.lapsedAt() > self->loop.now())
+                self->waitForLapse();
+            else
+                self->lapsed();
+        });
+    }
+
+    void lapsed()
+    {
+        clock.forget(loop.now());
+        hooks.lapsed();
+    }
+
+    /// Takes what every answer tells; false when it wasn't one of this worker that counts.
+    bool take(const WorkerAnswer& answer)
+    {
+        if (answer.refusal == WorkerRefusal::Fence) {
+            const auto fenced = hooks.fenced;
+            fenced();
+            return false;
+        }
+        const bool isAnswer = answer.status == WorkerStatus::Done || answer.status == WorkerStatus::Refused;
+        if (isAnswer && answer.clock.count() > 0)
+            clock.heard(loop.now(), answer.clock);
+        return answer.status == WorkerStatus::Done;
+    }
+
+    void start(const StartRun& run, unsigned tries)
+    {
+        if (isOver)
+            return;
+        if (!hooks.mayOrder()) {
+            retry(tries, [run](State& self, unsigned n) { self.start(run, n); });
+            return;
+        }
+        const Ports::StartOrder order { target(), run.task, run.run, run.payload, clock.leaseUntil(loop.now(), limits.leaseTime), fence, run.checkpoint, run.ticket };
+        port.start(order, [self = shared_from_this(), run, tries](const WorkerAnswer& answer) {
+            if (self->isOver)
+                return;
+            self->take(answer);
+            const bool isUnsure = answer.status == WorkerStatus::NoAnswer || (answer.status == WorkerStatus::NotSent && tries > 0);
+            const bool isTooLate = answer.refusal == WorkerRefusal::LeasePassed;
+            if ((isUnsure || isTooLate) && !self->isOver)
+                self->retry(tries, [run](State& it, unsigned n) { it.start(run, n); });
+            else if (answer.refusal != WorkerRefusal::Fence && !self->isOver)
+                self->hooks.startAnswered(run, answer);
+        });
+    }
+
+    void stop(const StopRun& run, unsigned tries)
+    {
+        if (isOver)
+            return;
+        port.stop({ target(), run.task, run.run, fence }, [self = shared_from_this(), run, tries](const WorkerAnswer& answer) {
+            if (self->isOver)
+                return;
+            self->take(answer);
+            const bool isUnsure = answer.status != WorkerStatus::Done && answer.status != WorkerStatus::Refused;
+            if (isUnsure && !self->isOver)
+                self->retry(tries, [run](State& it, unsigned n) { it.stop(run, n); });
+            else if (answer.refusal != WorkerRefusal::Fence && !self->isOver)
+                self->hooks.stopAnswered(run, answer);
+        });
+    }
+
+    /// Tries again, unless the worker is given up meanwhile: then what it had is settled by its lapse.
+    void retry(unsigned tries, std::function<void(State&, unsigned)> again)
+    {
+        if (tries >= orderTries)
+            return;
+        const auto delay = std::min(longestRetry, firstRetry * (1 << std::min(tries, 4U)));
+        loop.after(delay, [self = shared_from_this(), tries, epoch = clock.epoch(), again = std::move(again)] {
+            if (!self->isOver && self->clock.epoch() == epoch)
+                again(*self, tries + 1);
+        });
+    }
+
+    Common::TaskLoop& loop;
+    Ports::WorkerPort& port;
+    SessionLimits limits;
+    Fence fence;
+    WorkerEntry entry;
+    Hooks hooks;
+    WorkerClock clock;
+    std::uint64_t incarnation = 0;
+    std::uint64_t endsTaken = 0; ///< Newest end that is stored.
+    unsigned failures = 0; ///< Looks in a row without an answer.
+    bool isLooking = false;
+    bool isOver = false;
+    Common::TaskLoop::TimerId lookTimer = 0;
+    Common::TaskLoop::TimerId silenceTimer = 0;
+    Common::TaskLoop::TimerId lapseTimer = 0;
+};
+
+WorkerSession::WorkerSession(Common::TaskLoop& loop, Ports::WorkerPort& port, const SessionLimits& limits, Fence fence, const WorkerEntry& entry, Hooks hooks)
+    : m_state(std::make_shared<State>(loop, port, limits, fence, entry, std::move(hooks)))
+{
+}
+
+WorkerSession::~WorkerSession()
+{
+    auto& state = *m_state;
+    state.isOver = true;
+    state.loop.cancel(state.lookTimer);
+    state.loop.cancel(state.silenceTimer);
+    state.loop.cancel(state.lapseTimer);
+}
+
+void WorkerSession::begin()
+{
+    if (m_state->entry.address.empty())
+        m_state->lookFailed(); // Known from the journal only: wait for its entry or its lapse.
+    else
+        m_state->look();
+}
+
+void WorkerSession::entryChanged(const WorkerEntry& entry)
+{
+    auto& state = *m_state;
+    const bool isNew = state.entry.address != entry.address || state.entry.incarnation != entry.incarnation;
+    state.entry = entry;
+    if (isNew)
+        state.lookAfter(milliseconds(0));
+}
+
+void WorkerSession::start(const StartRun& run) { m_state->start(run, 0); }
+
+void WorkerSession::stop(const StopRun& run) { m_state->stop(run, 0); }
+
+void WorkerSession::throttle(const ThrottleRun& run)
+{
+    auto& state = *m_state;
+    state.port.throttle({ state.target(), run.task, run.run, run.percent, state.fence }, [self = m_state, run](const WorkerAnswer& answer) {
+        if (self->isOver || answer.status == WorkerStatus::Done)
+            return;
+        self->retry(0, [run](State& it, unsigned) { it.port.throttle({ it.target(), run.task, run.run, run.percent, it.fence }, [](const WorkerAnswer&) {}); });
+    });
+}
+
+void WorkerSession::endsStored(std::uint64_t number)
+{
+    auto& state = *m_state;
+    state.endsTaken = std::max(state.endsTaken, number);
+    if (!state.isLooking && state.failures == 0)
+        state.lookAfter(milliseconds(0));
+}
+
+void WorkerSession::confirmGone()
+{
+    m_state->lapsed();
+}
+
+} // namespace Jobs
--- a/Source/Core/Kernel/Logging.cpp
+++ b/Source/Core/Kernel/Logging.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <fstream>
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/helpers/pool.h>
@@ -67,7 +68,20 @@
         const auto layout = makeLayout(section.json);
         if (!section.file.empty())
             return std::make_shared<log4cxx::FileAppender>(layout, logString(section.file), true);
-        return std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+        const auto target = section.standardOutput ? log4cxx::ConsoleAppender::getSystemOut() : log4cxx::ConsoleAppender::getSystemErr();
+        return std::make_shared<log4cxx::ConsoleAppender>(layout, target);
+    }
+
+    /// Puts a bounded buffer before the appender; the library counts what it drops in a line of its own.
+    log4cxx::AppenderPtr buffered(const log4cxx::AppenderPtr& appender, unsigned events)
+    {
+        if (events == 0)
+            return appender;
+        auto async = std::make_shared<log4cxx::AsyncAppender>();
+        async->setBufferSize(static_cast<int>(events));
+        async->setBlocking(false);
+        async->addAppender(appender);
+        return async;
     }
 
     /// log4cxx only prints a complaint about a file that it can't open, so that is tried first.
@@ -120,7 +134,7 @@
         return KernelError("the log file " + section.file + " can't be written");
     const auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
-    root->addAppender(makeAppender(section));
+    root->addAppender(buffered(makeAppender(section), section.bufferedEvents));
     root->setLevel(level);
     return std::unique_ptr<Logging>(new Logging);
 }
--- a/Source/Core/Kernel/Settings.h
+++ b/Source/Core/Kernel/Settings.h
@@ -82,11 +82,29 @@
     double moves = 1.0;
 };
 
+/// The job subsystem; off while no platform is named.
+struct JobsSection {
+    std::string platform; ///< Registered name of the job platform; empty to run without jobs.
+    std::string readyListen; ///< "ip:port" of the balancer's readiness check.
+    std::string machineAddress; ///< "ip:port" of the machine service.
+    std::string adviceAddress; ///< "ip:port" of the teams' advice service; may be empty.
+    std::chrono::milliseconds workerLease { 6000 };
+    std::chrono::milliseconds stateRetention { 120000 };
+    std::chrono::milliseconds holderSilence { 3000 };
+    std::chrono::milliseconds stopGrace { 6000 };
+    double moveSeconds = 1.5;
+    double maintenanceSeconds = 2;
+    double remoteFactor = 1;
+    bool movesMachines = true;
+};
+
 /// Where logs go.
 struct LoggingSection {
     std::string level = "info"; ///< One of trace, debug, info, warn, error.
-    std::string file; ///< Empty for the console (standard error).
+    std::string file; ///< Empty for the console.
     bool json = true;
+    bool standardOutput = false; ///< Of the console: standard output in place of standard error.
+    unsigned bufferedEvents = 0; ///< Written by a thread of their own, and dropped and counted when there are more; zero writes at once.
 };
 
 /// The whole of the settings.
@@ -102,6 +120,7 @@
     AdaptersSection adapters;
     LimitsSection limits;
     WeightsSection weights;
+    JobsSection jobs;
     LoggingSection logging;
 
     /// Reads a file. The error lists every issue found, each with its line.
--- a/Source/Core/Kernel/SettingsFields.cpp
+++ b/Source/Core/Kernel/SettingsFields.cpp
@@ -54,7 +54,7 @@
 
     bool isPlatformKind(const std::string& text)
     {
-        return text == "etcd" || text == "embedded";
+        return text == "etcd" || text == "embedded" || text == "users";
     }
 
     bool isLogLevel(const std::string& text)
@@ -71,7 +71,7 @@
     const TextForm name { "1 to 63 letters, digits, '-', '_' or '.'", isName };
     const TextForm address { "an IPv4 number and port, for example \"127.0.0.1:8080\"", isAddress };
     const TextForm token { "8 or more printable characters without spaces", isToken };
-    const TextForm platformKind { "\"etcd\" or \"embedded\"", isPlatformKind };
+    const TextForm platformKind { "\"etcd\", \"embedded\" or \"users\"", isPlatformKind };
     const TextForm logLevel { "\"trace\", \"debug\", \"info\", \"warn\" or \"error\"", isLogLevel };
     const TextForm path { "a text", isAnything };
 
@@ -80,6 +80,9 @@
     const NumberRange milliseconds { 1, millisecondsInDay };
     const NumberRange millisecondsOrNone { 0, millisecondsInDay };
     const NumberRange weight { 0, mostWeight };
+    const NumberRange seconds { 0, 24.0 * 3600 };
+    const NumberRange factor { 1, 1000 };
+    const NumberRange bufferedEvents { 0, 1 << 20 };
     const FieldRule flag {};
 
 } // namespace
@@ -202,13 +205,37 @@
     return s_fields;
 }
 
+template<>
+const Fields<JobsSection>& fieldsOf()
+{
+    using J = JobsSection;
+    constexpr auto optional = Presence::Optional;
+    static const Fields<JobsSection> s_fields {
+        { "platform", &J::platform, &name, optional, "Platform that jobs are run on, for example \"users\"; left out to run without jobs." },
+        { "readyListen", &J::readyListen, &address, optional, "Where the balancer's readiness check is served." },
+        { "machineAddress", &J::machineAddress, &address, optional, "Machine service of the platform." },
+        { "adviceAddress", &J::adviceAddress, &address, optional, "Service that tells which workers may run a queue's steps." },
+        { "workerLeaseMilliseconds", &J::workerLease, milliseconds, optional, "Longest lease that workers grant." },
+        { "stateRetentionMilliseconds", &J::stateRetention, milliseconds, optional, "How long a job's final state is shown at least." },
+        { "holderSilenceMilliseconds", &J::holderSilence, milliseconds, optional, "Silence between the orders of two holders for one machine." },
+        { "stopGraceMilliseconds", &J::stopGrace, milliseconds, optional, "From SIGTERM to SIGKILL." },
+        { "moveSeconds", &J::moveSeconds, seconds, optional, "Time that a machine takes to move to another pool." },
+        { "maintenanceSeconds", &J::maintenanceSeconds, seconds, optional, "Time that a machine's maintenance takes." },
+        { "remoteFactor", &J::remoteFactor, factor, optional, "Run time of a task away from its data, as a multiple." },
+        { "movesMachines", &J::movesMachines, flag, optional, "Whether machines may be moved between pools." },
+    };
+    return s_fields;
+}
+
 template<>
 const Fields<LoggingSection>& fieldsOf()
 {
     static const Fields<LoggingSection> s_fields {
         { "level", &LoggingSection::level, &logLevel, Presence::Optional, "Least severe events that are logged." },
-        { "file", &LoggingSection::file, &path, Presence::Optional, "File that logs are appended to; empty for standard error." },
+        { "file", &LoggingSection::file, &path, Presence::Optional, "File that logs are appended to; empty for the console." },
         { "json", &LoggingSection::json, flag, Presence::Optional, "One JSON object a line; false for plain text." },
+        { "standardOutput", &LoggingSection::standardOutput, flag, Presence::Optional, "Console logs go to standard output in place of standard error." },
+        { "bufferedEvents", &LoggingSection::bufferedEvents, bufferedEvents, Presence::Optional, "Events that may wait to be written; 0 writes each at once." },
     };
     return s_fields;
 }
--- a/Source/Core/Kernel/SettingsFields.h
+++ b/Source/Core/Kernel/SettingsFields.h
@@ -83,6 +83,8 @@
 template<>
 const Fields<WeightsSection>& fieldsOf();
 template<>
+const Fields<JobsSection>& fieldsOf();
+template<>
 const Fields<LoggingSection>& fieldsOf();
 
 /// Names of a section's lists in JSON.
@@ -102,6 +104,7 @@
     visitor("adapters", settings.adapters);
     visitor("limits", settings.limits);
     visitor("weights", settings.weights);
+    visitor("jobs", settings.jobs);
     visitor("logging", settings.logging);
 }
 
