Stay reachable for answers while leaving, and answer what waits before the end

Change: a leaving host stays a member, marked; peers are kept for 15 s after their lease; at the end, waiting calls are answered.

--- a/Source/Core/Jobs/Host/JobHost.cpp
+++ b/Source/Core/Jobs/Host/JobHost.cpp
@@ -15,7 +15,8 @@
 namespace {
 
     constexpr milliseconds quietTime { 2600 }; ///< For the balancer to see that the host isn't ready: two checks, a second apart.
-    constexpr milliseconds exitReserve { 600 }; ///< Of the grace, kept for the end of the process.
+    constexpr milliseconds exitReserve { 900 }; ///< Of the grace, kept for the end of the process.
+    constexpr milliseconds lastAnswers { 60 }; ///< For the answers to what was waiting to leave the process.
     constexpr milliseconds drainStep { 50 };
     constexpr milliseconds lastRequests { 250 }; ///< Without an unanswered call before the listeners close.
 
@@ -107,7 +108,8 @@
         const bool isQuiet = now - lastBusy > lastRequests && now - stoppedAt > quietTime + lastRequests;
         if (isQuiet || now - stoppedAt > settings.jobs.stopGrace - exitReserve) {
             writeEvent("host", { "stopped", settings.host, { { "unanswered", std::to_string(platform->callers().unanswered()) } } });
-            platform->stop();
+            node->abandon();
+            platform->loop().after(lastAnswers, [this] { platform->stop(); });
             return;
         }
         platform->loop().after(drainStep, [this] { drain(); });
--- a/Source/Core/Jobs/Runtime/JobDoor.cpp
+++ b/Source/Core/Jobs/Runtime/JobDoor.cpp
@@ -95,6 +95,10 @@
             writeEvent("door", { "answered", path.substr(path.rfind('/') + 1), { { "verb", verbName }, { "outcome", outcome }, { "reason", answer.reason }, { "tookMs", std::to_string(std::chrono::duration_cast<milliseconds>(took).count()) }, { "configuration", std::to_string(configuration.version) } } });
         reply(answer);
     };
+    if (isAbandoned) {
+        logged(unavailable("stopping", ownerlessRetryAfter));
+        return;
+    }
     if (!isConfigured) {
         logged(unavailable("no-configuration", ownerlessRetryAfter));
         return;
--- a/Source/Core/Jobs/Runtime/JobNode.cpp
+++ b/Source/Core/Jobs/Runtime/JobNode.cpp
@@ -15,6 +15,7 @@
 namespace {
 
     constexpr milliseconds storeAbsenceLimit { 6000 }; ///< An owner without the store for longer lets its workers' leases lapse.
+    constexpr milliseconds peerMemory { 15000 }; ///< Longer than the store's usual outages.
     constexpr milliseconds handOverStep { 10 };
     constexpr milliseconds handOverLimit { 600 }; ///< A commit under way takes a few milliseconds; the store may be away.
 
@@ -180,14 +181,22 @@
 
 void JobNode::State::membersChanged()
 {
+    for (const auto& [host, member] : ownership.members())
+        knownPeers[host] = { member.address, {} };
+    for (auto& [host, peer] : knownPeers) {
+        if (!ownership.members().contains(host) && peer.goneAt == Common::Instant())
+            peer.goneAt = loop.now();
+    }
+    // A host whose lease has lapsed may go on passing calls, for example while the store is away.
+    std::erase_if(knownPeers, [this](const auto& it) { return it.second.goneAt != Common::Instant() && loop.now() - it.second.goneAt > peerMemory; });
     std::vector<Ports::PeerAddress> peers;
-    for (const auto& [host, member] : ownership.members()) {
+    for (const auto& [host, peer] : knownPeers) {
         if (host != settings.ownership.self.host)
-            peers.push_back({ host, member.address });
+            peers.push_back({ host, peer.address });
     }
-    if (peers == knownPeers)
+    if (peers == dialledPeers)
         return;
-    knownPeers = peers;
+    dialledPeers = peers;
     ports.peers.setPeers(std::move(peers));
 }
 
@@ -285,6 +294,12 @@
 
 void JobNode::leave(std::function<void()> left) { m_state->leave(std::move(left)); }
 
+void JobNode::abandon()
+{
+    m_state->isAbandoned = true;
+    m_state->peerCalls.abandon();
+}
+
 void JobNode::jobCalled(Ports::JobCall call, Ports::JobReply reply)
 {
     m_state->loop.post([state = m_state, call = std::move(call), reply = std::move(reply)]() mutable { state->called(std::move(call), std::move(reply)); });
--- a/Source/Core/Jobs/Runtime/JobNode.h
+++ b/Source/Core/Jobs/Runtime/JobNode.h
@@ -53,6 +53,8 @@
     void start();
     /// Hands all duties over; goes on passing calls to their new owners. The callback runs when all are handed over.
     void leave(std::function<void()> left);
+    /// The process ends: answers what still waits, and refuses what still comes.
+    void abandon();
 
     void jobCalled(Ports::JobCall, Ports::JobReply) override;
     bool isReady() const override;
--- a/Source/Core/Jobs/Runtime/JobNodeState.h
+++ b/Source/Core/Jobs/Runtime/JobNodeState.h
@@ -16,6 +16,12 @@
 /// Name of the duty that gives orders to machines; pools' names have no such sign.
 constexpr const char* fleetDuty = "~fleet";
 
+/// A host that is or was a member a while ago.
+struct KnownPeer {
+    std::string address;
+    Common::Instant goneAt {}; ///< Zero for a member.
+};
+
 struct JobNode::State : std::enable_shared_from_this<JobNode::State> {
     State(const JobNodePorts&, JobNodeSettings);
 
@@ -62,7 +68,9 @@
     std::map<std::string, WorkerEntry> workers;
     std::map<std::string, std::unique_ptr<PoolOwner>> owners;
     std::unique_ptr<FleetDuty> fleet;
-    std::vector<Ports::PeerAddress> knownPeers;
+    std::map<std::string, KnownPeer> knownPeers;
+    std::vector<Ports::PeerAddress> dialledPeers;
+    bool isAbandoned = false;
     std::atomic<bool> isConfigured { false };
     std::atomic<bool> isLeaving { false };
     Ownership ownership; ///< Last: its hooks use the others.
--- a/Source/Core/Jobs/Runtime/Ownership.cpp
+++ b/Source/Core/Jobs/Runtime/Ownership.cpp
@@ -16,9 +16,12 @@
 
     constexpr std::chrono::milliseconds retryDelay { 400 }; ///< While the store doesn't answer or refuses.
 
+    /// At the end of a member's text that is about to go.
+    constexpr const char* leavingText = " leaving";
+
     std::string memberText(const MemberInfo& member)
     {
-        return member.address + ' ' + member.dataCentre;
+        return member.address + ' ' + member.dataCentre + (member.isLeaving ? leavingText : "");
     }
 
     /// The holder's text in a term that was given up.
@@ -27,7 +30,8 @@
     MemberInfo readMember(const std::string& host, const std::string& text)
     {
         const auto space = text.find(' ');
-        return { host, text.substr(0, space), space == std::string::npos ? std::string() : text.substr(space + 1) };
+        const auto rest = space == std::string::npos ? std::string() : text.substr(space + 1);
+        return { host, text.substr(0, space), rest.substr(0, rest.find(' ')), text.ends_with(leavingText) };
     }
 
 } // namespace
@@ -97,6 +101,14 @@
         });
     }
 
+    /// Best effort: others also see that this host doesn't claim.
+    void tellLeaving()
+    {
+        Ports::Transaction transaction;
+        transaction.puts = { { StoreKeys::members + settings.self.host, memberText(settings.self), lease } };
+        platform.transact(std::move(transaction), [](const Ports::PlatformReply&) {});
+    }
+
     void renew()
     {
         const auto sentAt = loop.now();
@@ -199,8 +211,10 @@
     std::vector<std::string> candidates(const std::string& duty, const std::map<std::string, unsigned>& dutyCounts) const
     {
         std::vector<std::string> names;
-        for (const auto& [host, info] : members)
-            names.push_back(host);
+        for (const auto& [host, info] : members) {
+            if (!info.isLeaving)
+                names.push_back(host);
+        }
         auto ranked = Common::rendezvousTop(duty, names, names.size());
         std::ranges::stable_sort(ranked, [&dutyCounts](const auto& left, const auto& right) { return dutyCounts.at(left) < dutyCounts.at(right); });
         return ranked;
@@ -222,7 +236,7 @@
     /// Every host gives the open duties out in its mind, in the same way, and takes its own when its turn comes.
     void consider()
     {
-        if (isLeaving || !isRegistered || !feed->isSynced() || !members.contains(settings.self.host))
+        if (isLeaving || !isRegistered || !feed->isSynced() || !members.contains(settings.self.host) || members.at(settings.self.host).isLeaving)
             return;
         std::map<std::string, unsigned> dutyCounts;
         for (const auto& [host, info] : members)
@@ -362,9 +376,9 @@
 void Ownership::leave()
 {
     m_state->isLeaving = true;
-    Ports::Transaction transaction;
-    transaction.deletes = { StoreKeys::members + m_state->settings.self.host };
-    m_state->platform.transact(std::move(transaction), [](const Ports::PlatformReply&) {});
+    m_state->settings.self.isLeaving = true;
+    if (m_state->isRegistered)
+        m_state->tellLeaving();
 }
 
 const std::map<std::string, MemberInfo>& Ownership::members() const { return m_state->members; }
--- a/Source/Core/Jobs/Runtime/Ownership.h
+++ b/Source/Core/Jobs/Runtime/Ownership.h
@@ -22,6 +22,7 @@
     std::string host;
     std::string address; ///< "ip:port" for peers.
     std::string dataCentre;
+    bool isLeaving = false; ///< Takes no more duties, but still passes calls on.
 };
 
 /// Holder of a duty.
@@ -60,7 +61,7 @@
     void setDuties(const std::set<std::string>&);
     /// Gives a duty up, once what it did is over.
     void release(const std::string& duty);
-    /// Takes no more duties, and gives them all up.
+    /// Takes no more duties. The host stays a member, so that it gets answers, until its lease lapses.
     void leave();
 
     const std::map<std::string, MemberInfo>& members() const;
--- a/Source/Core/Jobs/Runtime/PeerCalls.cpp
+++ b/Source/Core/Jobs/Runtime/PeerCalls.cpp
@@ -40,6 +40,12 @@
         end(number, PeerStatus::NoAnswer, {});
 }
 
+void PeerCalls::abandon()
+{
+    while (!m_pending.empty())
+        end(m_pending.begin()->first, PeerStatus::NoAnswer, {});
+}
+
 void PeerCalls::reply(const std::string& host, const NodeMessage& message)
 {
     m_port.send(host, encodeNodeMessage(message));
--- a/Source/Core/Jobs/Runtime/PeerCalls.h
+++ b/Source/Core/Jobs/Runtime/PeerCalls.h
@@ -32,6 +32,8 @@
     void answered(const NodeMessage&);
     /// What was sent to the host and not answered may be lost.
     void disconnected(const std::string& host);
+    /// Ends every call under way without an answer.
+    void abandon();
     /// Sends an answer; one that can't be sent is lost, and the peer's timeout tells it.
     void reply(const std::string& host, const NodeMessage&);
 
