--- a/Source/Core/Jobs/Fleet/WaveRun.cpp
+++ b/Source/Core/Jobs/Fleet/WaveRun.cpp
@@ -15,6 +15,17 @@
 
 } // namespace
 
+void MachineView::add(const WorkerLoad& it)
+{
+    if (!load) {
+        load = it;
+        return;
+    }
+    load->runs += it.runs;
+    load->lastingRuns += it.lastingRuns;
+    load->isCordoned = load->isCordoned && it.isCordoned;
+}
+
 WaveRun::WaveRun(MaintenanceWave wave, Instant publishedAt, std::set<std::string> done)
     : m_wave(std::move(wave))
     , m_publishedAt(publishedAt)
--- a/Source/Core/Jobs/Fleet/WaveRun.h
+++ b/Source/Core/Jobs/Fleet/WaveRun.h
@@ -16,9 +16,12 @@
 /// What is known of a machine that a wave may take.
 struct MachineView {
     Machine machine;
-    const WorkerLoad* load = nullptr; ///< As its pool's owner reported it; null when the owner wasn't heard or knows no worker there.
+    std::optional<WorkerLoad> load; ///< As its pool's owner reported it; nothing when the owner wasn't heard or knows no worker there.
     bool isOwnerHeard = false; ///< Its pool's owner has reported lately.
     bool isOff = false; ///< Of a standby pool: nothing runs there.
+
+    /// Adds a worker of the machine: an earlier one may still be waited for beside the present one.
+    void add(const WorkerLoad&);
 };
 
 /// Answers the load pattern in which each queue peaks in its turn: machines that are off or idle go first, those with
--- a/Source/Core/Jobs/Runtime/FleetDuty.cpp
+++ b/Source/Core/Jobs/Runtime/FleetDuty.cpp
@@ -2,6 +2,7 @@
 
 #include "Jobs/Fleet/WaveRun.h"
 #include "Jobs/Runtime/Events.h"
+#include "Jobs/Runtime/JobNodeState.h"
 #include "Jobs/Runtime/Ownership.h"
 #include "Jobs/Runtime/StoreKeys.h"
 
@@ -101,12 +102,11 @@
         if (pools.empty())
             stepAfter(stepInterval);
         for (const auto& pool : pools) {
-            LoadCall call { 0, pool, {}, {} };
+            LoadCall call { 0, pool, {} };
             for (const auto& machine : cordon) {
                 if (const auto it = machines.find(machine); it != machines.end() && it->second.pool == pool)
                     call.cordonedMachines.push_back(machine);
             }
-            call.goneWorkers.assign(goneWorkers.begin(), goneWorkers.end());
             context.askLoad(std::move(call), [self = weak_from_this(), pool](const LoadCallAnswer& answer) {
                 const auto state = self.lock();
                 if (!state || state->isOver)
@@ -117,7 +117,6 @@
                     state->decide();
             });
         }
-        goneWorkers.clear();
     }
 
     std::map<std::string, MachineView> views() const
@@ -132,10 +131,10 @@
             view.isOwnerHeard = load != loads.end();
             if (!view.isOwnerHeard)
                 continue;
-            const auto& workers = load->second.workers;
-            const auto it = std::ranges::find(workers, name, &WorkerLoad::machine);
-            if (it != workers.end())
-                view.load = &*it;
+            for (const auto& it : load->second.workers) {
+                if (it.machine == name)
+                    view.add(it);
+            }
         }
         return result;
     }
@@ -198,9 +197,7 @@
         log("maintenance-answered", machine, { { "wave", std::to_string(number) }, { "status", std::to_string(static_cast<int>(status)) } });
         if (status == MachineStatus::Done) {
             it->second.began(machine, loop.now(), context.limits.maintenanceTime);
-            if (const auto found = machines.find(machine); found != machines.end() && !found->second.worker.empty())
-                goneWorkers.insert(found->second.worker);
-            save(it->second);
+            save(number);
         } else if (status == MachineStatus::NoAnswer) {
             again(number, machine); // It may have been carried out, and is answered alike when it was.
         } else {
@@ -211,12 +208,24 @@
 
     std::string progressKey(std::uint64_t number) const { return "/marigold/waves/" + std::to_string(number); }
 
-    void save(const WaveRun& run)
+    /// Keeps what is done for the next holder, which would vacate those machines in vain.
+    void save(std::uint64_t number)
     {
+        const auto it = waves.find(number);
+        if (it == waves.end())
+            return;
         Ports::Transaction transaction;
-        transaction.compares = { { Ownership::keyOf("fleet"), static_cast<std::int64_t>(fence) } };
-        transaction.puts = { { progressKey(run.wave().number), joinNames(run.done()), 0 } };
-        context.platform.transact(std::move(transaction), [](const Ports::PlatformReply&) {});
+        transaction.compares = { { Ownership::keyOf(fleetDuty), static_cast<std::int64_t>(fence) } };
+        transaction.puts = { { progressKey(number), joinNames(it->second.done()), 0 } };
+        context.platform.transact(std::move(transaction), [self = weak_from_this(), number](const Ports::PlatformReply& reply) {
+            const auto state = self.lock();
+            if (!state || state->isOver || reply.status == Ports::PlatformStatus::Ok || reply.status == Ports::PlatformStatus::ComparesFailed)
+                return;
+            state->loop.after(orderRetry, [self, number] {
+                if (const auto again = self.lock(); again && !again->isOver)
+                    again->save(number);
+            });
+        });
     }
 
     void complete(std::uint64_t number)
@@ -230,7 +239,7 @@
     void writeStatus(std::uint64_t number, bool isCompleted)
     {
         Ports::Transaction transaction;
-        transaction.compares = { { Ownership::keyOf("fleet"), static_cast<std::int64_t>(fence) } };
+        transaction.compares = { { Ownership::keyOf(fleetDuty), static_cast<std::int64_t>(fence) } };
         transaction.puts = { context.published.waveStatus(number, isCompleted) };
         context.platform.transact(std::move(transaction), [self = weak_from_this(), number, isCompleted](const Ports::PlatformReply& reply) {
             const auto state = self.lock();
@@ -286,7 +295,6 @@
     std::set<std::uint64_t> finished;
     std::set<std::uint64_t> loading; ///< Waves whose progress is being read.
     std::set<std::string> cordon;
-    std::set<std::string> goneWorkers;
     std::size_t waitingLoads = 0;
     Common::TaskLoop::TimerId timer = 0;
     bool isOver = false;
--- a/Source/Core/Jobs/Runtime/JobNode.cpp
+++ b/Source/Core/Jobs/Runtime/JobNode.cpp
@@ -223,8 +223,6 @@
     if (it == owners.end() || !it->second->isServing())
         return answer;
     auto& owner = *it->second;
-    for (const auto& worker : call.goneWorkers)
-        owner.workerGone(worker);
     owner.cordon({ call.cordonedMachines.begin(), call.cordonedMachines.end() });
     answer.isOwner = true;
     answer.fence = owner.fence();
--- a/Source/Core/Jobs/Runtime/NodeMessages.cpp
+++ b/Source/Core/Jobs/Runtime/NodeMessages.cpp
@@ -28,7 +28,7 @@
 template<typename V, MaybeConst<LoadCall> M>
 void visitFields(V& v, M& m)
 {
-    v(m.call, m.pool, m.cordonedMachines, m.goneWorkers);
+    v(m.call, m.pool, m.cordonedMachines);
 }
 
 template<typename V, MaybeConst<WorkerLoad> M>
--- a/Source/Core/Jobs/Runtime/NodeMessages.h
+++ b/Source/Core/Jobs/Runtime/NodeMessages.h
@@ -42,7 +42,6 @@
     std::uint64_t call = 0;
     std::string pool;
     std::vector<std::string> cordonedMachines; ///< The only ones.
-    std::vector<std::string> goneWorkers; ///< Whose machines were moved or went into maintenance.
 };
 
 /// The owner's load, after it took note of the cordon.
--- a/Source/Core/Jobs/Runtime/PoolOwner.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwner.cpp
@@ -435,12 +435,6 @@
     m_state->changed();
 }
 
-void PoolOwner::workerGone(const std::string& worker)
-{
-    if (const auto it = m_state->sessions.find(worker); it != m_state->sessions.end())
-        it->second->confirmGone();
-}
-
 void PoolOwner::handle(PoolRequest request, Ports::JobReply reply) { m_state->handle(std::move(request), std::move(reply)); }
 
 bool PoolOwner::isServing() const { return m_state->isServing; }
--- a/Source/Core/Jobs/Runtime/PoolOwner.h
+++ b/Source/Core/Jobs/Runtime/PoolOwner.h
@@ -57,8 +57,6 @@
     void workerUnlisted(const std::string& worker);
     /// Machines whose workers are to be vacated; the only ones.
     void cordon(const std::set<std::string>& machines);
-    /// A machine was moved or went into maintenance: its worker has gone.
-    void workerGone(const std::string& worker);
     /// Exactly one answer follows, unless the owner is destroyed before.
     void handle(PoolRequest, Ports::JobReply);
     /// True once the journal is read.
