Claim open duties again until they are held; run whole fleets of the job subsystem in virtual time

Change: every change of members or owners, and a timer while a duty is open, makes a host weigh them again. Tests: 18 cases of whole fleets in virtual time (kills, power loss, cuts, late orders, lost answers, outages).

--- a/Source/Core/Jobs/Runtime/Ownership.cpp
+++ b/Source/Core/Jobs/Runtime/Ownership.cpp
@@ -14,6 +14,7 @@
 
     using Ports::PlatformStatus;
 
+    constexpr std::chrono::milliseconds reconsiderInterval { 500 }; ///< While a duty is without a holder.
     constexpr std::chrono::milliseconds retryDelay { 400 }; ///< While the store doesn't answer or refuses.
 
     /// At the end of a member's text that is about to go.
@@ -165,6 +166,7 @@
         } else if (key.starts_with(StoreKeys::terms)) {
             terms[std::string(key.substr(std::string_view(StoreKeys::terms).size()))] = pair.value;
         }
+        considerSoon();
         hooks.changed();
     }
 
@@ -220,9 +222,14 @@
         return ranked;
     }
 
+    bool hasOpenDuty() const
+    {
+        return std::ranges::any_of(duties, [this](const auto& it) { return !owners.contains(it); });
+    }
+
     void considerSoon()
     {
-        if (isLeaving || considerTimer != 0)
+        if (isLeaving || considerTimer != 0 || !hasOpenDuty())
             return;
         const auto settled = startedAt + settings.settleTime;
         const auto delay = std::max(std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(settled - loop.now()));
@@ -233,9 +240,22 @@
         });
     }
 
+    /// Claims may fail, and what they depend on may come to be known in any order.
+    void considerAgain()
+    {
+        if (!hasOpenDuty() || isLeaving || reconsiderTimer != 0)
+            return;
+        reconsiderTimer = loop.after(reconsiderInterval, [self = shared_from_this()] {
+            self->reconsiderTimer = 0;
+            if (!self->isOver)
+                self->consider();
+        });
+    }
+
     /// Every host gives the open duties out in its mind, in the same way, and takes its own when its turn comes.
     void consider()
     {
+        considerAgain();
         if (isLeaving || !isRegistered || !feed->isSynced() || !members.contains(settings.self.host) || members.at(settings.self.host).isLeaving)
             return;
         std::map<std::string, unsigned> dutyCounts;
@@ -342,6 +362,7 @@
     Common::Instant lastContact {};
     Common::TaskLoop::TimerId leaseTimer = 0;
     Common::TaskLoop::TimerId considerTimer = 0;
+    Common::TaskLoop::TimerId reconsiderTimer = 0;
     bool isRegistered = false;
     bool isLeaving = false;
     bool isOver = false;
@@ -357,6 +378,7 @@
     m_state->isOver = true;
     m_state->loop.cancel(m_state->leaseTimer);
     m_state->loop.cancel(m_state->considerTimer);
+    m_state->loop.cancel(m_state->reconsiderTimer);
     m_state->feed.reset();
     m_state->hooks = {};
 }
--- /dev/null
+++ b/Source/UnitTests/Jobs/FakeStore.h
@@ -0,0 +1,62 @@
+#pragma once
+
+/// The platform's store in virtual time: one state, a port for each host, faults on demand.
+
+#include "Adapters/Platform/KeyValueStore.h"
+#include "VirtualLoop.h"
+
+#include <memory>
+#include <set>
+#include <string>
+
+/// State shared by the ports.
+struct FakeStore {
+    explicit FakeStore(VirtualLoop& virtualLoop)
+        : loop(virtualLoop)
+    {
+    }
+
+    void put(const std::string& key, const std::string& value)
+    {
+        Ports::Transaction transaction;
+        transaction.puts = { { key, value, 0 } };
+        state.transact(transaction, loop.now());
+    }
+
+    VirtualLoop& loop;
+    Adapters::KeyValueStore state;
+    std::chrono::milliseconds delay { 2 }; ///< One way.
+    std::chrono::milliseconds lateEffect { 0 }; ///< Of writes whose answer is lost: they take effect that much later.
+    unsigned answersToLose = 0; ///< Of the next writes; carried out, but not answered.
+    bool isDown = false; ///< Swallows every call.
+    std::set<std::string> cutHosts; ///< As if down, for these.
+    unsigned writes = 0;
+};
+
+/// One host's way to the store.
+class FakeStorePort final : public Ports::PlatformPort {
+public:
+    FakeStorePort(FakeStore&, std::string host);
+
+    void start() override { }
+    void read(const std::string& key, bool prefix, Ports::PlatformCallback) override;
+    void transact(Ports::Transaction, Ports::PlatformCallback) override;
+    void grantLease(std::chrono::seconds, Ports::PlatformCallback) override;
+    void renewLease(Ports::LeaseId, Ports::PlatformCallback) override;
+    void revokeLease(Ports::LeaseId, Ports::PlatformCallback) override;
+    void watch(const std::string& prefix, std::int64_t fromRevision, Ports::WatchCallback) override;
+    void readHostList(Ports::HostListCallback) override;
+    void rebootHost(const std::string&, std::uint64_t, Ports::PlatformCallback) override;
+    void stop() override { *m_isAlive = false; }
+
+private:
+    using Call = std::function<Ports::PlatformReply()>;
+
+    bool isCut() const { return m_store.isDown || m_store.cutHosts.contains(m_host); }
+    void call(bool isWrite, Call, Ports::PlatformCallback);
+    void answer(Ports::PlatformReply, const Ports::PlatformCallback&);
+
+    FakeStore& m_store;
+    std::string m_host;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true); ///< False once the host is killed: nothing reaches it.
+};
--- /dev/null
+++ b/Source/UnitTests/Jobs/JobFleetTest.cpp
@@ -0,0 +1,333 @@
+/// Whole fleets in virtual time: jobs are accepted once, run once and shown complete, through kills, cuts and outages.
+
+#include "JobFleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace std::chrono_literals;
+using Ports::JobOutcome;
+using Ports::JobVerb;
+
+namespace {
+
+/// The host that doesn't own the pool.
+std::string otherHost(const JobFleet& fleet)
+{
+    const auto owner = fleet.ownerOf("desk");
+    for (const auto& [name, host] : fleet.hosts) {
+        if (name != owner)
+            return name;
+    }
+    return {};
+}
+
+void submit(JobFleet& fleet, const std::string& host, unsigned number, const Jobs::JobSpec& spec)
+{
+    const auto answer = fleet.call(host, JobVerb::Submit, jobId(number), spec);
+    REQUIRE(answer);
+    CHECK(answer->outcome == JobOutcome::Accepted);
+}
+
+} // namespace
+
+TEST_CASE("a job is accepted at any host, runs once and is shown completed at every host")
+{
+    JobFleet fleet(3, 3);
+    fleet.settle();
+    const auto id = jobId(1);
+    submit(fleet, otherHost(fleet), 1, oneStep(20));
+    fleet.runFor(5s);
+    for (const auto& [name, host] : fleet.hosts)
+        CHECK(fleet.stateOf(name, id) == Jobs::JobState::Completed);
+    CHECK(fleet.witness.starts == 20);
+    CHECK(fleet.witness.twice == 0);
+}
+
+TEST_CASE("the same id submitted again, anywhere and late, remains one job")
+{
+    JobFleet fleet(3, 3);
+    fleet.settle();
+    for (const auto& [name, host] : fleet.hosts)
+        submit(fleet, name, 1, oneStep(4));
+    fleet.runFor(4s);
+    submit(fleet, "host-0", 1, oneStep(4));
+    fleet.runFor(4s);
+    CHECK(fleet.witness.starts == 4);
+}
+
+TEST_CASE("a step starts when the steps before it are done, within a few hundredths of a second")
+{
+    JobFleet fleet(2, 2);
+    fleet.settle();
+    auto spec = oneStep(4);
+    spec.steps.push_back(spec.steps.front());
+    spec.steps.back().after = { 0 };
+    submit(fleet, "host-0", 1, spec);
+    fleet.runFor(450ms);
+    CHECK(fleet.witness.starts == 4);
+    fleet.runFor(150ms);
+    CHECK(fleet.witness.starts == 8);
+    fleet.runFor(600ms);
+    CHECK(fleet.stateOf("host-0", jobId(1)) == Jobs::JobState::Completed);
+}
+
+TEST_CASE("an owner that is killed loses nothing: the next one takes its runs over and none runs twice")
+{
+    JobFleet fleet(3, 4);
+    fleet.settle();
+    for (unsigned n = 0; n < 20; ++n)
+        submit(fleet, "host-" + std::to_string(n % 3), n, oneStep(6));
+    const auto owner = fleet.ownerOf("desk");
+    fleet.killHost(owner);
+    fleet.runFor(20s);
+    const auto next = fleet.ownerOf("desk");
+    REQUIRE(!next.empty());
+    for (unsigned n = 0; n < 20; ++n)
+        CHECK(fleet.stateOf(next, jobId(n)) == Jobs::JobState::Completed);
+    CHECK(fleet.witness.starts == 120);
+    CHECK(fleet.witness.twice == 0);
+}
+
+TEST_CASE("every host loses power at once: what was accepted is completed, once")
+{
+    JobFleet fleet(3, 4);
+    fleet.settle();
+    for (unsigned n = 0; n < 10; ++n)
+        submit(fleet, "host-0", n, oneStep(6));
+    for (unsigned n = 0; n < 3; ++n)
+        fleet.killHost("host-" + std::to_string(n));
+    fleet.runFor(1s);
+    for (unsigned n = 0; n < 3; ++n)
+        fleet.addHost("host-" + std::to_string(n));
+    fleet.runFor(20s);
+    for (unsigned n = 0; n < 10; ++n)
+        CHECK(fleet.stateOf("host-1", jobId(n)) == Jobs::JobState::Completed);
+    CHECK(fleet.witness.twice == 0);
+}
+
+TEST_CASE("a crashed worker's tasks run elsewhere after its lease, and the lease of a silent worker isn't extended")
+{
+    JobFleet fleet(2, 2);
+    fleet.settle();
+    auto spec = oneStep(2, 60s);
+    spec.steps.front().isLasting = true;
+    for (const auto& [id, worker] : fleet.workers)
+        worker->runTime = 60s;
+    submit(fleet, "host-0", 1, spec);
+    fleet.runFor(500ms);
+    REQUIRE(fleet.witness.starts == 2);
+    fleet.workers.at("w0")->crash();
+    fleet.runFor(9s);
+    CHECK(fleet.witness.starts == 3);
+}
+
+TEST_CASE("tasks of a worker whose machine is listed as down run elsewhere without waiting for its lease")
+{
+    JobFleet fleet(2, 2);
+    fleet.settle();
+    auto spec = oneStep(2, 60s);
+    spec.steps.front().isLasting = true;
+    for (const auto& [id, worker] : fleet.workers)
+        worker->runTime = 60s;
+    submit(fleet, "host-0", 1, spec);
+    fleet.runFor(500ms);
+    fleet.workers.at("w0")->crash();
+    fleet.machines.at("m0").state = Jobs::Machine::State::Down;
+    fleet.runFor(4s);
+    CHECK(fleet.witness.starts == 3);
+}
+
+TEST_CASE("a worker that is cut off and runs on: its tasks are started elsewhere only once they surely ended")
+{
+    JobFleet fleet(2, 3);
+    fleet.settle();
+    for (const auto& [id, worker] : fleet.workers)
+        worker->runTime = 30s;
+    submit(fleet, "host-0", 1, oneStep(6, 30s));
+    fleet.runFor(1s);
+    fleet.workers.at("w1")->isSilent = true;
+    fleet.runFor(12s);
+    CHECK(fleet.witness.twice == 0);
+    CHECK(fleet.witness.starts > 6);
+    fleet.workers.at("w1")->isSilent = false;
+    fleet.runFor(60s);
+    CHECK(fleet.witness.twice == 0);
+    CHECK(fleet.stateOf("host-0", jobId(1)) == Jobs::JobState::Completed);
+}
+
+TEST_CASE("starts that are carried out late and not answered run once")
+{
+    JobFleet fleet(2, 3);
+    fleet.settle();
+    for (const auto& [name, host] : fleet.hosts)
+        host->workers->startsToDelay = 4;
+    submit(fleet, "host-0", 1, oneStep(8));
+    fleet.runFor(15s);
+    CHECK(fleet.witness.twice == 0);
+    CHECK(fleet.witness.starts == 8);
+    CHECK(fleet.stateOf("host-0", jobId(1)) == Jobs::JobState::Completed);
+}
+
+TEST_CASE("commits whose answers are lost, and take effect late, are settled: accepted once, nothing lost")
+{
+    JobFleet fleet(2, 3);
+    fleet.settle();
+    fleet.store.lateEffect = 1500ms;
+    for (unsigned n = 0; n < 8; ++n) {
+        fleet.store.answersToLose = n % 2;
+        fleet.call("host-0", JobVerb::Submit, jobId(n), oneStep(3));
+    }
+    fleet.runFor(15s);
+    for (unsigned n = 0; n < 8; ++n)
+        CHECK(fleet.stateOf("host-1", jobId(n)) == Jobs::JobState::Completed);
+    CHECK(fleet.witness.starts == 24);
+    CHECK(fleet.witness.twice == 0);
+}
+
+TEST_CASE("while the store is away, jobs are refused at once with a time to come back, and what runs goes on")
+{
+    JobFleet fleet(2, 2);
+    fleet.settle();
+    for (const auto& [id, worker] : fleet.workers)
+        worker->runTime = 4s;
+    submit(fleet, "host-0", 1, oneStep(4, 4s));
+    fleet.runFor(500ms);
+    fleet.store.isDown = true;
+    fleet.call("host-0", JobVerb::Submit, jobId(2), oneStep(4));
+    fleet.runFor(500ms);
+    const auto before = fleet.loop.now();
+    const auto refused = fleet.call(fleet.ownerOf("desk"), JobVerb::Submit, jobId(3), oneStep(4));
+    REQUIRE(refused);
+    CHECK(refused->outcome == JobOutcome::Refused);
+    CHECK(refused->retryAfter > 0ms);
+    CHECK(fleet.loop.now() - before <= 5ms);
+    fleet.runFor(3s);
+    fleet.store.isDown = false;
+    fleet.runFor(8s);
+    CHECK(fleet.stateOf("host-0", jobId(1)) == Jobs::JobState::Completed);
+    CHECK(fleet.witness.starts >= 4);
+    CHECK(fleet.witness.twice == 0);
+    // Surely not stored, as the answer said.
+    const auto shown = fleet.call("host-0", JobVerb::Show, jobId(3));
+    REQUIRE(shown);
+    CHECK(shown->outcome == JobOutcome::NoSuchJob);
+}
+
+TEST_CASE("leases that lapse while the store is away: duties are taken again as soon as it is back")
+{
+    JobFleet fleet(4, 2);
+    fleet.settle();
+    fleet.store.isDown = true;
+    fleet.runFor(6s);
+    fleet.store.state.expireLeases(fleet.loop.now());
+    fleet.store.isDown = false;
+    fleet.runFor(4s);
+    CHECK(!fleet.ownerOf("desk").empty());
+    submit(fleet, "host-0", 1, oneStep(2));
+    fleet.runFor(2s);
+    CHECK(fleet.stateOf("host-1", jobId(1)) == Jobs::JobState::Completed);
+}
+
+TEST_CASE("an owner cut from the store is replaced, and its orders are refused by workers that heard the next one")
+{
+    JobFleet fleet(3, 3);
+    fleet.settle();
+    for (const auto& [id, worker] : fleet.workers)
+        worker->runTime = 3s;
+    for (unsigned n = 0; n < 4; ++n)
+        submit(fleet, "host-0", n, oneStep(6, 3s));
+    const auto old = fleet.ownerOf("desk");
+    fleet.store.cutHosts = { old };
+    fleet.runFor(8s);
+    fleet.store.cutHosts.clear();
+    fleet.runFor(30s);
+    CHECK(fleet.witness.twice == 0);
+    for (unsigned n = 0; n < 4; ++n)
+        CHECK(fleet.stateOf("host-0", jobId(n)) == Jobs::JobState::Completed);
+}
+
+TEST_CASE("a cancelled job's tasks stop, none starts any more, and the cancellation holds after a takeover")
+{
+    JobFleet fleet(2, 1);
+    fleet.settle();
+    for (const auto& [id, worker] : fleet.workers)
+        worker->runTime = 20s;
+    submit(fleet, "host-0", 1, oneStep(12, 20s));
+    fleet.runFor(500ms);
+    REQUIRE(fleet.witness.starts == 4);
+    const auto answer = fleet.call("host-1", JobVerb::Cancel, jobId(1));
+    REQUIRE(answer);
+    CHECK(answer->outcome == JobOutcome::Cancelled);
+    fleet.killHost(fleet.ownerOf("desk"));
+    fleet.runFor(10s);
+    for (const auto& [task, running] : fleet.witness.running)
+        CHECK(running == 0);
+    CHECK(fleet.witness.starts == 4);
+    CHECK(fleet.stateOf(fleet.hosts.begin()->first, jobId(1)) == Jobs::JobState::Cancelled);
+}
+
+TEST_CASE("a task that fails everywhere ends its job after the queue's attempts, and sound workers aren't ejected for it")
+{
+    JobFleet fleet(2, 3);
+    fleet.settle();
+    for (const auto& [id, worker] : fleet.workers)
+        worker->failsAll = true;
+    submit(fleet, "host-0", 1, oneStep(1));
+    fleet.runFor(8s);
+    CHECK(fleet.stateOf("host-0", jobId(1)) == Jobs::JobState::Failed);
+    CHECK(fleet.witness.starts == 3);
+}
+
+TEST_CASE("a worker that fails all that it starts loses no job, as long as others are sound")
+{
+    JobFleet fleet(2, 4);
+    fleet.settle();
+    fleet.workers.at("w2")->failsAll = true;
+    for (unsigned n = 0; n < 12; ++n)
+        submit(fleet, "host-0", n, oneStep(4));
+    fleet.runFor(20s);
+    for (unsigned n = 0; n < 12; ++n)
+        CHECK(fleet.stateOf("host-0", jobId(n)) == Jobs::JobState::Completed);
+}
+
+TEST_CASE("a host that stops hands its pool over within a fraction of a second and goes on passing calls")
+{
+    JobFleet fleet(3, 3);
+    fleet.settle();
+    submit(fleet, "host-0", 1, oneStep(6));
+    const auto owner = fleet.ownerOf("desk");
+    bool hasLeft = false;
+    fleet.hosts.at(owner)->node->leave([&hasLeft] { hasLeft = true; });
+    fleet.runFor(800ms);
+    CHECK(hasLeft);
+    const auto next = fleet.ownerOf("desk");
+    CHECK(!next.empty());
+    CHECK(next != owner);
+    submit(fleet, owner, 2, oneStep(2));
+    fleet.runFor(4s);
+    CHECK(fleet.stateOf(owner, jobId(2)) == Jobs::JobState::Completed);
+    CHECK(fleet.witness.twice == 0);
+}
+
+TEST_CASE("a wave of maintenance reaches every machine within its limit, and lasting tasks move away first")
+{
+    JobFleet fleet(2, 4);
+    fleet.settle();
+    auto spec = oneStep(2, 60s);
+    spec.steps.front().isLasting = true;
+    spec.steps.front().mayMiss = 1;
+    for (const auto& [id, worker] : fleet.workers)
+        worker->runTime = 60s;
+    submit(fleet, "host-0", 1, spec);
+    fleet.runFor(3s);
+    Jobs::MaintenanceWave wave { 7, { "m0", "m1", "m2", "m3" }, 30s, 1 };
+    fleet.publishWave(wave);
+    fleet.runFor(2s);
+    const auto before = fleet.maintained.size();
+    CHECK(before <= 1);
+    fleet.runFor(25s);
+    std::set<std::string> reached;
+    for (const auto& it : fleet.maintained)
+        reached.insert(it.machine);
+    CHECK(reached.size() >= 2);
+}
