Move idle machines to where tasks wait, and ahead of a peak that is expected

Load pattern: each pool in its turn asks for about twice what it holds for some seconds, while the others idle. Cause of the loss: 40% of the jobs of a peak came past three times their objective, with two thirds of the fleet's cores idle.

--- a/Source/Core/Jobs/Decision/Placement.cpp
+++ b/Source/Core/Jobs/Decision/Placement.cpp
@@ -41,19 +41,28 @@
         return conflicts;
     }
 
+    /// A machine with lasting tasks is rarely moved or switched off: others are left free for that.
+    bool isAnchor(const Worker& worker)
+    {
+        return std::ranges::any_of(worker.runs, [](const auto& it) { return it.second.isLasting; });
+    }
+
     /// Lower is better, compared from the first item on.
-    using Score = std::tuple<bool, bool, unsigned, unsigned, std::int64_t>;
+    using Score = std::tuple<bool, bool, unsigned, bool, std::int64_t>;
 
     Score scoreOf(const Candidate& candidate, const PlacementRequest& request)
     {
+        constexpr unsigned freelyTogether = 2; // Tasks of a lasting step on one worker; its loss takes no more.
         const auto& step = *request.step;
         const auto& worker = *candidate.worker;
         const bool isRemote = !step.dataRack.empty() && worker.entry.rack != step.dataRack;
         const bool isApart = !request.preferredRack.empty() && worker.entry.rack != request.preferredRack;
         const auto room = static_cast<std::int64_t>(candidate.room.milliCores);
-        if (step.isLasting || step.isFiller)
-            return { isRemote, isApart, conflictsOn(worker, step), countOf(*request.placedByWorker, worker.entry.id), -room };
-        return { isRemote, isApart, worker.failuresInRow, 0, room };
+        if (!step.isLasting && !step.isFiller)
+            return { isRemote, isApart, worker.failuresInRow, !isAnchor(worker), room };
+        const auto count = countOf(*request.placedByWorker, worker.entry.id);
+        const auto crowd = count >= freelyTogether ? count : 0;
+        return { isRemote, isApart, conflictsOn(worker, step) + crowd, !isAnchor(worker), -room };
     }
 
 } // namespace
--- a/Source/Core/Jobs/Decision/PoolCore.cpp
+++ b/Source/Core/Jobs/Decision/PoolCore.cpp
@@ -199,8 +199,10 @@
         const auto isLasting = [](const auto& it) { return it.second.isLasting; };
         if (worker.mayTake(at.now))
             load.capacityMilliCores += worker.entry.capacity.milliCores;
-        for (const auto& [key, run] : worker.runs)
+        for (const auto& [key, run] : worker.runs) {
             load.busyMilliCores += run.reserved.milliCores;
+            load.lastingMilliCores += run.isLasting ? run.reserved.milliCores : 0;
+        }
         load.workers.push_back({ id, worker.entry.machine, static_cast<unsigned>(worker.runs.size()), static_cast<unsigned>(std::ranges::count_if(worker.runs, isLasting)), worker.isCordoned });
     }
     for (const auto& [id, job] : m_jobs.active()) {
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -43,6 +43,7 @@
     std::uint64_t waitingMilliCores = 0; ///< Of released tasks without a place.
     std::uint64_t lateMilliCores = 0; ///< Of these, of jobs that can't meet their objective any more.
     std::uint64_t busyMilliCores = 0;
+    std::uint64_t lastingMilliCores = 0; ///< Of these, of lasting tasks.
     std::uint64_t capacityMilliCores = 0; ///< Of workers that may take tasks.
     std::uint64_t waitingWork = 0; ///< Core-milliseconds of waiting tasks, by their estimates.
     std::vector<WorkerLoad> workers;
--- a/Source/Core/Jobs/Fleet/WaveRun.cpp
+++ b/Source/Core/Jobs/Fleet/WaveRun.cpp
@@ -118,6 +118,16 @@
     m_attempts[machine].pauseUntil = now + vacatePause / 4;
 }
 
+void WaveRun::addBusy(std::set<std::string>& machines, Instant now) const
+{
+    machines.insert(m_underWay.begin(), m_underWay.end());
+    machines.insert(m_cordon.begin(), m_cordon.end());
+    for (const auto& [machine, until] : m_downUntil) {
+        if (until > now)
+            machines.insert(machine);
+    }
+}
+
 std::vector<std::string> WaveRun::unanswered() const
 {
     return { m_underWay.begin(), m_underWay.end() };
--- a/Source/Core/Jobs/Fleet/WaveRun.h
+++ b/Source/Core/Jobs/Fleet/WaveRun.h
@@ -44,6 +44,9 @@
     /// True when every machine of the wave that is still listed has begun its maintenance.
     bool isCompleted(const std::map<std::string, MachineView>&) const;
 
+    /// Adds the machines that are down or about to be.
+    void addBusy(std::set<std::string>&, Instant now) const;
+
     const MaintenanceWave& wave() const { return m_wave; }
     const std::set<std::string>& done() const { return m_done; }
     unsigned downCount(Instant now) const;
--- a/Source/Core/Jobs/Runtime/FleetDuty.cpp
+++ b/Source/Core/Jobs/Runtime/FleetDuty.cpp
@@ -1,5 +1,6 @@
 #include "Jobs/Runtime/FleetDuty.h"
 
+#include "Jobs/Fleet/MovePlanner.h"
 #include "Jobs/Fleet/WaveRun.h"
 #include "Jobs/Runtime/Events.h"
 #include "Jobs/Runtime/JobNodeState.h"
@@ -13,10 +14,11 @@
 
 namespace {
 
-    constexpr milliseconds stepInterval { 300 }; ///< While machines are to be vacated: a fraction of a task's run time.
+    constexpr milliseconds stepInterval { 200 }; ///< A fraction of a peak, and of a move.
+    constexpr milliseconds cordonInterval { 10 }; ///< Between a cordon and the loads that confirm it.
     constexpr milliseconds orderRetry { 400 };
     constexpr milliseconds silenceMargin { 300 }; ///< On top of the silence between two holders, for orders under way.
-    constexpr milliseconds listInterval { 2500 };
+    constexpr milliseconds listInterval { 2500 }; ///< Of machines; own orders are reckoned with before.
 
     std::set<std::string> readNames(const std::string& text)
     {
@@ -45,6 +47,7 @@
         : context(given)
         , loop(given.loop)
         , fence(ownFence)
+        , moves(given.limits.moveTime)
         , firstOrderAt(given.loop.now() + given.limits.holderSilence + silenceMargin)
     {
     }
@@ -63,7 +66,7 @@
         });
     }
 
-    bool hasWork() const { return !waves.empty(); }
+    bool hasWork() const { return !waves.empty() || context.limits.movesMachines; }
 
     /// Reads the machines when that is due, then asks all pools for their loads, then decides.
     void step()
@@ -139,24 +142,99 @@
         return result;
     }
 
+    std::map<std::string, PoolView> poolViews() const
+    {
+        std::map<std::string, PoolView> result;
+        for (const auto& pool : configuration.pools) {
+            auto& view = result[pool.name];
+            view.isStandby = pool.isStandby;
+            const auto it = loads.find(pool.name);
+            view.isHeard = it != loads.end();
+            if (view.isHeard)
+                view.load = it->second;
+        }
+        return result;
+    }
+
     void decide()
     {
         const auto now = loop.now();
         const auto seen = views();
-        cordon.clear();
-        for (auto& [number, run] : waves) {
-            if (!machines.empty() && run.isCompleted(seen)) {
+        const auto before = std::exchange(cordon, {});
+        for (auto it = waves.begin(); it != waves.end();) {
+            const auto number = it->first;
+            const bool isCompleted = !machines.empty() && it->second.isCompleted(seen);
+            ++it;
+            if (isCompleted)
                 complete(number);
-                stepAfter(stepInterval);
-                return;
-            }
+        }
+        const bool mayOrder = now >= firstOrderAt && context.mayOrder();
+        for (auto& [number, run] : waves) {
             cordon.merge(run.chooseCordon(seen, now));
-            if (now < firstOrderAt || !context.mayOrder())
+            if (!mayOrder)
                 continue;
-            for (const auto& machine : run.chooseOrders(seen, now))
-                order(number, machine);
+            for (const auto& machine : run.chooseOrders(seen, now)) {
+                if (!moves.cordon().contains(machine))
+                    order(number, machine);
+            }
         }
-        stepAfter(stepInterval);
+        if (context.limits.movesMachines && mayOrder)
+            decideMoves(seen);
+        const bool isNew = std::ranges::any_of(cordon, [&before](const auto& it) { return !before.contains(it); });
+        stepAfter(isNew ? cordonInterval : stepInterval);
+    }
+
+    void decideMoves(const std::map<std::string, MachineView>& seen)
+    {
+        auto excluded = cordon;
+        for (const auto& [number, run] : waves)
+            run.addBusy(excluded, loop.now());
+        moves.plan(poolViews(), seen, excluded, loop.now());
+        for (const auto& it : moves.readyMoves(seen))
+            sendMove(it);
+        cordon.merge(moves.cordon());
+    }
+
+    void sendMove(const MachineMove& move)
+    {
+        moves.ordered(move.machine, loop.now());
+        log("move-ordered", move.machine, { { "to", move.pool }, { "fence", std::to_string(fence) } });
+        const Ports::MachineOrder order { move.machine, context.holder, fence, move.pool, 0 };
+        context.machines.move(order, [self = weak_from_this(), move](Ports::MachineStatus status) {
+            const auto state = self.lock();
+            if (!state || state->isOver)
+                return;
+            log("move-answered", move.machine, { { "to", move.pool }, { "status", std::to_string(static_cast<int>(status)) } });
+            state->moved(move, status);
+        });
+    }
+
+    void moved(const MachineMove& move, Ports::MachineStatus status)
+    {
+        if (status == Ports::MachineStatus::NoAnswer) {
+            // It may have been carried out, and is answered alike when it was.
+            loop.after(orderRetry, [self = weak_from_this(), move] {
+                if (const auto state = self.lock(); state && !state->isOver && state->context.mayOrder())
+                    state->sendMove(move);
+            });
+            return;
+        }
+        const bool isDone = status == Ports::MachineStatus::Done;
+        moves.answered(move.machine, isDone, loop.now());
+        const auto it = machines.find(move.machine);
+        if (!isDone)
+            nextList = {};
+        else if (it != machines.end())
+            takeMoved(it->second, move.pool);
+    }
+
+    /// Reckons with a move until the machines are listed again.
+    void takeMoved(Machine& machine, const std::string& pool)
+    {
+        machine.pool = pool;
+        machine.worker.clear();
+        machine.state = Machine::State::Moving;
+        nextList = std::min(nextList, loop.now() + context.limits.moveTime);
     }
 
     void order(std::uint64_t number, const std::string& machine)
@@ -286,6 +364,7 @@
     FleetContext context;
     Common::TaskLoop& loop;
     Fence fence;
+    MovePlanner moves;
     Common::Instant firstOrderAt;
     Common::Instant nextList {};
     JobConfiguration configuration;
--- a/Source/Core/Jobs/Runtime/NodeMessages.cpp
+++ b/Source/Core/Jobs/Runtime/NodeMessages.cpp
@@ -40,7 +40,7 @@
 template<typename V, MaybeConst<PoolLoad> M>
 void visitFields(V& v, M& m)
 {
-    v(m.pool, m.waitingMilliCores, m.lateMilliCores, m.busyMilliCores, m.capacityMilliCores, m.waitingWork, m.workers);
+    v(m.pool, m.waitingMilliCores, m.lateMilliCores, m.busyMilliCores, m.lastingMilliCores, m.capacityMilliCores, m.waitingWork, m.workers);
 }
 
 template<typename V, MaybeConst<LoadCallAnswer> M>
