--- a/Source/Core/Jobs/Host/JobHost.cpp
+++ b/Source/Core/Jobs/Host/JobHost.cpp
@@ -30,7 +30,7 @@
     {
         constexpr double permille = 1000;
         JobNodeSettings node;
-        node.ownership.self = { settings.host, settings.peers.listen, settings.dataCentre };
+        node.ownership.self = { settings.host, settings.peers.listen, settings.dataCentre, static_cast<unsigned>(settings.jobs.processorShare * permille) };
         node.ownership.incarnation = newIncarnation();
         node.pool.retention = settings.jobs.stateRetention;
         node.pool.remoteFactorPermille = static_cast<unsigned>(settings.jobs.remoteFactor * permille);
--- a/Source/Core/Jobs/Runtime/Ownership.cpp
+++ b/Source/Core/Jobs/Runtime/Ownership.cpp
@@ -5,6 +5,7 @@
 #include "Jobs/Runtime/StoreKeys.h"
 
 #include <algorithm>
+#include <sstream>
 #include <string_view>
 #include <utility>
 
@@ -14,6 +15,7 @@
 
     using Ports::PlatformStatus;
 
+    constexpr unsigned loadScale = 1000000; ///< Of a duty on a thousandth of a core, to compare whole numbers.
     constexpr std::chrono::milliseconds reconsiderInterval { 500 }; ///< While a duty is without a holder.
     constexpr std::chrono::milliseconds retryDelay { 400 }; ///< While the store doesn't answer or refuses.
 
@@ -22,7 +24,7 @@
 
     std::string memberText(const MemberInfo& member)
     {
-        return member.address + ' ' + member.dataCentre + (member.isLeaving ? leavingText : "");
+        return member.address + ' ' + member.dataCentre + ' ' + std::to_string(member.strength) + (member.isLeaving ? leavingText : "");
     }
 
     /// The holder's text in a term that was given up.
@@ -30,9 +32,13 @@
 
     MemberInfo readMember(const std::string& host, const std::string& text)
     {
-        const auto space = text.find(' ');
-        const auto rest = space == std::string::npos ? std::string() : text.substr(space + 1);
-        return { host, text.substr(0, space), rest.substr(0, rest.find(' ')), text.ends_with(leavingText) };
+        MemberInfo member;
+        member.host = host;
+        std::istringstream stream(text);
+        stream >> member.address >> member.dataCentre >> member.strength;
+        member.strength = std::max(1U, member.strength);
+        member.isLeaving = text.ends_with(leavingText);
+        return member;
     }
 
 } // namespace
@@ -209,7 +215,7 @@
         hooks.changed();
     }
 
-    /// Members in the order in which they should take a duty: those with the fewest duties first.
+    /// Members in the order in which they should take a duty: those with the fewest duties for their processor share first.
     std::vector<std::string> candidates(const std::string& duty, const std::map<std::string, unsigned>& dutyCounts) const
     {
         std::vector<std::string> names;
@@ -218,7 +224,8 @@
                 names.push_back(host);
         }
         auto ranked = Common::rendezvousTop(duty, names, names.size());
-        std::ranges::stable_sort(ranked, [&dutyCounts](const auto& left, const auto& right) { return dutyCounts.at(left) < dutyCounts.at(right); });
+        const auto loadWith = [&](const std::string& host) { return (dutyCounts.at(host) + 1) * loadScale / members.at(host).strength; };
+        std::ranges::stable_sort(ranked, [&loadWith](const auto& left, const auto& right) { return loadWith(left) < loadWith(right); });
         return ranked;
     }
 
--- a/Source/Core/Jobs/Runtime/Ownership.h
+++ b/Source/Core/Jobs/Runtime/Ownership.h
@@ -22,6 +22,7 @@
     std::string host;
     std::string address; ///< "ip:port" for peers.
     std::string dataCentre;
+    unsigned strength = 1000; ///< Processor share in thousandths of a core.
     bool isLeaving = false; ///< Takes no more duties, but still passes calls on.
 };
 
--- a/Source/Core/Kernel/Settings.h
+++ b/Source/Core/Kernel/Settings.h
@@ -95,6 +95,7 @@
     double moveSeconds = 1.5;
     double maintenanceSeconds = 2;
     double remoteFactor = 1;
+    double processorShare = 1; ///< Of a core that this host has.
     bool movesMachines = true;
 };
 
--- a/Source/Core/Kernel/SettingsFields.cpp
+++ b/Source/Core/Kernel/SettingsFields.cpp
@@ -82,6 +82,7 @@
     const NumberRange weight { 0, mostWeight };
     const NumberRange seconds { 0, 24.0 * 3600 };
     const NumberRange factor { 1, 1000 };
+    const NumberRange share { 0.001, 1024 };
     const NumberRange bufferedEvents { 0, 1 << 20 };
     const FieldRule flag {};
 
@@ -222,6 +223,7 @@
         { "moveSeconds", &J::moveSeconds, seconds, optional, "Time that a machine takes to move to another pool." },
         { "maintenanceSeconds", &J::maintenanceSeconds, seconds, optional, "Time that a machine's maintenance takes." },
         { "remoteFactor", &J::remoteFactor, factor, optional, "Run time of a task away from its data, as a multiple." },
+        { "processorShare", &J::processorShare, share, optional, "Part of a core that this host has; stronger hosts take duties first." },
         { "movesMachines", &J::movesMachines, flag, optional, "Whether machines may be moved between pools." },
     };
     return s_fields;
