Take a start that is refused as old for one that may have run

Change: the worker's list decides, which shows the end or that there was no run. Hosts connect only with holders of duties.

--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -35,7 +35,9 @@
     const auto it = worker.runs.find(order.task);
     if (it == worker.runs.end() || it->second.run != order.run)
         return;
-    if (answer.status == WorkerStatus::Done) {
+    // An old run was stopped or has ended there, perhaps this one by an earlier try whose answer was lost: the worker's
+    // list tells its end, or that it never was.
+    if (answer.status == WorkerStatus::Done || answer.refusal == Ports::WorkerRefusal::OldRun) {
         if (it->second.phase == WorkerRun::Phase::Ordered)
             it->second.phase = WorkerRun::Phase::Confirmed;
         it->second.confirmedAt = at.now;
--- a/Source/Core/Jobs/Runtime/JobNode.cpp
+++ b/Source/Core/Jobs/Runtime/JobNode.cpp
@@ -189,9 +189,14 @@
     }
     // A host whose lease has lapsed may go on passing calls, for example while the store is away.
     std::erase_if(knownPeers, [this](const auto& it) { return it.second.goneAt != Common::Instant() && loop.now() - it.second.goneAt > peerMemory; });
+    // Calls go to holders of duties, and answers come back from them: other pairs of hosts needn't be connected.
+    std::set<std::string> holders;
+    for (const auto& [duty, owner] : ownership.owners())
+        holders.insert(owner.host);
+    const bool isHolder = !owners.empty() || fleet || holders.contains(settings.ownership.self.host);
     std::vector<Ports::PeerAddress> peers;
     for (const auto& [host, peer] : knownPeers) {
-        if (host != settings.ownership.self.host)
+        if (host != settings.ownership.self.host && (isHolder || holders.contains(host)))
             peers.push_back({ host, peer.address });
     }
     if (peers == dialledPeers)
--- a/Source/UnitTests/Jobs/FakeWorkers.cpp
+++ b/Source/UnitTests/Jobs/FakeWorkers.cpp
@@ -165,17 +165,19 @@
 void FakeWorkerPort::start(const Ports::StartOrder& order, Ports::WorkerCallback callback)
 {
     const bool isDelayed = startsToDelay > 0;
+    const bool isLost = !isDelayed && startAnswersToLose > 0;
     startsToDelay -= isDelayed ? 1 : 0;
-    m_loop.after(isDelayed ? lateBy : way, [this, alive = m_isAlive, isDelayed, order, callback] {
+    startAnswersToLose -= isLost ? 1 : 0;
+    m_loop.after(isDelayed ? lateBy : way, [this, alive = m_isAlive, isDelayed, isLost, order, callback] {
         auto* worker = reach(order.target.worker);
-        if (worker && isDelayed)
+        if (worker && (isDelayed || isLost))
             worker->start(order, [](const WorkerAnswer&) {});
         else if (worker)
             worker->start(order, [this, alive, callback](const WorkerAnswer& answer) { m_loop.after(way, [alive, callback, answer] { *alive ? callback(answer) : void(); }); });
         else if (!isDelayed)
             m_loop.after(callTimeout, [alive, callback] { *alive ? callback({}) : void(); });
     });
-    if (isDelayed)
+    if (isDelayed || isLost)
         m_loop.after(callTimeout, [alive = m_isAlive, callback] { *alive ? callback({}) : void(); });
 }
 
--- a/Source/UnitTests/Jobs/FakeWorkers.h
+++ b/Source/UnitTests/Jobs/FakeWorkers.h
@@ -32,7 +32,7 @@
     void look(const Ports::LookOrder&, const Ports::LookCallback&);
     /// Everything on it is gone, and it is silent.
     void crash();
-    std::string value() const; ///< For the fake publisher.
+    bool isBusy() const { return !m_runs.empty(); }
 
     Jobs::WorkerEntry entry;
     std::chrono::milliseconds runTime { 500 };
@@ -84,6 +84,8 @@
 
     /// The next starts are carried out late and not answered.
     unsigned startsToDelay = 0;
+    /// The next starts are carried out, but their answers are lost.
+    unsigned startAnswersToLose = 0;
 
 private:
     FakeWorker* reach(const std::string& worker);
--- a/Source/UnitTests/Jobs/JobFleetTest.cpp
+++ b/Source/UnitTests/Jobs/JobFleetTest.cpp
@@ -2,6 +2,7 @@
 
 #include "JobFleet.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 
 using namespace std::chrono_literals;
@@ -21,6 +22,13 @@
     return {};
 }
 
+FakeWorker& busyWorker(JobFleet& fleet)
+{
+    const auto it = std::ranges::find_if(fleet.workers, [](const auto& entry) { return entry.second->isBusy(); });
+    REQUIRE(it != fleet.workers.end());
+    return *it->second;
+}
+
 void submit(JobFleet& fleet, const std::string& host, unsigned number, const Jobs::JobSpec& spec)
 {
     const auto answer = fleet.call(host, JobVerb::Submit, jobId(number), spec);
@@ -107,32 +115,35 @@
 
 TEST_CASE("a crashed worker's tasks run elsewhere after its lease, and the lease of a silent worker isn't extended")
 {
-    JobFleet fleet(2, 2);
+    JobFleet fleet(2, 3);
     fleet.settle();
     auto spec = oneStep(2, 60s);
     spec.steps.front().isLasting = true;
+    spec.steps.front().maximumPerWorker = 1;
     for (const auto& [id, worker] : fleet.workers)
         worker->runTime = 60s;
     submit(fleet, "host-0", 1, spec);
     fleet.runFor(500ms);
     REQUIRE(fleet.witness.starts == 2);
-    fleet.workers.at("w0")->crash();
+    busyWorker(fleet).crash();
     fleet.runFor(9s);
     CHECK(fleet.witness.starts == 3);
 }
 
 TEST_CASE("tasks of a worker whose machine is listed as down run elsewhere without waiting for its lease")
 {
-    JobFleet fleet(2, 2);
+    JobFleet fleet(2, 3);
     fleet.settle();
     auto spec = oneStep(2, 60s);
     spec.steps.front().isLasting = true;
+    spec.steps.front().maximumPerWorker = 1;
     for (const auto& [id, worker] : fleet.workers)
         worker->runTime = 60s;
     submit(fleet, "host-0", 1, spec);
     fleet.runFor(500ms);
-    fleet.workers.at("w0")->crash();
-    fleet.machines.at("m0").state = Jobs::Machine::State::Down;
+    auto& busy = busyWorker(fleet);
+    busy.crash();
+    fleet.machines.at(busy.entry.machine).state = Jobs::Machine::State::Down;
     fleet.runFor(4s);
     CHECK(fleet.witness.starts == 3);
 }
@@ -168,6 +179,23 @@
     CHECK(fleet.stateOf("host-0", jobId(1)) == Jobs::JobState::Completed);
 }
 
+TEST_CASE("a start without an answer whose run has ended by the next try isn't taken for one that never ran")
+{
+    JobFleet fleet(2, 3);
+    fleet.settle();
+    for (const auto& [id, worker] : fleet.workers)
+        worker->runTime = 720ms;
+    for (const auto& [name, host] : fleet.hosts)
+        host->workers->startAnswersToLose = 4;
+    // The end is listed, but not stored yet, when the second try is refused as old.
+    fleet.store.delay = 120ms;
+    submit(fleet, "host-0", 1, oneStep(6));
+    fleet.runFor(8s);
+    CHECK(fleet.witness.starts == 6);
+    CHECK(fleet.witness.twice == 0);
+    CHECK(fleet.stateOf("host-0", jobId(1)) == Jobs::JobState::Completed);
+}
+
 TEST_CASE("commits whose answers are lost, and take effect late, are settled: accepted once, nothing lost")
 {
     JobFleet fleet(2, 3);
