--- a/Source/Core/Adapters/Platform/CurlClient.cpp
+++ b/Source/Core/Adapters/Platform/CurlClient.cpp
@@ -17,6 +17,7 @@
 namespace {
 
     constexpr int keepAliveProbes = 3;
+    constexpr std::size_t maximumSpareEasies = 64; ///< About the calls that are under way at once.
 
     struct Poll {
         uv_poll_t handle {};
@@ -56,7 +57,8 @@
 
         ~Running()
         {
-            curl_easy_cleanup(easy);
+            if (easy)
+                curl_easy_cleanup(easy);
             curl_slist_free_all(headers);
         }
     };
@@ -85,7 +87,7 @@
         }
         auto running = std::make_unique<Running>();
         running->id = ++m_lastCall;
-        running->easy = curl_easy_init();
+        running->easy = takeEasy();
         running->body = std::move(call.body);
         running->callback = std::move(callback);
         running->dataCallback = std::move(dataCallback);
@@ -278,13 +280,36 @@
         m_running.erase(running.id);
         owned->outcome.end = end;
         owned->outcome.status = static_cast<int>(status);
+        giveBackEasy(std::exchange(owned->easy, nullptr));
         owned->callback(std::move(owned->outcome));
     }
 
+    /// Making a handle takes longer than a call with it: a few are kept.
+    CURL* takeEasy()
+    {
+        if (m_spareEasies.empty())
+            return curl_easy_init();
+        auto* easy = m_spareEasies.back();
+        m_spareEasies.pop_back();
+        return easy;
+    }
+
+    void giveBackEasy(CURL* easy)
+    {
+        if (!m_multi || m_spareEasies.size() >= maximumSpareEasies) {
+            curl_easy_cleanup(easy);
+            return;
+        }
+        curl_easy_reset(easy);
+        m_spareEasies.push_back(easy);
+    }
+
     void cleanUp()
     {
         if (!m_multi)
             return;
+        for (auto* it : std::exchange(m_spareEasies, {}))
+            curl_easy_cleanup(it);
         curl_multi_cleanup(m_multi);
         m_multi = nullptr;
         m_loop.cancel(m_timer);
@@ -295,6 +320,7 @@
     CURLM* m_multi = nullptr;
     EventLoop::TimerId m_timer = 0;
     CallId m_lastCall = 0;
+    std::vector<CURL*> m_spareEasies;
     std::map<CallId, std::unique_ptr<Running>> m_running;
 };
 
--- a/Source/Core/Common/CompactJson.cpp
+++ b/Source/Core/Common/CompactJson.cpp
@@ -4,24 +4,43 @@
 #include <json/writer.h>
 
 #include <memory>
+#include <sstream>
 
 namespace Common {
 
+namespace {
+
+    std::unique_ptr<Json::StreamWriter> makeWriter()
+    {
+        Json::StreamWriterBuilder builder;
+        builder["indentation"] = "";
+        return std::unique_ptr<Json::StreamWriter>(builder.newStreamWriter());
+    }
+
+    std::unique_ptr<Json::CharReader> makeReader()
+    {
+        Json::CharReaderBuilder builder;
+        Json::CharReaderBuilder::strictMode(&builder.settings_);
+        return std::unique_ptr<Json::CharReader>(builder.newCharReader());
+    }
+
+} // namespace
+
 std::string compactJson(const Json::Value& value)
 {
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, value);
+    // Making a writer or reader takes longer than writing or reading a small body.
+    thread_local const auto s_writer = makeWriter();
+    std::ostringstream stream;
+    s_writer->write(value, &stream);
+    return stream.str();
 }
 
 std::optional<Json::Value> parseJsonObject(std::string_view text)
 {
-    Json::CharReaderBuilder builder;
-    Json::CharReaderBuilder::strictMode(&builder.settings_);
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    thread_local const auto s_reader = makeReader();
     Json::Value value;
     try {
-        if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr) || !value.isObject())
+        if (!s_reader->parse(text.data(), text.data() + text.size(), &value, nullptr) || !value.isObject())
             return std::nullopt;
     } catch (const Json::Exception&) {
         return std::nullopt;
--- a/Source/UnitTests/Soak/SoakFleet.cpp
+++ b/Source/UnitTests/Soak/SoakFleet.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr milliseconds submitInterval { 60 };
 constexpr milliseconds pollInterval { 400 };
 constexpr milliseconds callTimeout { 3000 };
 constexpr milliseconds retryInterval { 300 };
@@ -87,7 +86,7 @@
     job->tasks = 1 + draw(6);
     m_jobs.push_back(job);
     submit(job);
-    m_loop->after(submitInterval, [this] { submitNext(); });
+    m_loop->after(m_settings.submitInterval, [this] { submitNext(); });
 }
 
 /// Callers ask again with the same id, at any host, until they are told that the job is accepted or surely wasn't.
--- a/Source/UnitTests/Soak/SoakFleet.h
+++ b/Source/UnitTests/Soak/SoakFleet.h
@@ -24,6 +24,7 @@
     unsigned firstPort = 21000; ///< Five for each host.
     std::string program;
     std::string logDirectory;
+    std::chrono::milliseconds submitInterval { 60 };
     bool hasFaults = true;
 };
 
