Make a start void that may still come, before its task goes elsewhere

Change: a refusal settles only its own try; if an earlier one had no answer, the run is stopped there first, which keeps it out.

--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -160,11 +160,34 @@
             const bool isTooLate = answer.refusal == WorkerRefusal::LeasePassed;
             if ((isUnsure || isTooLate) && !self->isOver)
                 self->retry(tries, [run](State& it, unsigned n) { it.start(run, n); });
+            else if (tries > 0 && mayComeLate(answer) && !self->isOver)
+                self->voidStart(run, answer, 0);
             else if (answer.refusal != WorkerRefusal::Fence && !self->isOver)
                 self->hooks.startAnswered(run, answer);
         });
     }
 
+    /// A refusal settles only its own try: an earlier one without an answer may still be carried out.
+    static bool mayComeLate(const WorkerAnswer& answer)
+    {
+        const bool isRefused = answer.status == WorkerStatus::Refused && answer.refusal != WorkerRefusal::OldRun && answer.refusal != WorkerRefusal::Fence;
+        return isRefused || answer.status == WorkerStatus::Unhealthy;
+    }
+
+    /// A stopped run is refused when its start comes.
+    void voidStart(const StartRun& run, const WorkerAnswer& refusal, unsigned tries)
+    {
+        port.stop({ target(), run.task, run.run, fence }, [self = shared_from_this(), run, refusal, tries](const WorkerAnswer& answer) {
+            if (self->isOver)
+                return;
+            self->take(answer);
+            if (answer.status == WorkerStatus::Done && !self->isOver)
+                self->hooks.startAnswered(run, refusal);
+            else if (answer.refusal != WorkerRefusal::Fence && !self->isOver)
+                self->retry(tries, [run, refusal](State& it, unsigned n) { it.voidStart(run, refusal, n); });
+        });
+    }
+
     void stop(const StopRun& run, unsigned tries)
     {
         if (isOver)
--- a/Source/Standins/JobWorker.cpp
+++ b/Source/Standins/JobWorker.cpp
@@ -57,6 +57,10 @@
     if (order.leaseUntil <= clock())
         return refuse(WorkerRefusal::LeasePassed);
     extend(order.leaseUntil);
+    if (startsToRefuse > 0) {
+        --startsToRefuse;
+        return refuse(WorkerRefusal::NoRoom);
+    }
     if (running != m_runs.end() || order.run <= m_highest[order.task])
         return refuse(WorkerRefusal::OldRun);
     ++m_witness.starts;
--- a/Source/Standins/JobWorker.h
+++ b/Source/Standins/JobWorker.h
@@ -40,6 +40,7 @@
     bool isSilent = false; ///< Cut off from the hosts, but running on.
     bool isCrashed = false;
     bool failsAll = false;
+    unsigned startsToRefuse = 0; ///< The next ones, for want of room.
     bool hangs = false; ///< What runs makes no progress.
 
 private:
--- a/Source/UnitTests/Jobs/FakeWorkers.cpp
+++ b/Source/UnitTests/Jobs/FakeWorkers.cpp
@@ -33,6 +33,8 @@
     const bool isDelayed = startsToDelay > 0;
     const bool isLost = !isDelayed && startAnswersToLose > 0;
     startsToDelay -= isDelayed ? 1 : 0;
+    if (isDelayed)
+        delayedWorker = order.target.worker;
     startAnswersToLose -= isLost ? 1 : 0;
     m_loop.after(isDelayed ? lateBy : way, [this, alive = m_isAlive, isDelayed, isLost, order, callback] {
         auto* worker = reach(order.target.worker);
--- a/Source/UnitTests/Jobs/FakeWorkers.h
+++ b/Source/UnitTests/Jobs/FakeWorkers.h
@@ -31,6 +31,7 @@
 
     /// The next starts are carried out late and not answered.
     unsigned startsToDelay = 0;
+    std::string delayedWorker; ///< That the latest of these was for.
     /// The next starts are carried out, but their answers are lost.
     unsigned startAnswersToLose = 0;
 
--- a/Source/UnitTests/Jobs/JobFleetTest.cpp
+++ b/Source/UnitTests/Jobs/JobFleetTest.cpp
@@ -196,6 +196,24 @@
     CHECK(fleet.stateOf("host-0", jobId(1)) == Jobs::JobState::Completed);
 }
 
+TEST_CASE("a start without an answer that is refused at the next try is made void before the task goes elsewhere")
+{
+    JobFleet fleet(2, 3);
+    fleet.settle();
+    for (const auto& [id, worker] : fleet.workers)
+        worker->runTime = 5s;
+    auto& owner = *fleet.hosts.at(fleet.ownerOf("desk"))->workers;
+    owner.startsToDelay = 1;
+    submit(fleet, "host-0", 1, oneStep(1, 5s));
+    fleet.runFor(100ms);
+    REQUIRE(!owner.delayedWorker.empty());
+    fleet.workers.at(owner.delayedWorker)->startsToRefuse = 1;
+    fleet.runFor(20s);
+    CHECK(fleet.witness.starts == 1);
+    CHECK(fleet.witness.twice == 0);
+    CHECK(fleet.stateOf("host-0", jobId(1)) == Jobs::JobState::Completed);
+}
+
 TEST_CASE("commits whose answers are lost, and take effect late, are settled: accepted once, nothing lost")
 {
     JobFleet fleet(2, 3);
