--- a/Source/Core/Adapters/Platform/CurlClient.cpp
+++ b/Source/Core/Adapters/Platform/CurlClient.cpp
@@ -19,6 +19,8 @@
     constexpr int keepAliveProbes = 3;
     constexpr std::size_t maximumSpareEasies = 64; ///< About the calls that are under way at once.
 
+    constexpr std::uint64_t lateTimer = 5; ///< Milliseconds; less is the usual jitter of a loop that isn't busy.
+
     struct Poll {
         uv_poll_t handle {};
         curl_socket_t socket = CURL_SOCKET_BAD;
@@ -46,6 +48,13 @@
 
 class CurlClient::Private {
 public:
+    struct Timer {
+        uv_timer_t handle {};
+        Private* owner = nullptr;
+        std::uint64_t dueAt = 0; ///< On the loop's clock, in milliseconds.
+        bool isDeferred = false;
+    };
+
     struct Running {
         CallId id = 0;
         CURL* easy = nullptr;
@@ -68,6 +77,9 @@
         , m_limits(limits)
     {
         static const GlobalInit s_init;
+        m_timer = new Timer;
+        m_timer->owner = this;
+        uv_timer_init(m_loop.handle(), &m_timer->handle);
         m_multi = curl_multi_init();
         curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, onSocket);
         curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
@@ -238,13 +250,29 @@
     static int onTimer(CURLM*, long delay, void* data)
     {
         auto* self = static_cast<Private*>(data);
-        self->m_loop.cancel(self->m_timer);
-        self->m_timer = 0;
-        if (delay >= 0)
-            self->m_timer = self->m_loop.after(std::chrono::milliseconds(delay), [self] { self->act(CURL_SOCKET_TIMEOUT, 0); });
+        if (delay < 0) {
+            uv_timer_stop(&self->m_timer->handle);
+            return 0;
+        }
+        uv_update_time(self->m_loop.handle());
+        self->m_timer->dueAt = uv_now(self->m_loop.handle()) + static_cast<std::uint64_t>(delay);
+        uv_timer_start(&self->m_timer->handle, onTimerFired, static_cast<std::uint64_t>(delay), 0);
         return 0;
     }
 
+    static void onTimerFired(uv_timer_t* handle)
+    {
+        auto* timer = reinterpret_cast<Timer*>(handle);
+        // A busy loop runs its timers late and before it reads: answers that are there go before time limits.
+        const bool isLate = uv_now(handle->loop) > timer->dueAt + lateTimer;
+        if (isLate && !std::exchange(timer->isDeferred, true)) {
+            uv_timer_start(handle, onTimerFired, 0, 0);
+            return;
+        }
+        timer->isDeferred = false;
+        timer->owner->act(CURL_SOCKET_TIMEOUT, 0);
+    }
+
     void act(curl_socket_t socket, int flags)
     {
         int stillRunning = 0;
@@ -312,13 +340,13 @@
             curl_easy_cleanup(it);
         curl_multi_cleanup(m_multi);
         m_multi = nullptr;
-        m_loop.cancel(m_timer);
+        uv_close(reinterpret_cast<uv_handle_t*>(&m_timer->handle), [](uv_handle_t* it) { delete reinterpret_cast<Timer*>(it); });
     }
 
     EventLoop& m_loop;
     CurlLimits m_limits;
     CURLM* m_multi = nullptr;
-    EventLoop::TimerId m_timer = 0;
+    Timer* m_timer = nullptr; ///< Freed once the loop has closed it.
     CallId m_lastCall = 0;
     std::vector<CURL*> m_spareEasies;
     std::map<CallId, std::unique_ptr<Running>> m_running;
--- a/Source/Core/Adapters/Platform/EventLoop.cpp
+++ b/Source/Core/Adapters/Platform/EventLoop.cpp
@@ -88,7 +88,8 @@
         watcher->task = std::move(task);
         watcher->handle.data = watcher;
         uv_signal_init(&m_loop, &watcher->handle);
-        uv_signal_start(&watcher->handle, [](uv_signal_t* it, int) { static_cast<Signal*>(it->data)->task(); }, signal);
+        uv_signal_start(
+            &watcher->handle, [](uv_signal_t* it, int) { static_cast<Signal*>(it->data)->task(); }, signal);
         m_signals.push_back(watcher);
     }
 
--- a/Source/Core/Jobs/Decision/Placement.cpp
+++ b/Source/Core/Jobs/Decision/Placement.cpp
@@ -41,12 +41,6 @@
         return conflicts;
     }
 
-    /// A machine with lasting tasks is rarely moved or switched off: others are left free for that.
-    bool isAnchor(const Worker& worker)
-    {
-        return std::ranges::any_of(worker.runs, [](const auto& it) { return it.second.isLasting; });
-    }
-
     /// Lower is better, compared from the first item on.
     using Score = std::tuple<bool, bool, unsigned, bool, std::int64_t>;
 
@@ -59,10 +53,10 @@
         const bool isApart = !request.preferredRack.empty() && worker.entry.rack != request.preferredRack;
         const auto room = static_cast<std::int64_t>(candidate.room.milliCores);
         if (!step.isLasting && !step.isFiller)
-            return { isRemote, isApart, worker.failuresInRow, !isAnchor(worker), room };
+            return { isRemote, isApart, worker.failuresInRow, !candidate.isAnchor, room };
         const auto count = countOf(*request.placedByWorker, worker.entry.id);
         const auto crowd = count >= freelyTogether ? count : 0;
-        return { isRemote, isApart, conflictsOn(worker, step) + crowd, !isAnchor(worker), -room };
+        return { isRemote, isApart, conflictsOn(worker, step) + crowd, !candidate.isAnchor, -room };
     }
 
 } // namespace
@@ -75,6 +69,16 @@
     return need;
 }
 
+Candidate candidateOf(Worker& worker)
+{
+    return { &worker, worker.room(), std::ranges::any_of(worker.runs, [](const auto& it) { return it.second.isLasting; }) };
+}
+
+bool PlacementRequest::needsRoomOnly() const
+{
+    return step->requiredLabel.empty() && step->maximumPerWorker == 0 && (mayRunRemote || step->dataRack.empty()) && !isAllowed;
+}
+
 WorkerRun makeRun(const StepSpec& step, RunNumber number, Common::Instant now)
 {
     WorkerRun run;
@@ -113,6 +117,7 @@
         auto counts = *request.placedByWorker;
         request.placedByWorker = &counts;
         std::vector<Resources> rooms;
+        rooms.reserve(candidates.size());
         for (const auto& it : candidates)
             rooms.push_back(it.room);
         std::vector<Candidate*> places;
@@ -147,6 +152,7 @@
         if (places.empty())
             continue;
         std::vector<Candidate*> found;
+        found.reserve(places.size());
         for (const auto* place : places)
             found.push_back(&*std::ranges::find(candidates, place->worker, &Candidate::worker));
         return found;
--- a/Source/Core/Jobs/Decision/Placement.h
+++ b/Source/Core/Jobs/Decision/Placement.h
@@ -17,8 +17,13 @@
 struct Candidate {
     Worker* worker = nullptr;
     Resources room;
+    /// Has lasting tasks: it is rarely moved or switched off, so that others are left free for that.
+    bool isAnchor = false;
 };
 
+/// The candidate that a worker is now.
+Candidate candidateOf(Worker&);
+
 /// What a placement has to respect beside room.
 struct PlacementRequest {
     const StepSpec* step = nullptr;
@@ -30,6 +35,9 @@
     bool mayRunRemote = true;
     /// Tells whether a worker may run the step at all (advice); empty for all.
     std::function<bool(const Worker&)> isAllowed {};
+
+    /// True when nothing but room can keep the task off a worker.
+    bool needsRoomOnly() const;
 };
 
 /// Resources that a task of the step occupies; a filler's cores aren't reserved.
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -109,7 +109,7 @@
     void endSeen(Worker&, const Ports::EndedTask&, Moment);
     void judgeWorker(Worker&, const TaskKey&, RunEnd, Moment);
     void runSeen(Worker&, const Ports::RunningTask&, Moment);
-    void findVanished(Worker&, const Ports::LookAnswer&, Instant sentAt, Moment);
+    void findVanished(Worker&, Instant sentAt, Moment);
     void findStalled(Worker&, Moment);
     void pace(Worker&);
     void orderStop(Worker&, const TaskKey&, WorkerRun&);
@@ -121,7 +121,7 @@
     bool mayInterrupt(const TaskKey&) const;
     bool isAtWork(const TaskKey&, const Task&) const;
     std::vector<WaitingStep> waitingSteps(Moment);
-    void placeStep(const WaitingStep&, std::vector<Candidate>&, Moment);
+    bool placeStep(const WaitingStep&, std::vector<Candidate>&, Moment);
     void placeGang(const WaitingStep&, std::vector<Candidate>&, const PlacementRequest&, Moment);
     void placeTask(Job&, const TaskKey&, RunNumber, Candidate&, Moment);
     bool mayRunRemote(const WaitingStep&, Moment) const;
--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -81,11 +81,12 @@
     if (!worker.isOpen)
         log("worker-heard", id, { { "running", std::to_string(answer.running.size()) }, { "ended", std::to_string(answer.ended.size()) } });
     worker.isOpen = true;
+    ++worker.looks;
     for (const auto& it : answer.ended)
         endSeen(worker, it, at);
     for (const auto& it : answer.running)
         runSeen(worker, it, at);
-    findVanished(worker, answer, sentAt, at);
+    findVanished(worker, sentAt, at);
     findStalled(worker, at);
     pace(worker);
 }
@@ -140,6 +141,7 @@
         return;
     }
     auto& run = it->second;
+    run.seenIn = worker.looks;
     if (run.phase == WorkerRun::Phase::Ordered) {
         run.phase = WorkerRun::Phase::Confirmed;
         run.confirmedAt = at.now;
@@ -153,14 +155,11 @@
 }
 
 /// A confirmed run that a later look shows neither running nor ended is gone.
-void PoolCore::findVanished(Worker& worker, const Ports::LookAnswer& answer, Instant sentAt, Moment at)
+void PoolCore::findVanished(Worker& worker, Instant sentAt, Moment at)
 {
-    std::set<TaskKey> shown;
-    for (const auto& it : answer.running)
-        shown.insert(it.task);
     std::vector<std::pair<TaskKey, WorkerRun>> vanished;
     for (const auto& [key, run] : worker.runs) {
-        if (run.phase != WorkerRun::Phase::Ordered && run.confirmedAt < sentAt && !shown.contains(key))
+        if (run.phase != WorkerRun::Phase::Ordered && run.confirmedAt < sentAt && run.seenIn != worker.looks)
             vanished.emplace_back(key, run);
     }
     for (const auto& [key, run] : vanished) {
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -20,12 +20,17 @@
     std::vector<Candidate> candidates;
     for (auto& [id, worker] : m_workers) {
         if (worker.mayTake(at.now))
-            candidates.push_back({ &worker, worker.room() });
+            candidates.push_back(candidateOf(worker));
     }
     if (candidates.empty())
         return;
-    for (const auto& it : waitingSteps(at))
-        placeStep(it, candidates, at);
+    // What found no room means that what needs as much or more won't either.
+    std::vector<Resources> unplaceable;
+    for (const auto& it : waitingSteps(at)) {
+        const auto need = reservedBy(it.job->spec().steps[it.step]);
+        if (std::ranges::none_of(unplaceable, [&need](const auto& failed) { return failed.fitsInto(need); }) && !placeStep(it, candidates, at))
+            unplaceable.push_back(need);
+    }
 }
 
 std::optional<Instant> PoolCore::nextDecision(Moment at) const
@@ -162,7 +167,8 @@
     m_advice.add(order.step, isAnswered ? order.workers : std::vector<std::string>(), good, at.now + validity);
 }
 
-void PoolCore::placeStep(const WaitingStep& it, std::vector<Candidate>& candidates, Moment at)
+/// False when a task that needs nothing but room found none.
+bool PoolCore::placeStep(const WaitingStep& it, std::vector<Candidate>& candidates, Moment at)
 {
     auto& job = *it.job;
     const auto& spec = job.spec().steps[it.step];
@@ -175,14 +181,16 @@
     }
     PlacementRequest request { &spec, &placed };
     request.mayRunRemote = mayRunRemote(it, at);
-    request.isAllowed = [&](const Worker& worker) { return isAdvised(it, worker, at.now); };
+    const auto* queue = m_configuration.findQueue(job.accepted.queue);
+    if (queue && queue->advice)
+        request.isAllowed = [&](const Worker& worker) { return isAdvised(it, worker, at.now); };
     if (spec.sameRack && !placed.empty()) {
         if (const auto* worker = findWorker(placed.begin()->first))
             request.preferredRack = worker->entry.rack;
     }
     if (spec.isGang) {
         placeGang(it, candidates, request, at);
-        return;
+        return true;
     }
     for (key.index = 0; key.index < step.tasks.size(); ++key.index) {
         const auto& task = step.tasks[key.index];
@@ -191,11 +199,12 @@
         auto* place = choosePlace(candidates, request);
         if (!place) {
             askAdvice(it, candidates, at);
-            return;
+            return !request.needsRoomOnly();
         }
         ++placed[place->worker->entry.id];
         placeTask(job, key, task.lastRun + 1, *place, at);
     }
+    return true;
 }
 
 void PoolCore::placeGang(const WaitingStep& it, std::vector<Candidate>& candidates, const PlacementRequest& request, Moment at)
--- a/Source/Core/Jobs/Decision/QueueOrder.h
+++ b/Source/Core/Jobs/Decision/QueueOrder.h
@@ -19,11 +19,11 @@
 
     std::strong_ordering operator<=>(const QueueKey& other) const
     {
-        if (const auto order = priority <=> other.priority; order != 0)
+        if (const auto order = priority <=> other.priority; std::is_neq(order))
             return order;
-        if (const auto order = isLate <=> other.isLate; order != 0)
+        if (const auto order = isLate <=> other.isLate; std::is_neq(order))
             return order;
-        if (const auto order = other.isBegun <=> isBegun; order != 0)
+        if (const auto order = other.isBegun <=> isBegun; std::is_neq(order))
             return order;
         return milliseconds <=> other.milliseconds;
     }
--- a/Source/Core/Jobs/Decision/Worker.h
+++ b/Source/Core/Jobs/Decision/Worker.h
@@ -29,6 +29,7 @@
     Common::Instant confirmedAt {}; ///< A look that was sent later and doesn't show the run proves that it is gone.
     Common::Instant progressAt {}; ///< When the percentage or the checkpoint last changed.
     std::string checkpoint; ///< Newest one seen.
+    std::uint64_t seenIn = 0; ///< Number of the latest look that showed it.
     unsigned percent = 0;
     std::uint64_t measure = 0; ///< See Ports::RunningTask.
     unsigned throttlePercent = 100;
@@ -45,6 +46,7 @@
     bool isCordoned = false; ///< Takes no new runs, for maintenance or a move.
     Common::Instant avoidUntil {}; ///< After refusals and failures.
     unsigned failuresInRow = 0; ///< Runs that failed since the last one that was done.
+    std::uint64_t looks = 0; ///< Answers taken so far.
     std::uint64_t endsSeen = 0; ///< Number of the newest end handled, of this incarnation.
     std::map<TaskKey, WorkerRun> runs;
 
--- a/Source/Core/Jobs/Model/JobTypes.h
+++ b/Source/Core/Jobs/Model/JobTypes.h
@@ -74,7 +74,7 @@
     unsigned step = 0;
     unsigned index = 0;
 
-    auto operator<=>(const TaskKey&) const = default;
+    auto operator<=>(const TaskKey&) const = default; // NOLINT(modernize-use-nullptr): the check misreads it.
 };
 
 /// How a run ended on its worker.
--- a/Source/Core/Jobs/Runtime/JournalLoader.cpp
+++ b/Source/Core/Jobs/Runtime/JournalLoader.cpp
@@ -63,11 +63,10 @@
 {
     m_platform.read(StoreKeys::heads + m_pool, false, [self = shared_from_this()](const Ports::PlatformReply& reply) {
         JournalHead head;
-        if (reply.status != Ports::PlatformStatus::Ok)
-            self->again();
-        else if (reply.values.empty())
+        const bool isRead = reply.status == Ports::PlatformStatus::Ok;
+        if (isRead && reply.values.empty())
             self->readSegments();
-        else if (readHeadText(reply.values.front().value, head))
+        else if (isRead && readHeadText(reply.values.front().value, head))
             self->readSnapshot(head);
         else
             self->again();
--- a/Source/Core/Jobs/Runtime/PoolOwner.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwner.cpp
@@ -47,7 +47,7 @@
 
     Moment moment() const { return { loop.now(), loop.wallNow() }; }
 
-    void log(LogEvent event) const { writeEvent("pool." + pool, event); }
+    void log(const LogEvent& event) const { writeEvent("pool." + pool, event); }
 
     void depose(const char* reason)
     {
@@ -284,6 +284,7 @@
         isAsking = false;
         advice.erase(advice.begin());
         std::vector<AdvisedWorker> good;
+        good.reserve(tickets.size());
         for (const auto& it : tickets)
             good.push_back({ it.worker, it.text });
         core.advised(order, good, std::max(milliseconds(1), validity), moment());
--- /dev/null
+++ b/Source/UnitTests/Jobs/JobTableTest.cpp
@@ -0,0 +1,110 @@
+/// Records and the state they give.
+
+#include "Jobs/Decision/JobTable.h"
+#include "JobFleet.h"
+
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace Jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+JobAccepted accepted(const JobId& id, JobSpec spec, unsigned attempts = 2)
+{
+    JobAccepted record;
+    record.job = id;
+    record.queue = "bookings";
+    record.maximumAttempts = attempts;
+    record.spec = std::move(spec);
+    return record;
+}
+
+} // namespace
+
+TEST_CASE("records survive the journal's text, and a text that is cut short or altered gives none beyond the fault")
+{
+    std::string text;
+    const std::vector<JobRecord> records { accepted(jobId(1), oneStep(3)), RunStarted { { jobId(1), 0, 0, 2 }, 4, "w1" }, RunEnded { { jobId(1), 0, 0, 2 }, 4, RunEnd::Failed, "c", {} }, JobCancelled { jobId(1), {} }, JobFinished { jobId(2), "q", JobState::Failed, {} } };
+    for (const auto& it : records)
+        appendRecord(text, it);
+    std::vector<JobRecord> read;
+    REQUIRE(readRecords(text, read));
+    REQUIRE(read.size() == records.size());
+    CHECK(std::get<RunEnded>(read[2]).checkpoint == "c");
+    CHECK(std::get<JobAccepted>(read[0]).spec.steps.size() == 1);
+}
+
+TEST_CASE("no text makes the reader crash or read without end")
+{
+    std::mt19937_64 random(7);
+    std::string whole;
+    appendRecord(whole, accepted(jobId(1), oneStep(3)));
+    appendRecord(whole, RunStarted { { jobId(1), 0, 0, 2 }, 4, "w1" });
+    for (unsigned n = 0; n < 20000; ++n) {
+        auto text = whole.substr(0, random() % (whole.size() + 1));
+        for (unsigned change = random() % 4; change > 0 && !text.empty(); --change)
+            text[random() % text.size()] = static_cast<char>(random());
+        std::vector<JobRecord> read;
+        readRecords(text, read);
+        CHECK(read.size() <= text.size());
+    }
+}
+
+TEST_CASE("a snapshot gives the state that its records came to")
+{
+    JobTable table;
+    auto spec = oneStep(2);
+    spec.steps.push_back(spec.steps.front());
+    spec.steps.back().after = { 0 };
+    table.apply(accepted(jobId(1), spec, 3));
+    table.apply(RunStarted { { jobId(1), 0, 0, 0 }, 1, "w1" });
+    table.apply(RunEnded { { jobId(1), 0, 0, 0 }, 1, RunEnd::Done, "", {} });
+    table.apply(RunStarted { { jobId(1), 0, 0, 1 }, 1, "w2" });
+    table.apply(RunEnded { { jobId(1), 0, 0, 1 }, 1, RunEnd::Failed, "saved", {} });
+    table.apply(RunStarted { { jobId(1), 0, 0, 1 }, 2, "w3" });
+    table.apply(accepted(jobId(2), oneStep(1)));
+    table.apply(JobCancelled { jobId(2), {} });
+    JobTable again;
+    for (const auto& it : table.snapshot())
+        again.apply(it);
+    const auto& step = again.find(jobId(1))->occurrences.at(0).steps[0];
+    CHECK(step.doneCount == 1);
+    CHECK(step.tasks[1].state == Task::State::Placed);
+    CHECK(step.tasks[1].worker == "w3");
+    CHECK(step.tasks[1].lastRun == 2);
+    CHECK(step.tasks[1].failures == 1);
+    CHECK(step.tasks[1].checkpoint == "saved");
+    CHECK(!again.find(jobId(1))->isReleased(0, 1));
+    CHECK(*again.stateOf(jobId(2)) == JobState::Cancelled);
+}
+
+TEST_CASE("one member's end that is done stands for its gang, and a failure counts for the gang as a whole")
+{
+    JobTable table;
+    auto spec = oneStep(3);
+    spec.steps.front().isGang = true;
+    table.apply(accepted(jobId(1), spec, 2));
+    for (unsigned n = 0; n < 3; ++n)
+        table.apply(RunStarted { { jobId(1), 0, 0, n }, 1, "w" });
+    table.apply(RunEnded { { jobId(1), 0, 0, 1 }, 1, RunEnd::Failed, "", {} });
+    CHECK(!isFinal(*table.stateOf(jobId(1))));
+    for (unsigned n = 0; n < 3; ++n)
+        table.apply(RunStarted { { jobId(1), 0, 0, n }, 2, "w" });
+    table.apply(RunEnded { { jobId(1), 0, 0, 2 }, 2, RunEnd::Done, "", {} });
+    CHECK(*table.stateOf(jobId(1)) == JobState::Completed);
+}
+
+TEST_CASE("faults of a specification are told before anything is stored")
+{
+    auto spec = oneStep(1);
+    CHECK(faultOf(spec).empty());
+    spec.steps.front().after = { 0 };
+    CHECK(!faultOf(spec).empty());
+    CHECK(!faultOf(oneStep(0)).empty());
+    CHECK(!faultOf(JobSpec()).empty());
+    spec = oneStep(1);
+    spec.payload = std::string(5000, 'x');
+    CHECK(!faultOf(spec).empty());
+}
--- /dev/null
+++ b/Source/UnitTests/Jobs/PolicyTest.cpp
@@ -0,0 +1,216 @@
+/// Policies, each against the load pattern that it answers.
+
+#include "JobFleet.h"
+#include "Jobs/Decision/FillerPacing.h"
+#include "Jobs/Decision/Placement.h"
+#include "Jobs/Decision/QueueOrder.h"
+#include "Jobs/Fleet/MovePlanner.h"
+
+#include <algorithm>
+#include <array>
+#include <doctest/doctest.h>
+
+using namespace Jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t coresEach = 16000;
+const std::array<std::string, 4> pools { "a", "b", "c", "d" };
+
+/// A fleet under turns: each pool in its time asks for much more than it holds, and next to nothing in between.
+class TurnsReplay {
+public:
+    static constexpr std::chrono::milliseconds step { 200 };
+    static constexpr std::chrono::milliseconds turn { 4500 };
+    static constexpr unsigned peakCores = 280;
+    static constexpr unsigned machinesEach = 9;
+    static constexpr unsigned standbyMachines = 8;
+
+    TurnsReplay()
+    {
+        unsigned number = 0;
+        for (const auto& pool : pools) {
+            for (unsigned n = 0; n < machinesEach; ++n)
+                add("m" + std::to_string(number++), pool);
+        }
+        for (unsigned n = 0; n < standbyMachines; ++n)
+            add("m" + std::to_string(number++), "off");
+    }
+
+    /// Core-seconds that were asked for and found no machine, over the given cycles of turns.
+    double unmetCoreSeconds(MovePlanner* planner, unsigned cycles)
+    {
+        double unmet = 0;
+        const auto length = turn * 4 * static_cast<int>(cycles);
+        for (auto time = 0ms; time < length; time += step) {
+            const auto now = Instant(1h) + time;
+            const auto peaking = static_cast<std::size_t>(time / turn) % pools.size();
+            std::map<std::string, PoolView> views;
+            views["off"].isStandby = true;
+            for (std::size_t n = 0; n < pools.size(); ++n) {
+                const auto asked = (n == peaking ? peakCores : 3) * 1000ULL;
+                const auto held = machinesOf(pools[n], now) * coresEach;
+                unmet += static_cast<double>(asked - std::min<std::uint64_t>(asked, held)) / 1000 * 0.2;
+                auto& load = views[pools[n]].load;
+                views[pools[n]].isHeard = true;
+                load.busyMilliCores = std::min<std::uint64_t>(asked, held);
+                load.waitingMilliCores = asked - load.busyMilliCores;
+            }
+            if (planner)
+                moveMachines(*planner, views, now);
+        }
+        return unmet;
+    }
+
+    unsigned moves = 0;
+
+private:
+    void add(const std::string& name, const std::string& pool)
+    {
+        auto& view = machines[name];
+        view.machine = { name, pool, Machine::State::Up, "w", "dc", {}, { coresEach, 0, 0 } };
+        arrivals[name] = {};
+    }
+
+    std::uint64_t machinesOf(const std::string& pool, Instant now) const
+    {
+        return static_cast<std::uint64_t>(std::ranges::count_if(machines, [&](const auto& it) { return it.second.machine.pool == pool && arrivals.at(it.first) <= now; }));
+    }
+
+    void moveMachines(MovePlanner& planner, const std::map<std::string, PoolView>& views, Instant now)
+    {
+        // Tasks fill machines one after the other: the rest of a pool's machines are idle.
+        std::map<std::string, std::uint64_t> busy;
+        for (auto& [name, view] : machines) {
+            view.isOff = view.machine.pool == "off";
+            view.load = WorkerLoad { "w", name, 0, 0, planner.cordon().contains(name) };
+            auto& taken = busy[view.machine.pool];
+            const auto pool = views.find(view.machine.pool);
+            if (!view.isOff && pool != views.end() && taken < pool->second.load.busyMilliCores)
+                view.load->runs = 1;
+            taken += coresEach;
+            if (arrivals[name] > now)
+                view.load.reset();
+        }
+        planner.plan(views, machines, {}, now);
+        for (auto& [name, view] : machines) {
+            if (view.load)
+                view.load->isCordoned = planner.cordon().contains(name);
+        }
+        for (const auto& it : planner.readyMoves(machines)) {
+            planner.ordered(it.machine, now);
+            planner.answered(it.machine, true, now);
+            machines[it.machine].machine.pool = it.pool;
+            arrivals[it.machine] = now + 1500ms;
+            ++moves;
+        }
+    }
+
+    std::map<std::string, MachineView> machines;
+    std::map<std::string, Instant> arrivals;
+};
+
+Job jobWith(JobSpec spec, std::chrono::milliseconds objective, std::chrono::milliseconds age)
+{
+    Job job;
+    job.accepted.spec = std::move(spec);
+    job.accepted.objective = objective;
+    job.accepted.acceptedAt = Common::WallTime(1000s) - age;
+    return job;
+}
+
+} // namespace
+
+TEST_CASE("moves: of the work of peaks by turns, less than a fifth of what finds no machine without moves is left, and less when the turns are known")
+{
+    TurnsReplay without;
+    const auto unmetWithout = without.unmetCoreSeconds(nullptr, 3);
+    TurnsReplay with;
+    MovePlanner planner(1500ms);
+    const auto first = with.unmetCoreSeconds(&planner, 1);
+    TurnsReplay learned;
+    MovePlanner second(1500ms);
+    const auto all = learned.unmetCoreSeconds(&second, 3);
+    CHECK(all < unmetWithout / 5);
+    CHECK(all - first < first);
+}
+
+TEST_CASE("forecast: nothing is expected of pools whose turns aren't regular")
+{
+    TurnForecast forecast;
+    auto now = Instant(1h);
+    const std::array<std::chrono::milliseconds, 6> gaps { 3s, 11s, 4s, 19s, 2s, 9s };
+    for (std::size_t turn = 0; turn < gaps.size(); ++turn) {
+        for (auto left = gaps[turn]; left > 0ms; left -= 200ms) {
+            now += 200ms;
+            for (std::size_t n = 0; n < pools.size(); ++n)
+                forecast.observe(pools[n], turn % pools.size() == n && left > gaps[turn] - 1500ms ? 200000 : 3000, now);
+        }
+    }
+    CHECK(!forecast.next(now));
+}
+
+TEST_CASE("queue: under more load than capacity, what can still be in time goes before what can't, and the late ones by age")
+{
+    const Common::WallTime now(1000s);
+    const auto inTime = jobWith(oneStep(1, 500ms), 2s, 200ms);
+    const auto late = jobWith(oneStep(1, 500ms), 2s, 3s);
+    const auto later = jobWith(oneStep(1, 500ms), 2s, 2s);
+    CHECK(queueKeyOf(inTime, 0, 0, now) < queueKeyOf(late, 0, 0, now));
+    CHECK(queueKeyOf(late, 0, 0, now) < queueKeyOf(later, 0, 0, now));
+    auto urgent = late;
+    urgent.accepted.priority = 0;
+    auto ordinary = inTime;
+    ordinary.accepted.priority = 1;
+    CHECK(queueKeyOf(urgent, 0, 0, now) < queueKeyOf(ordinary, 0, 0, now));
+}
+
+TEST_CASE("placement: short tasks fill a worker before the next one is begun, lasting ones leave no worker with more than two of a step")
+{
+    std::vector<Worker> workers(4);
+    std::vector<Candidate> candidates;
+    for (unsigned n = 0; n < workers.size(); ++n) {
+        workers[n].entry.id = "w" + std::to_string(n);
+        workers[n].entry.capacity = { coresEach, 64000, 0 };
+        candidates.push_back(candidateOf(workers[n]));
+    }
+    std::map<std::string, unsigned> placed;
+    const auto place = [&](const StepSpec& step) {
+        auto* it = choosePlace(candidates, { &step, &placed });
+        REQUIRE(it);
+        it->room -= reservedBy(step);
+        ++placed[it->worker->entry.id];
+        return it->worker->entry.id;
+    };
+    const auto shortStep = oneStep(1).steps.front();
+    const auto first = place(shortStep);
+    for (unsigned n = 1; n < 16; ++n)
+        CHECK(place(shortStep) == first);
+    CHECK(place(shortStep) != first);
+    placed.clear();
+    auto lasting = oneStep(1).steps.front();
+    lasting.isLasting = true;
+    for (unsigned n = 0; n < 6; ++n)
+        place(lasting);
+    for (const auto& [worker, count] : placed)
+        CHECK(count <= 2);
+}
+
+TEST_CASE("pacing: a filler beside users over their target is throttled within two looks and let go in steps")
+{
+    const LatencyPressure over { 130ms, 100ms };
+    const auto once = pacedShare(100, over);
+    CHECK(once < 50);
+    CHECK(pacedShare(once, over) < 15);
+    const LatencyPressure calm { 20ms, 100ms };
+    unsigned share = 0;
+    unsigned looks = 0;
+    while (share < 100 && looks < 20) {
+        share = pacedShare(share, calm);
+        ++looks;
+    }
+    CHECK(share == 100);
+    CHECK(looks > 3);
+    CHECK(pacedShare(40, { 80ms, 100ms }) == 40);
+}
--- a/Source/UnitTests/Soak/SoakFleet.cpp
+++ b/Source/UnitTests/Soak/SoakFleet.cpp
@@ -279,9 +279,14 @@
         startHost(*it);
     m_loop->after(startTime, [this] {
         submitNext();
-        if (m_settings.hasFaults)
+        if (m_settings.hasFaults && !m_settings.isDemo)
             scheduleFault();
     });
+    if (m_settings.isDemo) {
+        m_loop->after(startTime + m_settings.faults / 3, [this] { killHost(); });
+        m_loop->after(startTime + m_settings.faults / 2, [this] { crashWorker(); });
+        m_result.faults = 2;
+    }
     m_loop->after(startTime + m_settings.faults, [this] { endFaults(); });
     m_loop->run();
     return m_result;
--- a/Source/UnitTests/Soak/SoakFleet.h
+++ b/Source/UnitTests/Soak/SoakFleet.h
@@ -26,6 +26,7 @@
     std::string logDirectory;
     std::chrono::milliseconds submitInterval { 60 };
     bool hasFaults = true;
+    bool isDemo = false; ///< One host is killed and one worker crashes, in place of random faults.
 };
 
 /// What callers and workers saw.
--- a/Source/UnitTests/Soak/SoakMain.cpp
+++ b/Source/UnitTests/Soak/SoakMain.cpp
@@ -20,6 +20,7 @@
 DEFINE_uint32(workers, 5, "workers");
 DEFINE_uint32(first_port, 21000, "five ports from here on for each host");
 DEFINE_uint32(submit_ms, 60, "milliseconds between jobs");
+DEFINE_bool(demo, false, "kill one host and crash one worker, in place of random faults");
 DEFINE_bool(faults, true, "inject faults");
 
 int main(int argc, char** argv)
@@ -41,6 +42,7 @@
         settings.program = FLAGS_program;
         settings.submitInterval = std::chrono::milliseconds(FLAGS_submit_ms);
         settings.hasFaults = FLAGS_faults;
+        settings.isDemo = FLAGS_demo;
         settings.logDirectory = FLAGS_logs + "/seed-" + std::to_string(settings.seed);
         std::filesystem::create_directories(settings.logDirectory);
         const auto result = SoakFleet(settings).run();
