--- a/Source/Core/Jobs/Runtime/Journal.h
+++ b/Source/Core/Jobs/Runtime/Journal.h
@@ -19,7 +19,7 @@
     std::string pool;
     std::string ownerKey;
     Fence fence = 0; ///< Revision of the owner key.
-    milliseconds commitInterval { 40 }; ///< Between commits; half of it is the mean wait of a caller, and ends gather for as long.
+    milliseconds commitInterval { 20 }; ///< Between commits: an end gives its place to the next task only once it is stored.
     std::uint64_t segmentsPerSnapshot = 400;
 };
 
--- a/Source/UnitTests/Jobs/FakeStore.cpp
+++ b/Source/UnitTests/Jobs/FakeStore.cpp
@@ -26,7 +26,7 @@
     });
 }
 
-void FakeStorePort::call(bool isWrite, Call act, PlatformCallback callback)
+void FakeStorePort::call(bool isWrite, const Call& act, const PlatformCallback& callback)
 {
     const auto noAnswer = [this, callback] {
         m_store.loop.after(callTimeout, [alive = m_isAlive, callback] {
@@ -51,31 +51,31 @@
 void FakeStorePort::read(const std::string& key, bool prefix, PlatformCallback callback)
 {
     call(
-        false, [this, key, prefix] { return m_store.state.read(key, prefix, m_store.loop.now()); }, std::move(callback));
+        false, [this, key, prefix] { return m_store.state.read(key, prefix, m_store.loop.now()); }, callback);
 }
 
 void FakeStorePort::transact(Ports::Transaction transaction, PlatformCallback callback)
 {
     call(
-        true, [this, transaction = std::move(transaction)] { return m_store.state.transact(transaction, m_store.loop.now()); }, std::move(callback));
+        true, [this, transaction = std::move(transaction)] { return m_store.state.transact(transaction, m_store.loop.now()); }, callback);
 }
 
 void FakeStorePort::grantLease(std::chrono::seconds time, PlatformCallback callback)
 {
     call(
-        true, [this, time] { return m_store.state.grantLease(time, m_store.loop.now()); }, std::move(callback));
+        true, [this, time] { return m_store.state.grantLease(time, m_store.loop.now()); }, callback);
 }
 
 void FakeStorePort::renewLease(Ports::LeaseId lease, PlatformCallback callback)
 {
     call(
-        false, [this, lease] { return m_store.state.renewLease(lease, m_store.loop.now()); }, std::move(callback));
+        false, [this, lease] { return m_store.state.renewLease(lease, m_store.loop.now()); }, callback);
 }
 
 void FakeStorePort::revokeLease(Ports::LeaseId lease, PlatformCallback callback)
 {
     call(
-        true, [this, lease] { return m_store.state.revokeLease(lease, m_store.loop.now()); }, std::move(callback));
+        true, [this, lease] { return m_store.state.revokeLease(lease, m_store.loop.now()); }, callback);
 }
 
 void FakeStorePort::watch(const std::string& prefix, std::int64_t fromRevision, Ports::WatchCallback callback)
--- a/Source/UnitTests/Jobs/FakeStore.h
+++ b/Source/UnitTests/Jobs/FakeStore.h
@@ -53,7 +53,7 @@
     using Call = std::function<Ports::PlatformReply()>;
 
     bool isCut() const { return m_store.isDown || m_store.cutHosts.contains(m_host); }
-    void call(bool isWrite, Call, Ports::PlatformCallback);
+    void call(bool isWrite, const Call&, const Ports::PlatformCallback&);
     void answer(Ports::PlatformReply, const Ports::PlatformCallback&);
 
     FakeStore& m_store;
--- a/Source/UnitTests/Soak/SoakProxy.cpp
+++ b/Source/UnitTests/Soak/SoakProxy.cpp
@@ -41,15 +41,15 @@
         : loop(eventLoop)
         , targetPort(target)
     {
-        uv_tcp_init(loop.handle(), &listener);
-        listener.data = this;
+        uv_tcp_init(loop.handle(), &m_listener);
+        m_listener.data = this;
         const auto address = loopback(0);
-        uv_tcp_bind(&listener, reinterpret_cast<const sockaddr*>(&address), 0);
+        uv_tcp_bind(&m_listener, reinterpret_cast<const sockaddr*>(&address), 0);
         const auto accept = [](uv_stream_t* it, int status) {
             if (status == 0)
                 static_cast<Private*>(it->data)->accepted();
         };
-        if (uv_listen(reinterpret_cast<uv_stream_t*>(&listener), backlog, accept) != 0)
+        if (uv_listen(reinterpret_cast<uv_stream_t*>(&m_listener), backlog, accept) != 0)
             throw std::runtime_error("the proxy can't listen");
     }
 
@@ -57,7 +57,7 @@
     {
         sockaddr_in address {};
         int size = sizeof address;
-        uv_tcp_getsockname(&listener, reinterpret_cast<sockaddr*>(&address), &size);
+        uv_tcp_getsockname(&m_listener, reinterpret_cast<sockaddr*>(&address), &size);
         return ntohs(address.sin_port);
     }
 
@@ -71,8 +71,8 @@
             side->socket.data = side;
             side->self = pair;
         }
-        pairs.insert(pair);
-        if (uv_accept(reinterpret_cast<uv_stream_t*>(&listener), reinterpret_cast<uv_stream_t*>(&pair->client.socket)) != 0) {
+        m_pairs.insert(pair);
+        if (uv_accept(reinterpret_cast<uv_stream_t*>(&m_listener), reinterpret_cast<uv_stream_t*>(&pair->client.socket)) != 0) {
             close(*pair);
             return;
         }
@@ -142,22 +142,22 @@
         if (std::exchange(pair.isClosed, true))
             return;
         const auto held = pair.shared_from_this();
-        pairs.erase(held);
+        m_pairs.erase(held);
         for (auto* side : { &pair.client, &pair.server })
             uv_close(reinterpret_cast<uv_handle_t*>(&side->socket), [](uv_handle_t* it) { static_cast<Pair::Side*>(it->data)->self.reset(); });
     }
 
     void reset()
     {
-        while (!pairs.empty())
-            close(**pairs.begin());
+        while (!m_pairs.empty())
+            close(**m_pairs.begin());
     }
 
     void shutdown()
     {
         reset();
-        if (!std::exchange(isOver, true))
-            uv_close(reinterpret_cast<uv_handle_t*>(&listener), nullptr);
+        if (!std::exchange(m_isOver, true))
+            uv_close(reinterpret_cast<uv_handle_t*>(&m_listener), nullptr);
     }
 
     Adapters::EventLoop& loop;
@@ -165,9 +165,9 @@
     ProxyFault fault;
 
 private:
-    uv_tcp_t listener {};
-    std::set<std::shared_ptr<Pair>> pairs;
-    bool isOver = false;
+    uv_tcp_t m_listener {};
+    std::set<std::shared_ptr<Pair>> m_pairs;
+    bool m_isOver = false;
 };
 
 SoakProxy::SoakProxy(Adapters::EventLoop& loop, unsigned targetPort)
