End an order's tries with its worker's lapse

Ruled out: held-up copies of the first try (the worker refuses them as late), a machine listed as down. Change: an order carries the epoch in which it was given; the worker's lapse settles it, whatever answer comes after. Before: the new test (cuts of workers, starts held up, 60 seeds) finds tasks run twice at seeds 1, 4, 11 and 16; after: at none.

--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -143,26 +143,38 @@
         return answer.status == WorkerStatus::Done;
     }
 
-    void start(const StartRun& run, unsigned tries)
+    /// An order belongs to the epoch in which it was given: the worker's lapse settles it, whatever answer comes after.
+    struct Attempt {
+        unsigned tries = 0;
+        std::uint64_t epoch = 0;
+    };
+
+    Attempt firstAttempt() const { return { 0, clock.epoch() }; }
+
+    bool isSettled(const Attempt& attempt) const { return isOver || attempt.epoch != clock.epoch(); }
+
+    void start(const StartRun& run, const Attempt& attempt)
     {
-        if (isOver)
+        if (isSettled(attempt))
             return;
         if (!hooks.mayOrder()) {
-            retry(tries, [run](State& self, unsigned n) { self.start(run, n); });
+            retry(attempt, [run](State& self, const Attempt& next) { self.start(run, next); });
             return;
         }
         const Ports::StartOrder order { target(), run.task, run.run, run.payload, leaseOfStart(), fence, run.checkpoint, run.ticket };
-        port.start(order, [self = shared_from_this(), run, tries](const WorkerAnswer& answer) {
+        port.start(order, [self = shared_from_this(), run, attempt](const WorkerAnswer& answer) {
             if (self->isOver)
                 return;
             self->take(answer);
-            const bool isUnsure = answer.status == WorkerStatus::NoAnswer || (answer.status == WorkerStatus::NotSent && tries > 0);
+            if (self->isSettled(attempt))
+                return;
+            const bool isUnsure = answer.status == WorkerStatus::NoAnswer || (answer.status == WorkerStatus::NotSent && attempt.tries > 0);
             const bool isTooLate = answer.refusal == WorkerRefusal::LeasePassed;
-            if ((isUnsure || isTooLate) && !self->isOver)
-                self->retry(tries, [run](State& it, unsigned n) { it.start(run, n); });
-            else if (tries > 0 && mayComeLate(answer) && !self->isOver)
-                self->voidStart(run, answer, 0);
-            else if (answer.refusal != WorkerRefusal::Fence && !self->isOver)
+            if (isUnsure || isTooLate)
+                self->retry(attempt, [run](State& it, const Attempt& next) { it.start(run, next); });
+            else if (attempt.tries > 0 && mayComeLate(answer))
+                self->voidStart(run, answer, { 0, attempt.epoch });
+            else if (answer.refusal != WorkerRefusal::Fence)
                 self->hooks.startAnswered(run, answer);
         });
     }
@@ -175,44 +187,48 @@
     }
 
     /// A stopped run is refused when its start comes.
-    void voidStart(const StartRun& run, const WorkerAnswer& refusal, unsigned tries)
+    void voidStart(const StartRun& run, const WorkerAnswer& refusal, const Attempt& attempt)
     {
-        port.stop({ target(), run.task, run.run, fence }, [self = shared_from_this(), run, refusal, tries](const WorkerAnswer& answer) {
+        port.stop({ target(), run.task, run.run, fence }, [self = shared_from_this(), run, refusal, attempt](const WorkerAnswer& answer) {
             if (self->isOver)
                 return;
             self->take(answer);
-            if (answer.status == WorkerStatus::Done && !self->isOver)
+            if (self->isSettled(attempt))
+                return;
+            if (answer.status == WorkerStatus::Done)
                 self->hooks.startAnswered(run, refusal);
-            else if (answer.refusal != WorkerRefusal::Fence && !self->isOver)
-                self->retry(tries, [run, refusal](State& it, unsigned n) { it.voidStart(run, refusal, n); });
+            else if (answer.refusal != WorkerRefusal::Fence)
+                self->retry(attempt, [run, refusal](State& it, const Attempt& next) { it.voidStart(run, refusal, next); });
         });
     }
 
-    void stop(const StopRun& run, unsigned tries)
+    void stop(const StopRun& run, const Attempt& attempt)
     {
-        if (isOver)
+        if (isSettled(attempt))
             return;
-        port.stop({ target(), run.task, run.run, fence }, [self = shared_from_this(), run, tries](const WorkerAnswer& answer) {
+        port.stop({ target(), run.task, run.run, fence }, [self = shared_from_this(), run, attempt](const WorkerAnswer& answer) {
             if (self->isOver)
                 return;
             self->take(answer);
+            if (self->isSettled(attempt))
+                return;
             const bool isUnsure = answer.status != WorkerStatus::Done && answer.status != WorkerStatus::Refused;
-            if (isUnsure && !self->isOver)
-                self->retry(tries, [run](State& it, unsigned n) { it.stop(run, n); });
-            else if (answer.refusal != WorkerRefusal::Fence && !self->isOver)
+            if (isUnsure)
+                self->retry(attempt, [run](State& it, const Attempt& next) { it.stop(run, next); });
+            else if (answer.refusal != WorkerRefusal::Fence)
                 self->hooks.stopAnswered(run, answer);
         });
     }
 
-    /// Tries again, unless the worker is given up meanwhile: then what it had is settled by its lapse.
-    void retry(unsigned tries, std::function<void(State&, unsigned)> again)
+    /// Tries again, unless the worker is given up meanwhile.
+    void retry(const Attempt& attempt, std::function<void(State&, const Attempt&)> again)
     {
-        if (tries >= orderTries)
+        if (attempt.tries >= orderTries)
             return;
-        const auto delay = std::min(longestRetry, firstRetry * (1 << std::min(tries, 4U)));
-        loop.after(delay, [self = shared_from_this(), tries, epoch = clock.epoch(), again = std::move(again)] {
-            if (!self->isOver && self->clock.epoch() == epoch)
-                again(*self, tries + 1);
+        const auto delay = std::min(longestRetry, firstRetry * (1 << std::min(attempt.tries, 4U)));
+        loop.after(delay, [self = shared_from_this(), attempt, again = std::move(again)] {
+            if (!self->isSettled(attempt))
+                again(*self, { attempt.tries + 1, attempt.epoch });
         });
     }
 
@@ -264,9 +280,9 @@
         state.lookAfter(milliseconds(0));
 }
 
-void WorkerSession::start(const StartRun& run) { m_state->start(run, 0); }
+void WorkerSession::start(const StartRun& run) { m_state->start(run, m_state->firstAttempt()); }
 
-void WorkerSession::stop(const StopRun& run) { m_state->stop(run, 0); }
+void WorkerSession::stop(const StopRun& run) { m_state->stop(run, m_state->firstAttempt()); }
 
 void WorkerSession::throttle(const ThrottleRun& run)
 {
@@ -274,7 +290,7 @@
     state.port.throttle({ state.target(), run.task, run.run, run.percent, state.fence }, [self = m_state, run](const WorkerAnswer& answer) {
         if (self->isOver || answer.status == WorkerStatus::Done)
             return;
-        self->retry(0, [run](State& it, unsigned) { it.port.throttle({ it.target(), run.task, run.run, run.percent, it.fence }, [](const WorkerAnswer&) {}); });
+        self->retry(self->firstAttempt(), [run](State& it, const State::Attempt&) { it.port.throttle({ it.target(), run.task, run.run, run.percent, it.fence }, [](const WorkerAnswer&) {}); });
     });
 }
 
--- a/Source/UnitTests/Jobs/FakeWorkers.cpp
+++ b/Source/UnitTests/Jobs/FakeWorkers.cpp
@@ -28,6 +28,17 @@
     return it == m_workers.end() || it->second->isSilent || it->second->isCrashed ? nullptr : it->second.get();
 }
 
+void FakeWorkerPort::holdUp(const Ports::StartOrder& order)
+{
+    constexpr milliseconds retransmission { 200 };
+    m_loop.after(retransmission, [this, order] {
+        if (auto* worker = reach(order.target.worker))
+            worker->start(order, [](const WorkerAnswer&) {});
+        else
+            holdUp(order);
+    });
+}
+
 void FakeWorkerPort::start(const Ports::StartOrder& order, Ports::WorkerCallback callback)
 {
     const bool isDelayed = startsToDelay > 0;
@@ -44,6 +55,8 @@
             worker->start(order, [this, alive, callback](const WorkerAnswer& answer) { m_loop.after(way, [alive, callback, answer] { *alive ? callback(answer) : void(); }); });
         else if (!isDelayed)
             m_loop.after(callTimeout, [alive, callback] { *alive ? callback({}) : void(); });
+        if (!worker && holdsUpStarts)
+            holdUp(order);
     });
     if (isDelayed || isLost)
         m_loop.after(callTimeout, [alive = m_isAlive, callback] { *alive ? callback({}) : void(); });
--- a/Source/UnitTests/Jobs/FakeWorkers.h
+++ b/Source/UnitTests/Jobs/FakeWorkers.h
@@ -32,11 +32,14 @@
     /// The next starts are carried out late and not answered.
     unsigned startsToDelay = 0;
     std::string delayedWorker; ///< That the latest of these was for.
+    /// Starts for a worker that is cut off wait in the network and reach it when the cut ends.
+    bool holdsUpStarts = false;
     /// The next starts are carried out, but their answers are lost.
     unsigned startAnswersToLose = 0;
 
 private:
     FakeWorker* reach(const std::string& worker);
+    void holdUp(const Ports::StartOrder&);
 
     VirtualLoop& m_loop;
     std::map<std::string, std::shared_ptr<FakeWorker>>& m_workers;
--- a/Source/UnitTests/Jobs/JobFleetTest.cpp
+++ b/Source/UnitTests/Jobs/JobFleetTest.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <random>
 
 using namespace std::chrono_literals;
 using Ports::JobOutcome;
@@ -179,6 +180,36 @@
     CHECK(fleet.stateOf("host-0", jobId(1)) == Jobs::JobState::Completed);
 }
 
+TEST_CASE("starts held up by cuts of workers come when the cut ends, and none makes a task run twice")
+{
+    for (unsigned seed = 1; seed <= 60; ++seed) {
+        std::mt19937 random(seed);
+        JobFleet fleet(2, 4);
+        fleet.settle();
+        for (const auto& [name, host] : fleet.hosts)
+            host->workers->holdsUpStarts = true;
+        for (unsigned n = 0; n < 60; ++n) {
+            const auto tasks = 1 + static_cast<unsigned>(random() % 5);
+            for (const auto& [id, worker] : fleet.workers) {
+                worker->runTime = std::chrono::milliseconds(200 + random() % 900);
+                if (random() % 40 == 0)
+                    worker->isSilent = true;
+                else if (random() % 30 == 0)
+                    worker->isSilent = false;
+            }
+            fleet.call("host-0", JobVerb::Submit, jobId(n), oneStep(tasks));
+            fleet.runFor(std::chrono::milliseconds(random() % 400));
+        }
+        for (const auto& [id, worker] : fleet.workers)
+            worker->isSilent = false;
+        fleet.runFor(30s);
+        CAPTURE(seed);
+        CHECK(fleet.witness.twice == 0);
+        for (unsigned n = 0; n < 60; ++n)
+            CHECK(fleet.stateOf("host-0", jobId(n)) == Jobs::JobState::Completed);
+    }
+}
+
 TEST_CASE("a start without an answer whose run has ended by the next try isn't taken for one that never ran")
 {
     JobFleet fleet(2, 3);
