Keep a machine cordoned while its order is under way; reset connections that are given up

Change: machines under way stay in the cordon; the HTTP client's connections are closed by a reset, which drops what is held up.

--- a/Source/Core/Adapters/Platform/CurlClient.cpp
+++ b/Source/Core/Adapters/Platform/CurlClient.cpp
@@ -167,6 +167,10 @@
         const int interval = std::max(1, static_cast<int>(deadPeer.count() / 1000 / (keepAliveProbes + 1)));
         const auto userTimeout = static_cast<unsigned>(deadPeer.count());
         const int on = 1;
+        // A connection is only closed idle or given up. Bytes of a call that was given up are dropped by a reset, where a
+        // plain close would still deliver them after a partition.
+        const linger reset { 1, 0 };
+        setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
         setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
         setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &interval, sizeof interval);
         setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof interval);
--- a/Source/Core/Jobs/Fleet/WaveRun.cpp
+++ b/Source/Core/Jobs/Fleet/WaveRun.cpp
@@ -75,6 +75,8 @@
         chosen.insert(name);
     }
     m_cordon = chosen;
+    // Until its order is answered, nothing is placed on a machine that may go down.
+    chosen.insert(m_underWay.begin(), m_underWay.end());
     return chosen;
 }
 
--- a/Source/UnitTests/Jobs/PolicyTest.cpp
+++ b/Source/UnitTests/Jobs/PolicyTest.cpp
@@ -68,21 +68,21 @@
 private:
     void add(const std::string& name, const std::string& pool)
     {
-        auto& view = machines[name];
+        auto& view = m_machines[name];
         view.machine = { name, pool, Machine::State::Up, "w", "dc", {}, { coresEach, 0, 0 } };
-        arrivals[name] = {};
+        m_arrivals[name] = {};
     }
 
     std::uint64_t machinesOf(const std::string& pool, Instant now) const
     {
-        return static_cast<std::uint64_t>(std::ranges::count_if(machines, [&](const auto& it) { return it.second.machine.pool == pool && arrivals.at(it.first) <= now; }));
+        return static_cast<std::uint64_t>(std::ranges::count_if(m_machines, [&](const auto& it) { return it.second.machine.pool == pool && m_arrivals.at(it.first) <= now; }));
     }
 
     void moveMachines(MovePlanner& planner, const std::map<std::string, PoolView>& views, Instant now)
     {
-        // Tasks fill machines one after the other: the rest of a pool's machines are idle.
+        // Tasks fill m_machines one after the other: the rest of a pool's m_machines are idle.
         std::map<std::string, std::uint64_t> busy;
-        for (auto& [name, view] : machines) {
+        for (auto& [name, view] : m_machines) {
             view.isOff = view.machine.pool == "off";
             view.load = WorkerLoad { "w", name, 0, 0, planner.cordon().contains(name) };
             auto& taken = busy[view.machine.pool];
@@ -90,25 +90,25 @@
             if (!view.isOff && pool != views.end() && taken < pool->second.load.busyMilliCores)
                 view.load->runs = 1;
             taken += coresEach;
-            if (arrivals[name] > now)
+            if (m_arrivals[name] > now)
                 view.load.reset();
         }
-        planner.plan(views, machines, {}, now);
-        for (auto& [name, view] : machines) {
+        planner.plan(views, m_machines, {}, now);
+        for (auto& [name, view] : m_machines) {
             if (view.load)
                 view.load->isCordoned = planner.cordon().contains(name);
         }
-        for (const auto& it : planner.readyMoves(machines)) {
+        for (const auto& it : planner.readyMoves(m_machines)) {
             planner.ordered(it.machine, now);
             planner.answered(it.machine, true, now);
-            machines[it.machine].machine.pool = it.pool;
-            arrivals[it.machine] = now + 1500ms;
+            m_machines[it.machine].machine.pool = it.pool;
+            m_arrivals[it.machine] = now + 1500ms;
             ++moves;
         }
     }
 
-    std::map<std::string, MachineView> machines;
-    std::map<std::string, Instant> arrivals;
+    std::map<std::string, MachineView> m_machines;
+    std::map<std::string, Instant> m_arrivals;
 };
 
 Job jobWith(JobSpec spec, std::chrono::milliseconds objective, std::chrono::milliseconds age)
@@ -136,6 +136,26 @@
     CHECK(all - first < first);
 }
 
+TEST_CASE("waves: a machine stays cordoned while its order is under way, so that nothing is placed there to be ended")
+{
+    const MaintenanceWave wave { 1, { "m0", "m1" }, 30s, 1 };
+    WaveRun run(wave, Instant(1h), {});
+    std::map<std::string, MachineView> views;
+    for (const auto& name : wave.machines) {
+        views[name].machine = { name, "a", Machine::State::Up, "w", "dc", {}, { coresEach, 0, 0 } };
+        views[name].load = WorkerLoad { "w", name, 0, 0, false };
+    }
+    REQUIRE(run.chooseCordon(views, Instant(1h)).contains("m0"));
+    for (auto& [name, view] : views)
+        view.load->isCordoned = true;
+    const auto orders = run.chooseOrders(views, Instant(1h));
+    REQUIRE(orders.size() == 1);
+    run.ordered(orders.front(), Instant(1h));
+    CHECK(run.chooseCordon(views, Instant(1h) + 200ms).contains(orders.front()));
+    run.began(orders.front(), Instant(1h) + 300ms, 2000ms);
+    CHECK(!run.chooseCordon(views, Instant(1h) + 400ms).contains(orders.front()));
+}
+
 TEST_CASE("forecast: nothing is expected of pools whose turns aren't regular")
 {
     TurnForecast forecast;
