Call store, workers and machines by a keep-alive client in place of libcurl

Ruled out: capacity alone (the runs took 1.2 s from order to noticed end for 0.64 s of work); a spare set of prepared curl handles, which was there already and saved only the making of them. Change: Adapters::KeepAliveClient over libuv and http-parser, with the interface and outcomes of CurlClient; the platform adapter uses it alone. It never sends a request twice, and resets connections that are given up, as CurlClient did for the adapter (its limits and that option go). The reset has a test now, which fails without it.

--- a/Source/Core/Adapters/Platform/CurlClient.cpp
+++ b/Source/Core/Adapters/Platform/CurlClient.cpp
@@ -17,6 +17,8 @@
 namespace {
 
     constexpr int keepAliveProbes = 3;
+    constexpr long idleConnections = 64; ///< A few for each server that one host calls at once.
+    constexpr std::chrono::milliseconds deadPeer { 15000 }; ///< Without a sign of life of the peer, a connection is given up.
     constexpr std::size_t maximumSpareEasies = 64; ///< About the calls that are under way at once.
 
     constexpr std::uint64_t lateTimer = 5; ///< Milliseconds; less is the usual jitter of a loop that isn't busy.
@@ -40,12 +42,6 @@
 
 } // namespace
 
-std::string HttpOutcome::header(std::string_view name) const
-{
-    const auto it = std::find_if(headers.begin(), headers.end(), [name](const auto& it) { return it.name == name; });
-    return it == headers.end() ? std::string() : it->value;
-}
-
 class CurlClient::Private {
 public:
     struct Timer {
@@ -72,9 +68,8 @@
         }
     };
 
-    Private(EventLoop& loop, const CurlLimits& limits)
+    explicit Private(EventLoop& loop)
         : m_loop(loop)
-        , m_limits(limits)
     {
         static const GlobalInit s_init;
         m_timer = new Timer;
@@ -85,8 +80,7 @@
         curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
         curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, onTimer);
         curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
-        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, m_limits.idleConnections);
-        curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS, m_limits.connectionsPerServer);
+        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, idleConnections);
     }
 
     ~Private() { cleanUp(); }
@@ -141,7 +135,7 @@
         curl_easy_setopt(easy, CURLOPT_HTTPHEADER, running.headers);
     }
 
-    void setTransport(Running& running, const HttpCall& call)
+    static void setTransport(Running& running, const HttpCall& call)
     {
         CURL* easy = running.easy;
         curl_easy_setopt(easy, CURLOPT_PRIVATE, &running);
@@ -152,7 +146,6 @@
         curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(call.connectTimeout.count()));
         curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
         curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, onSocketMade);
-        curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, this);
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.freshConnection ? 1L : 0L);
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, onData);
         curl_easy_setopt(easy, CURLOPT_WRITEDATA, &running);
@@ -161,9 +154,8 @@
     }
 
     /// A peer that is cut off doesn't answer probes; one that doesn't acknowledge data is given up as soon.
-    static int onSocketMade(void* data, curl_socket_t socket, curlsocktype)
+    static int onSocketMade(void*, curl_socket_t socket, curlsocktype)
     {
-        const auto deadPeer = static_cast<Private*>(data)->m_limits.deadPeer;
         const int interval = std::max(1, static_cast<int>(deadPeer.count() / 1000 / (keepAliveProbes + 1)));
         const auto userTimeout = static_cast<unsigned>(deadPeer.count());
         const int on = 1;
@@ -348,7 +340,6 @@
     }
 
     EventLoop& m_loop;
-    CurlLimits m_limits;
     CURLM* m_multi = nullptr;
     Timer* m_timer = nullptr; ///< Freed once the loop has closed it.
     CallId m_lastCall = 0;
@@ -356,16 +347,16 @@
     std::map<CallId, std::unique_ptr<Running>> m_running;
 };
 
-CurlClient::CurlClient(EventLoop& loop, const CurlLimits& limits)
-    : m_private(std::make_unique<Private>(loop, limits))
+CurlClient::CurlClient(EventLoop& loop)
+    : m_private(std::make_unique<Private>(loop))
 {
 }
 
 CurlClient::~CurlClient() = default;
 
-std::unique_ptr<CurlClient> CurlClient::create(EventLoop& loop, const CurlLimits& limits)
+std::unique_ptr<CurlClient> CurlClient::create(EventLoop& loop)
 {
-    return std::unique_ptr<CurlClient>(new CurlClient(loop, limits));
+    return std::unique_ptr<CurlClient>(new CurlClient(loop));
 }
 
 CurlClient::CallId CurlClient::start(HttpCall call, HttpCallback callback, HttpDataCallback dataCallback)
--- a/Source/Core/Adapters/Platform/CurlClient.h
+++ b/Source/Core/Adapters/Platform/CurlClient.h
@@ -3,71 +3,19 @@
 /// HTTP client: libcurl's multi interface on an EventLoop.
 
 #include "Adapters/Platform/EventLoop.h"
+#include "Adapters/Platform/HttpCall.h"
 
-#include <chrono>
 #include <cstdint>
-#include <functional>
 #include <memory>
-#include <string>
-#include <string_view>
-#include <vector>
 
 namespace Adapters {
 
-/// One header line.
-struct HttpHeader {
-    std::string name; ///< Lower case in answers.
-    std::string value;
-};
-
-/// A call to make.
-struct HttpCall {
-    std::string method = "GET";
-    std::string url;
-    std::vector<HttpHeader> headers;
-    std::string body;
-    std::chrono::milliseconds connectTimeout { 1000 };
-    std::chrono::milliseconds timeout { 0 }; ///< For the whole call; zero for none.
-    /// libcurl silently sends a request again when a re-used connection dies before the first byte of the answer:
-    /// set this for calls that must not reach the server twice.
-    bool freshConnection = false;
-};
-
-/// How a call ended.
-enum class HttpEnd {
-    Answered, ///< A whole answer.
-    NotSent, ///< No byte of the request left this host.
-    Broken, ///< Bytes were sent and no whole answer came.
-};
-
-/// Result of a call.
-struct HttpOutcome {
-    HttpEnd end = HttpEnd::Broken;
-    int status = 0;
-    std::string body; ///< Empty when the call had a data callback.
-    std::vector<HttpHeader> headers;
-
-    /// Value of a header by its lower-case name; empty when absent.
-    std::string header(std::string_view name) const;
-};
-
-using HttpCallback = std::function<void(HttpOutcome)>;
-/// Takes a part of a streamed answer; false ends the call. Must not call the client.
-using HttpDataCallback = std::function<bool(std::string_view)>;
-
-/// Bounds of a client's connections.
-struct CurlLimits {
-    long idleConnections = 64;
-    long connectionsPerServer = 0; ///< Further calls wait for one; zero for no bound.
-    std::chrono::milliseconds deadPeer { 15000 }; ///< Without a sign of life of the peer, a connection is given up.
-};
-
 /// Runs calls at once and side by side. Used on the loop's thread only.
 class CurlClient {
 public:
     using CallId = std::uint64_t;
 
-    static std::unique_ptr<CurlClient> create(EventLoop&, const CurlLimits& = {});
+    static std::unique_ptr<CurlClient> create(EventLoop&);
     /// Call shutdown() before, on the loop's thread.
     ~CurlClient();
 
@@ -81,7 +29,7 @@
 private:
     class Private;
 
-    CurlClient(EventLoop&, const CurlLimits&);
+    explicit CurlClient(EventLoop&);
 
     std::unique_ptr<Private> m_private;
 };
--- /dev/null
+++ b/Source/Core/Adapters/Platform/KeepAliveClient.cpp
@@ -0,0 +1,311 @@
+#include "Adapters/Platform/KeepAliveClient.h"
+
+#include "Adapters/Platform/KeepAliveConnection.h"
+
+#include <deque>
+#include <set>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <uv.h>
+
+namespace Adapters {
+
+namespace {
+
+    constexpr std::uint64_t lateTimer = 5; ///< Milliseconds; less is the usual jitter of a loop that isn't busy.
+    constexpr std::string_view scheme = "http://";
+
+    /// Splits "http://address/path"; the parts stay in the text.
+    std::pair<std::string_view, std::string_view> splitUrl(std::string_view url)
+    {
+        if (url.starts_with(scheme))
+            url.remove_prefix(scheme.size());
+        const auto slash = url.find('/');
+        if (slash == std::string_view::npos)
+            return { url, "/" };
+        return { url.substr(0, slash), url.substr(slash) };
+    }
+
+    std::string requestText(const HttpCall& call, std::string_view address, std::string_view path)
+    {
+        constexpr std::size_t usualHead = 256;
+        std::string text;
+        text.reserve(usualHead + path.size() + call.body.size());
+        text.append(call.method).append(" ").append(path).append(" HTTP/1.1\r\nHost: ").append(address).append("\r\n");
+        for (const auto& it : call.headers)
+            text.append(it.name).append(": ").append(it.value).append("\r\n");
+        if (!call.body.empty() || call.method == "POST")
+            text.append("Content-Length: ").append(std::to_string(call.body.size())).append("\r\n");
+        return text.append("\r\n").append(call.body);
+    }
+
+} // namespace
+
+class KeepAliveClient::Private final : public KeepAliveConnection::Owner {
+public:
+    Private(EventLoop& loop, const ConnectionLimits& limits)
+        : m_loop(loop)
+        , m_limits(limits)
+        , m_timer(new uv_timer_t)
+    {
+        uv_timer_init(m_loop.handle(), m_timer);
+        m_timer->data = this;
+    }
+
+    CallId start(const HttpCall& call, HttpCallback callback)
+    {
+        if (!m_timer) {
+            callback({ HttpEnd::NotSent, 0, {}, {} });
+            return 0;
+        }
+        const auto [address, path] = splitUrl(call.url);
+        const auto id = ++m_lastCall;
+        auto& running = m_calls[id];
+        running.address = address;
+        running.request = requestText(call, address, path);
+        running.callback = std::move(callback);
+        if (call.timeout.count() > 0)
+            setDeadline(id, running, uv_now(m_loop.handle()) + static_cast<std::uint64_t>(call.timeout.count()));
+        assign(id, running);
+        return id;
+    }
+
+    void cancel(CallId id) { giveUp(id); }
+
+    void shutdown()
+    {
+        if (!m_timer)
+            return;
+        while (!m_calls.empty())
+            giveUp(m_calls.begin()->first);
+        for (auto& [address, server] : m_servers) {
+            for (auto* it : server.idle)
+                it->close(false);
+        }
+        m_servers.clear();
+        uv_close(reinterpret_cast<uv_handle_t*>(std::exchange(m_timer, nullptr)), [](uv_handle_t* it) { delete reinterpret_cast<uv_timer_t*>(it); });
+    }
+
+private:
+    struct Running {
+        std::string address;
+        std::string request; ///< Empty once it is handed to the connection.
+        HttpCallback callback;
+        KeepAliveConnection* connection = nullptr;
+        std::uint64_t deadline = 0; ///< On the loop's clock, in milliseconds; zero for none.
+    };
+
+    struct Server {
+        std::vector<KeepAliveConnection*> idle; ///< The one used last is used next.
+        std::size_t open = 0; ///< Idle ones included.
+        std::deque<CallId> waiting;
+    };
+
+    /// Gives a call a connection, or has it wait.
+    void assign(CallId id, Running& running)
+    {
+        auto& server = m_servers[running.address];
+        if (!server.idle.empty()) {
+            auto* connection = server.idle.back();
+            server.idle.pop_back();
+            --m_idleConnections;
+            attach(id, running, *connection);
+            connection->send(std::exchange(running.request, {}));
+            return;
+        }
+        if (server.open >= m_limits.connectionsPerServer) {
+            server.waiting.push_back(id);
+            return;
+        }
+        auto* connection = KeepAliveConnection::connect(m_loop.handle(), *this, running.address, m_limits.deadPeer);
+        if (!connection) {
+            m_loop.post([this, id] { end(id, HttpEnd::NotSent, 0, {}); });
+            return;
+        }
+        ++server.open;
+        attach(id, running, *connection);
+    }
+
+    static void attach(CallId id, Running& running, KeepAliveConnection& connection)
+    {
+        running.connection = &connection;
+        connection.call = id;
+    }
+
+    void connected(KeepAliveConnection& connection) override
+    {
+        connection.send(std::exchange(m_calls.at(connection.call).request, {}));
+    }
+
+    void answered(KeepAliveConnection& connection, bool isReusable) override
+    {
+        const auto id = std::exchange(connection.call, 0);
+        const int status = connection.status;
+        auto body = std::exchange(connection.body, {});
+        if (isReusable) {
+            release(connection);
+        } else {
+            connection.close(false);
+            closed(connection.address());
+        }
+        end(id, HttpEnd::Answered, status, std::move(body));
+    }
+
+    void broken(KeepAliveConnection& connection) override
+    {
+        const auto id = std::exchange(connection.call, 0);
+        const bool hasSent = connection.hasSent();
+        if (id == 0) {
+            auto& idle = m_servers[connection.address()].idle;
+            m_idleConnections -= std::erase(idle, &connection);
+        }
+        closed(connection.address());
+        // The caller isn't told from within its own start().
+        if (id != 0)
+            m_loop.post([this, id, hasSent] { end(id, hasSent ? HttpEnd::Broken : HttpEnd::NotSent, 0, {}); });
+    }
+
+    /// Hands a free connection to the call that waits the longest, or keeps it.
+    void release(KeepAliveConnection& connection)
+    {
+        auto& server = m_servers[connection.address()];
+        if (!server.waiting.empty()) {
+            const auto id = server.waiting.front();
+            server.waiting.pop_front();
+            auto& running = m_calls.at(id);
+            attach(id, running, connection);
+            connection.send(std::exchange(running.request, {}));
+            return;
+        }
+        if (m_idleConnections >= m_limits.idleConnections) {
+            connection.close(false);
+            closed(connection.address());
+            return;
+        }
+        ++m_idleConnections;
+        server.idle.push_back(&connection);
+    }
+
+    /// A connection is gone: a call that waits may open another.
+    void closed(const std::string& address)
+    {
+        const auto it = m_servers.find(address);
+        if (it == m_servers.end())
+            return;
+        auto& server = it->second;
+        --server.open;
+        if (server.waiting.empty()) {
+            if (server.open == 0)
+                m_servers.erase(it);
+            return;
+        }
+        const auto id = server.waiting.front();
+        server.waiting.pop_front();
+        assign(id, m_calls.at(id));
+    }
+
+    void giveUp(CallId id)
+    {
+        const auto it = m_calls.find(id);
+        if (it == m_calls.end())
+            return;
+        auto* connection = it->second.connection;
+        const bool hasSent = connection && connection->call == id && connection->hasSent();
+        if (connection && connection->call == id) {
+            connection->call = 0;
+            connection->close(true);
+            closed(connection->address());
+        } else if (const auto server = m_servers.find(it->second.address); server != m_servers.end()) {
+            std::erase(server->second.waiting, id);
+        }
+        end(id, hasSent ? HttpEnd::Broken : HttpEnd::NotSent, 0, {});
+    }
+
+    void end(CallId id, HttpEnd how, int status, std::string body)
+    {
+        const auto it = m_calls.find(id);
+        if (it == m_calls.end())
+            return;
+        const auto callback = std::move(it->second.callback);
+        if (it->second.deadline > 0)
+            m_deadlines.erase({ it->second.deadline, id });
+        m_calls.erase(it);
+        callback({ how, status, std::move(body), {} });
+    }
+
+    void setDeadline(CallId id, Running& running, std::uint64_t deadline)
+    {
+        running.deadline = deadline;
+        m_deadlines.insert({ deadline, id });
+        if (deadline < m_timerDue)
+            arm(deadline);
+    }
+
+    void arm(std::uint64_t deadline)
+    {
+        const auto now = uv_now(m_loop.handle());
+        m_timerDue = deadline;
+        uv_timer_start(m_timer, onTimer, deadline > now ? deadline - now : 0, 0);
+    }
+
+    static void onTimer(uv_timer_t* timer) { static_cast<Private*>(timer->data)->expire(); }
+
+    void expire()
+    {
+        const auto now = uv_now(m_loop.handle());
+        // A busy loop runs its timers late and before it reads: answers that are there go before time limits.
+        if (now > m_timerDue + lateTimer && !std::exchange(m_isDeferred, true)) {
+            uv_timer_start(m_timer, onTimer, 0, 0);
+            return;
+        }
+        m_isDeferred = false;
+        m_timerDue = noDeadline;
+        while (m_timer && !m_deadlines.empty() && m_deadlines.begin()->first <= now)
+            giveUp(m_deadlines.begin()->second);
+        if (m_timer && !m_deadlines.empty() && m_deadlines.begin()->first < m_timerDue)
+            arm(m_deadlines.begin()->first);
+    }
+
+    static constexpr std::uint64_t noDeadline = ~std::uint64_t { 0 };
+
+    EventLoop& m_loop;
+    ConnectionLimits m_limits;
+    uv_timer_t* m_timer; ///< Freed by the loop; null after shutdown.
+    std::uint64_t m_timerDue = noDeadline;
+    bool m_isDeferred = false;
+    CallId m_lastCall = 0;
+    std::unordered_map<CallId, Running> m_calls;
+    std::set<std::pair<std::uint64_t, CallId>> m_deadlines;
+    std::unordered_map<std::string, Server> m_servers;
+    std::size_t m_idleConnections = 0;
+};
+
+KeepAliveClient::KeepAliveClient(EventLoop& loop, const ConnectionLimits& limits)
+    : m_private(std::make_unique<Private>(loop, limits))
+{
+}
+
+KeepAliveClient::~KeepAliveClient() = default;
+
+std::unique_ptr<KeepAliveClient> KeepAliveClient::create(EventLoop& loop, const ConnectionLimits& limits)
+{
+    return std::unique_ptr<KeepAliveClient>(new KeepAliveClient(loop, limits));
+}
+
+KeepAliveClient::CallId KeepAliveClient::start(HttpCall call, HttpCallback callback)
+{
+    return m_private->start(std::move(call), std::move(callback));
+}
+
+void KeepAliveClient::cancel(CallId id)
+{
+    m_private->cancel(id);
+}
+
+void KeepAliveClient::shutdown()
+{
+    m_private->shutdown();
+}
+
+} // namespace Adapters
--- a/Source/UnitTests/Adapters/CallersRawSocket.h
+++ b/Source/UnitTests/Adapters/CallersRawSocket.h
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <cctype>
+#include <cerrno>
 #include <cstdint>
 #include <map>
 #include <netinet/tcp.h>
@@ -112,6 +113,14 @@
 
     /// True when the other side has closed and nothing more comes.
     bool readsEnd() { return m_buf.empty() && !fill(); }
+    /// Waits for the first byte.
+    bool readsBytes() { return !m_buf.empty() || fill(); }
+    /// Reads what comes until the connection ends; true when a reset ended it.
+    bool readsReset()
+    {
+        while (fill()) { }
+        return errno == ECONNRESET;
+    }
 
 private:
     bool fill()
--- /dev/null
+++ b/Source/UnitTests/Adapters/KeepAliveClientTest.cpp
@@ -0,0 +1,226 @@
+/// The keep-alive HTTP client against scripted servers on loopback.
+
+#include "Adapters/Platform/KeepAliveClient.h"
+#include "Adapters/ScriptedServer.h"
+
+#include <future>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace AdapterTests;
+using namespace std::chrono_literals;
+using Adapters::HttpEnd;
+using Adapters::HttpOutcome;
+
+namespace {
+
+class Rig {
+public:
+    explicit Rig(const Adapters::ConnectionLimits& limits = {})
+        : m_loop(Adapters::EventLoop::create())
+        , m_client(Adapters::KeepAliveClient::create(*m_loop, limits))
+    {
+        m_loop->start();
+    }
+
+    ~Rig()
+    {
+        m_loop->post([this] { m_client->shutdown(); });
+        m_loop->stop();
+    }
+
+    std::future<HttpOutcome> post(const std::string& address, const std::string& body, std::chrono::milliseconds timeout = 0ms)
+    {
+        Adapters::HttpCall call;
+        call.method = "POST";
+        call.url = "http://" + address + "/run";
+        call.body = body;
+        call.timeout = timeout;
+        const auto promise = std::make_shared<std::promise<HttpOutcome>>();
+        m_loop->post([this, promise, call] {
+            m_last = m_client->start(call, [promise](HttpOutcome outcome) { promise->set_value(std::move(outcome)); });
+        });
+        return promise->get_future();
+    }
+
+    void cancelLast()
+    {
+        m_loop->post([this] { m_client->cancel(m_last); });
+    }
+
+    void shutdown()
+    {
+        m_loop->post([this] { m_client->shutdown(); });
+    }
+
+private:
+    std::unique_ptr<Adapters::EventLoop> m_loop;
+    std::unique_ptr<Adapters::KeepAliveClient> m_client;
+    Adapters::KeepAliveClient::CallId m_last = 0;
+};
+
+std::string answer(const std::string& body, const std::string& headers = "")
+{
+    return "HTTP/1.1 200 OK\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+bool echo(RawSocket& socket, const HttpMessage& request)
+{
+    return socket.send(answer("echo " + request.body));
+}
+
+/// A listener that accepts nothing by itself: the system holds what clients send.
+class SilentListener {
+public:
+    SilentListener()
+        : m_fd(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        auto address = RawSocket::loopback(0);
+        socklen_t size = sizeof(address);
+        REQUIRE(::bind(m_fd, reinterpret_cast<const sockaddr*>(&address), size) == 0);
+        REQUIRE(::listen(m_fd, 8) == 0);
+        ::getsockname(m_fd, reinterpret_cast<sockaddr*>(&address), &size);
+        m_port = ntohs(address.sin_port);
+    }
+    ~SilentListener() { ::close(m_fd); }
+    SilentListener(const SilentListener&) = delete;
+    SilentListener& operator=(const SilentListener&) = delete;
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+    RawSocket accept() { return RawSocket(::accept(m_fd, nullptr, nullptr)); }
+
+private:
+    int m_fd;
+    std::uint16_t m_port = 0;
+};
+
+} // namespace
+
+TEST_CASE("calls one after the other share a connection and each gets its own answer")
+{
+    ScriptedServer server(25170, echo);
+    Rig rig;
+    for (int n = 0; n < 20; ++n) {
+        const auto outcome = rig.post(server.address(), std::to_string(n)).get();
+        CHECK(outcome.end == HttpEnd::Answered);
+        CHECK(outcome.status == 200);
+        CHECK(outcome.body == "echo " + std::to_string(n));
+    }
+    CHECK(server.connections() == 1);
+}
+
+TEST_CASE("calls beyond the bound of connections wait, and all are answered")
+{
+    ScriptedServer server(25171, echo);
+    Rig rig({ 8, 2, 3000ms });
+    std::vector<std::future<HttpOutcome>> outcomes;
+    for (int n = 0; n < 50; ++n)
+        outcomes.push_back(rig.post(server.address(), std::to_string(n)));
+    for (int n = 0; n < 50; ++n)
+        CHECK(outcomes[static_cast<std::size_t>(n)].get().body == "echo " + std::to_string(n));
+    CHECK(server.connections() <= 2);
+}
+
+TEST_CASE("nobody listens: the request was not sent")
+{
+    Rig rig;
+    std::string address;
+    {
+        SilentListener closed;
+        address = closed.address();
+    }
+    CHECK(rig.post(address, "x").get().end == HttpEnd::NotSent);
+    CHECK(rig.post("not-an-address", "x").get().end == HttpEnd::NotSent);
+}
+
+TEST_CASE("the peer closes in the middle of an answer or before it: nobody knows what became of the request")
+{
+    for (const std::string part : { "", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", "HTTP/1.1 200 OK\r\nContent-Le", "no HTTP at all\r\n\r\n" }) {
+        CAPTURE(part);
+        ScriptedServer server(25172, [&part](RawSocket& socket, const HttpMessage&) {
+            socket.send(part);
+            return false;
+        });
+        Rig rig;
+        CHECK(rig.post(server.address(), "x").get().end == HttpEnd::Broken);
+    }
+}
+
+TEST_CASE("a request is never sent twice, also when a connection that was kept dies")
+{
+    int served = 0;
+    ScriptedServer server(25173, [&served](RawSocket& socket, const HttpMessage& request) { return ++served == 1 && echo(socket, request); });
+    Rig rig;
+    CHECK(rig.post(server.address(), "a").get().end == HttpEnd::Answered);
+    CHECK(rig.post(server.address(), "b").get().end == HttpEnd::Broken);
+    CHECK(server.requests() == 2);
+}
+
+TEST_CASE("answers in chunks, in many small parts, after an interim one, and without a length are whole")
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nwhol\r\n1\r\ne\r\n0\r\n\r\n";
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n" + answer("whole");
+    const std::string closed = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole";
+    for (const auto& text : { chunked, interim, closed }) {
+        CAPTURE(text);
+        ScriptedServer server(25174, [&](RawSocket& socket, const HttpMessage&) {
+            for (const char c : text)
+                socket.send(std::string(1, c));
+            return text != closed;
+        });
+        Rig rig;
+        for (int n = 0; n < 2; ++n) {
+            const auto outcome = rig.post(server.address(), "x").get();
+            CHECK(outcome.end == HttpEnd::Answered);
+            CHECK(outcome.body == "whole");
+        }
+        CHECK(server.connections() == (text == closed ? 2 : 1));
+    }
+}
+
+TEST_CASE("an answer that nobody asked for isn't given to the next call")
+{
+    ScriptedServer server(25175, [](RawSocket& socket, const HttpMessage& request) { return socket.send(answer("echo " + request.body) + answer("stray")); });
+    Rig rig;
+    for (int n = 0; n < 5; ++n)
+        CHECK(rig.post(server.address(), std::to_string(n)).get().body == "echo " + std::to_string(n));
+    CHECK(server.connections() == 5);
+}
+
+TEST_CASE("a call past its time limit ends, and so does one that waits for a connection")
+{
+    SilentListener server;
+    Rig rig({ 8, 1, 3000ms });
+    auto first = rig.post(server.address(), "x", 1000ms);
+    auto socket = server.accept();
+    REQUIRE(socket.readsBytes());
+    auto second = rig.post(server.address(), "y", 20ms);
+    CHECK(second.get().end == HttpEnd::NotSent);
+    CHECK(first.get().end == HttpEnd::Broken);
+}
+
+TEST_CASE("nothing of a call that was given up reaches the server later")
+{
+    SilentListener server;
+    Rig rig;
+    // More than the buffers of both sides hold: the rest waits on this side.
+    auto outcome = rig.post(server.address(), std::string(64 << 20, 'x'));
+    auto socket = server.accept();
+    REQUIRE(socket.readsBytes());
+    rig.cancelLast();
+    CHECK(outcome.get().end == HttpEnd::Broken);
+    CHECK(socket.readsReset());
+}
+
+TEST_CASE("shutdown ends what is under way, and later calls at once")
+{
+    SilentListener server;
+    Rig rig;
+    auto before = rig.post(server.address(), "x");
+    auto socket = server.accept();
+    rig.shutdown();
+    auto after = rig.post(server.address(), "y");
+    CHECK(before.get().end != HttpEnd::Answered);
+    CHECK(after.get().end == HttpEnd::NotSent);
+}
--- a/Source/UnitTests/Adapters/UpstreamsTest.cpp
+++ b/Source/UnitTests/Adapters/UpstreamsTest.cpp
@@ -1,6 +1,6 @@
 /// The upstream adapter against a scripted upstream on loopback.
 
-#include "Adapters/CallersRawSocket.h"
+#include "Adapters/ScriptedServer.h"
 #include "Adapters/Upstreams/CurlUpstreams.h"
 
 #include <atomic>
@@ -16,67 +16,6 @@
 
 namespace {
 
-/// Listens, and lets a script act on each request; the script returns false to close the connection.
-class ScriptedUpstream {
-public:
-    using Script = std::function<bool(RawSocket&, const HttpMessage&)>;
-
-    ScriptedUpstream(std::uint16_t port, Script script)
-        : m_port(port)
-        , m_script(std::move(script))
-        , m_listener(::socket(AF_INET, SOCK_STREAM, 0))
-    {
-        const int on = 1;
-        ::setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-        const auto address = RawSocket::loopback(port);
-        REQUIRE(::bind(m_listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
-        REQUIRE(::listen(m_listener, 64) == 0);
-        m_acceptor = std::thread([this] { acceptAll(); });
-    }
-
-    ~ScriptedUpstream()
-    {
-        ::shutdown(m_listener, SHUT_RDWR);
-        m_acceptor.join();
-        ::close(m_listener);
-        for (auto& thread : m_threads)
-            thread.join();
-    }
-
-    std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
-    int requests() const { return m_requests; }
-    int connections() const { return m_connections; }
-
-private:
-    void acceptAll()
-    {
-        for (;;) {
-            const int fd = ::accept(m_listener, nullptr, nullptr);
-            if (fd < 0)
-                return;
-            ++m_connections;
-            m_threads.emplace_back([this, fd] { serve(RawSocket(fd)); });
-        }
-    }
-
-    void serve(RawSocket socket)
-    {
-        while (const auto request = socket.read()) {
-            ++m_requests;
-            if (!m_script(socket, *request))
-                return;
-        }
-    }
-
-    std::uint16_t m_port;
-    Script m_script;
-    int m_listener;
-    std::atomic<int> m_requests { 0 };
-    std::atomic<int> m_connections { 0 };
-    std::vector<std::thread> m_threads; // Touched by the acceptor, then by the destructor.
-    std::thread m_acceptor;
-};
-
 class ResultSink final : public Ports::UpstreamSink {
 public:
     void attemptEnded(Ports::UpstreamResult result) override
@@ -149,7 +88,7 @@
     }
 
     std::atomic<int> runs { 0 };
-    ScriptedUpstream upstream;
+    ScriptedServer upstream;
 };
 
 int runsAfterSilentClose(std::uint16_t port, const std::string& body, Adapters::UpstreamGuards guards, AttemptEnd& end)
@@ -185,7 +124,7 @@
 TEST_CASE("A whole answer comes back as it was sent, over one kept connection")
 {
     HttpMessage seen;
-    ScriptedUpstream upstream(25142, [&](RawSocket& socket, const HttpMessage& request) {
+    ScriptedServer upstream(25142, [&](RawSocket& socket, const HttpMessage& request) {
         seen = request;
         return socket.send(answerTo(request, "ran " + request.body));
     });
@@ -236,7 +175,7 @@
     settings.maximumAnswerBytes = 100;
     for (const auto& row : rows) {
         CAPTURE(row.name);
-        ScriptedUpstream upstream(25143, [&](RawSocket& socket, const HttpMessage& request) {
+        ScriptedServer upstream(25143, [&](RawSocket& socket, const HttpMessage& request) {
             auto answer = row.answer;
             if (const auto at = answer.find('%'); at != std::string::npos)
                 answer.replace(at, 1, request.header("marigold-request-id"));
@@ -253,7 +192,7 @@
 
 TEST_CASE("Without the check of the request id a stranger's answer is taken")
 {
-    ScriptedUpstream upstream(25144, [](RawSocket& socket, const HttpMessage&) {
+    ScriptedServer upstream(25144, [](RawSocket& socket, const HttpMessage&) {
         return socket.send("HTTP/1.1 200 OK\r\nMarigold-Request-Id: other\r\nContent-Length: 2\r\n\r\nok");
     });
     Rig rig({}, { .matchRequestId = false });
@@ -278,7 +217,7 @@
     std::condition_variable changed;
     std::string cancelled;
     int running = 0;
-    ScriptedUpstream upstream(25146, [&](RawSocket&, const HttpMessage& request) {
+    ScriptedServer upstream(25146, [&](RawSocket&, const HttpMessage& request) {
         const std::lock_guard lock(mutex);
         if (request.startLine.starts_with("DELETE"))
             cancelled = request.startLine;
