Read and write the platform's JSON by RapidJSON

Cause: perf on a peak's owner, after the HTTP client: 15% in jsoncpp, 12% in libstdc++ (its maps, string streams) and much of 24% in libc (a node of a map a field). A look brings a list of all runs of a worker, several hundred looks a second. Change: JsonText (parsed in place, iteratively, so that deep nesting uses no stack) and JsonWriter in platform/, used by the whole adapter; jsoncpp goes from it. Ruled out: a smaller list of runs (the platform's format).

--- /dev/null
+++ b/Source/UnitTests/Platform/JsonTextTest.cpp
@@ -0,0 +1,77 @@
+/// JSON of the platform: what can't be read, is of another type or out of range.
+
+#include "JsonText.h"
+
+#include <doctest/doctest.h>
+#include <limits>
+#include <random>
+#include <string>
+
+using PlatformAdapter::JsonText;
+using PlatformAdapter::JsonWriter;
+
+TEST_CASE("texts that aren't one JSON object are turned away")
+{
+    for (const std::string text : { "", " ", "[]", "1", "null", "\"a\"", "{", "{}}", "{\"a\":}", "{\"a\":1,}", "{'a':1}", "{} x", "{\"a\":NaN}", "// c\n{}" }) {
+        CAPTURE(text);
+        CHECK_FALSE(JsonText::parseObject(text));
+    }
+    CHECK_FALSE(JsonText::parseObject(std::string("{\"a\":1}\0x", 9)));
+}
+
+TEST_CASE("a deeply nested text uses up no stack")
+{
+    constexpr std::size_t depth = 1000000;
+    CHECK(JsonText::parseObject("{\"a\":" + std::string(depth, '[') + std::string(depth, ']') + "}"));
+    CHECK_FALSE(JsonText::parseObject("{\"a\":" + std::string(depth, '[')));
+}
+
+TEST_CASE("fields that are missing or of another type read as nothing")
+{
+    const auto text = JsonText::parseObject(R"({"n":7,"t":"x","l":[1,"y"],"o":{"f":true},"z":null})");
+    REQUIRE(text);
+    CHECK((*text)["n"].number() == 7);
+    CHECK((*text)["n"].text().empty());
+    CHECK((*text)["t"].text() == "x");
+    CHECK((*text)["t"].number(-1) == -1);
+    CHECK((*text)["l"].size() == 2);
+    CHECK((*text)["l"].at(1).text() == "y");
+    CHECK((*text)["l"].at(2).number(5) == 5);
+    CHECK((*text)["l"]["f"].size() == 0);
+    CHECK((*text)["o"]["f"].flag());
+    CHECK_FALSE((*text)["o"]["g"]["h"].flag());
+    CHECK((*text)["z"].text().empty());
+    for (const auto it : (*text)["t"])
+        CHECK(it.isNumber());
+}
+
+TEST_CASE("numbers beyond their type and negative ones are never wrapped around")
+{
+    const auto text = JsonText::parseObject(R"({"big":18446744073709551615,"huge":1e300,"low":-5,"half":2.5,"less":-1e300})");
+    REQUIRE(text);
+    CHECK((*text)["big"].unsignedNumber() == std::numeric_limits<std::uint64_t>::max());
+    CHECK((*text)["big"].number(3) == 3);
+    CHECK((*text)["huge"].number(3) == 3);
+    CHECK((*text)["huge"].unsignedNumber() == 0);
+    CHECK((*text)["less"].number(3) == 3);
+    CHECK((*text)["low"].number() == -5);
+    CHECK((*text)["low"].unsignedNumber() == 0);
+    CHECK((*text)["half"].number() == 2);
+}
+
+TEST_CASE("what is written reads the same, whatever bytes it holds")
+{
+    std::string bytes;
+    for (int c = 1; c < 128; ++c)
+        bytes += static_cast<char>(c);
+    JsonWriter writer;
+    writer.text("t", bytes).number("n", std::numeric_limits<std::int64_t>::min()).unsignedNumber("u", std::numeric_limits<std::uint64_t>::max());
+    writer.beginArray("l").beginObject().text("k", "ü").endObject().item("x").endArray();
+    const auto text = JsonText::parseObject(writer.take());
+    REQUIRE(text);
+    CHECK((*text)["t"].text() == bytes);
+    CHECK((*text)["n"].number() == std::numeric_limits<std::int64_t>::min());
+    CHECK((*text)["u"].unsignedNumber() == std::numeric_limits<std::uint64_t>::max());
+    CHECK((*text)["l"].at(0)["k"].text() == "ü");
+    CHECK((*text)["l"].at(1).text() == "x");
+}
