Find the chains of a job's steps once, in one pass

Cause: chainFrom() followed every path through the steps, for each decision. A sound submission of 256 steps that all wait for all earlier ones has 2^254 paths: it would have stopped the owner of its pool, and every owner after it, as the job is stored. Found by reading, while checking what a submission may hold. Change: chainsOf() goes from the last step to the first; a job keeps the result. Test: such a job's chains; it didn't end before.

--- a/Source/Core/Jobs/Decision/JobTable.cpp
+++ b/Source/Core/Jobs/Decision/JobTable.cpp
@@ -74,6 +74,7 @@
         return;
     Job job;
     job.accepted = record;
+    job.chains = chainsOf(record.spec);
     m_active.emplace(record.job, std::move(job));
 }
 
--- a/Source/Core/Jobs/Decision/JobTable.h
+++ b/Source/Core/Jobs/Decision/JobTable.h
@@ -51,6 +51,7 @@
     std::map<unsigned, Occurrence> occurrences; ///< Those that began and aren't done.
     unsigned occurrencesBegun = 0;
     unsigned occurrencesDone = 0;
+    std::vector<milliseconds> chains; ///< By step; see chainsOf().
 
     const JobSpec& spec() const { return accepted.spec; }
     unsigned occurrenceCount() const { return std::max(1U, accepted.spec.repeatCount); }
--- a/Source/Core/Jobs/Decision/QueueOrder.cpp
+++ b/Source/Core/Jobs/Decision/QueueOrder.cpp
@@ -14,7 +14,7 @@
         key.milliseconds = 0;
         return key;
     }
-    const auto toSpare = dueAt + job.accepted.objective - now - chainFrom(job.spec(), step);
+    const auto toSpare = dueAt + job.accepted.objective - now - job.chains[step];
     key.isLate = toSpare < milliseconds(0);
     key.milliseconds = key.isLate ? dueAt.time_since_epoch().count() : toSpare.count();
     return key;
--- a/Source/Core/Jobs/Model/JobTypes.cpp
+++ b/Source/Core/Jobs/Model/JobTypes.cpp
@@ -66,29 +66,22 @@
     return {};
 }
 
-milliseconds chainFrom(const JobSpec& spec, unsigned step)
+std::vector<milliseconds> chainsOf(const JobSpec& spec)
 {
-    milliseconds longest { 0 };
-    for (unsigned n = step + 1; n < spec.steps.size(); ++n) {
-        if (std::ranges::find(spec.steps[n].after, step) != spec.steps[n].after.end())
-            longest = std::max(longest, chainFrom(spec, n));
+    // Steps only come after earlier ones: from the last to the first, all that follows a step is known.
+    std::vector<milliseconds> chains(spec.steps.size());
+    for (auto n = spec.steps.size(); n-- > 0;) {
+        chains[n] += spec.steps[n].estimate;
+        for (const auto earlier : spec.steps[n].after)
+            chains[earlier] = std::max(chains[earlier], chains[n]);
     }
-    return spec.steps[step].estimate + longest;
+    return chains;
 }
 
 milliseconds longestChain(const JobSpec& spec)
 {
-    // Ends of chains by step; steps only come after earlier ones.
-    std::vector<milliseconds> ends;
-    milliseconds longest { 0 };
-    for (const auto& step : spec.steps) {
-        milliseconds start { 0 };
-        for (const auto it : step.after)
-            start = std::max(start, ends[it]);
-        ends.push_back(start + step.estimate);
-        longest = std::max(longest, ends.back());
-    }
-    return longest;
+    const auto chains = chainsOf(spec);
+    return chains.empty() ? milliseconds(0) : *std::ranges::max_element(chains);
 }
 
 } // namespace Jobs
--- a/Source/Core/Jobs/Model/JobTypes.h
+++ b/Source/Core/Jobs/Model/JobTypes.h
@@ -108,8 +108,8 @@
 /// The first fault of a specification in words; empty when it is sound.
 std::string faultOf(const JobSpec&);
 
-/// Longest chain of estimates through the steps, counted from the given step on (inclusive).
-milliseconds chainFrom(const JobSpec&, unsigned step);
+/// By step, the longest chain of estimates from it on (inclusive).
+std::vector<milliseconds> chainsOf(const JobSpec&);
 /// Longest chain of the whole job.
 milliseconds longestChain(const JobSpec&);
 
--- a/Source/UnitTests/Jobs/JobTableTest.cpp
+++ b/Source/UnitTests/Jobs/JobTableTest.cpp
@@ -108,3 +108,22 @@
     spec.payload = std::string(5000, 'x');
     CHECK(!faultOf(spec).empty());
 }
+
+TEST_CASE("the chains of a job with many steps that all wait for each other are found at once")
+{
+    // Through such a job 2^254 paths lead.
+    constexpr unsigned steps = 256;
+    JobSpec spec;
+    for (unsigned n = 0; n < steps; ++n) {
+        auto& step = spec.steps.emplace_back();
+        step.taskCount = 1;
+        step.estimate = 10ms;
+        for (unsigned earlier = 0; earlier < n; ++earlier)
+            step.after.push_back(earlier);
+    }
+    CHECK(faultOf(spec).empty());
+    CHECK(longestChain(spec) == 2560ms);
+    const auto chains = chainsOf(spec);
+    CHECK(chains.front() == 2560ms);
+    CHECK(chains.back() == 10ms);
+}
