Wait for submissions under way before the soak judges refusals

Cause: one run of soak_tests failed with two faults. Its logs: the owner accepted jobs 93 and 99 0.4 s before the end, and no host logged an answer for them; all other jobs were complete, so the soak ended, with two submissions without an answer. The jobs had only been refused before, and 'refused each time and ran' counted them. A job whose last submission has no answer is neither accepted nor refused. Ruled out: runs twice (run numbers in the logs: each second run after its worker was given up or its order never sent). Change: the soak ends when no submission is under way. The check is as it was.

--- a/Source/UnitTests/Soak/SoakFleet.cpp
+++ b/Source/UnitTests/Soak/SoakFleet.cpp
@@ -93,8 +93,10 @@
 void SoakFleet::submit(const std::shared_ptr<Job>& job)
 {
     ++job->tries;
+    ++m_submissionsUnderWay;
     const auto& host = *m_hosts[draw(static_cast<unsigned>(m_hosts.size()))];
     call("POST", url(host, job->id), PlatformAdapter::submissionBody(job->tasks, 1000, milliseconds(300)), [this, job](int status, const std::string&) {
+        --m_submissionsUnderWay;
         const bool isAccepted = status >= 200 && status < 300;
         const bool isRefused = status == 429 || status == 503 || status == -1;
         m_result.accepted += isAccepted && !job->isAccepted ? 1 : 0;
@@ -238,7 +240,8 @@
 void SoakFleet::waitForCompletion(milliseconds left)
 {
     const bool isAllDone = std::ranges::all_of(m_jobs, [](const auto& it) { return it->isDone || !it->isAccepted; });
-    if (isAllDone || left.count() <= 0) {
+    // A submission without an answer yet may be of a job that was refused so far and runs now.
+    if ((isAllDone && m_submissionsUnderWay == 0) || left.count() <= 0) {
         finish();
         return;
     }
--- a/Source/UnitTests/Soak/SoakFleet.h
+++ b/Source/UnitTests/Soak/SoakFleet.h
@@ -95,6 +95,7 @@
     std::vector<std::unique_ptr<SoakProxy>> m_workerProxies;
     std::vector<std::unique_ptr<Host>> m_hosts;
     std::vector<std::shared_ptr<Job>> m_jobs;
+    unsigned m_submissionsUnderWay = 0;
     SoakResult m_result;
     bool m_isOver = false; ///< No more faults and jobs.
 };
