--- a/Source/Core/Jobs/Fleet/WaveRun.cpp
+++ b/Source/Core/Jobs/Fleet/WaveRun.cpp
@@ -26,9 +26,8 @@
     load->isCordoned = load->isCordoned && it.isCordoned;
 }
 
-WaveRun::WaveRun(MaintenanceWave wave, Instant publishedAt, std::set<std::string> done)
+WaveRun::WaveRun(MaintenanceWave wave, std::set<std::string> done)
     : m_wave(std::move(wave))
-    , m_publishedAt(publishedAt)
     , m_done(std::move(done))
 {
 }
@@ -130,11 +129,6 @@
     }
 }
 
-std::vector<std::string> WaveRun::unanswered() const
-{
-    return { m_underWay.begin(), m_underWay.end() };
-}
-
 bool WaveRun::isCompleted(const std::map<std::string, MachineView>& views) const
 {
     return std::ranges::all_of(m_wave.machines, [&](const auto& it) { return m_done.contains(it) || !views.contains(it); });
--- a/Source/Core/Jobs/Fleet/WaveRun.h
+++ b/Source/Core/Jobs/Fleet/WaveRun.h
@@ -28,7 +28,7 @@
 /// short tasks when these have ended, and those with lasting tasks once the tasks have moved away.
 class WaveRun {
 public:
-    WaveRun(MaintenanceWave, Instant publishedAt, std::set<std::string> done);
+    WaveRun(MaintenanceWave, std::set<std::string> done);
 
     /// Machines to vacate now, at most as many as may go down.
     std::set<std::string> chooseCordon(const std::map<std::string, MachineView>&, Instant now);
@@ -39,8 +39,6 @@
     void began(const std::string& machine, Instant now, milliseconds maintenanceTime);
     /// The order surely did nothing.
     void refused(const std::string& machine, Instant now);
-    /// Without an answer, the order may have been carried out: it is given again.
-    std::vector<std::string> unanswered() const;
     /// True when every machine of the wave that is still listed has begun its maintenance.
     bool isCompleted(const std::map<std::string, MachineView>&) const;
 
@@ -60,7 +58,6 @@
     bool isDue(const std::string& machine, const MachineView&) const;
 
     MaintenanceWave m_wave;
-    Instant m_publishedAt;
     std::set<std::string> m_done;
     std::set<std::string> m_underWay; ///< Ordered, without an answer yet.
     std::map<std::string, Instant> m_downUntil;
--- a/Source/Core/Jobs/Runtime/FleetDuty.cpp
+++ b/Source/Core/Jobs/Runtime/FleetDuty.cpp
@@ -284,7 +284,7 @@
         }
     }
 
-    std::string progressKey(std::uint64_t number) const { return "/marigold/waves/" + std::to_string(number); }
+    std::string progressKey(std::uint64_t number) const { return StoreKeys::waves + std::to_string(number); }
 
     /// Keeps what is done for the next holder, which would vacate those machines in vain.
     void save(std::uint64_t number)
@@ -354,7 +354,7 @@
             state->loading.erase(wave.number);
             const auto done = reply.values.empty() ? std::set<std::string>() : readNames(reply.values.front().value);
             log("wave-begun", std::to_string(wave.number), { { "machines", std::to_string(wave.machines.size()) }, { "done", std::to_string(done.size()) }, { "maximum", std::to_string(wave.maximumDown) } });
-            state->waves.emplace(wave.number, WaveRun(wave, state->loop.now(), done));
+            state->waves.emplace(wave.number, WaveRun(wave, done));
             state->writeStatus(wave.number, false);
             state->nextList = {};
             state->stepAfter(milliseconds(1));
--- a/Source/Core/Jobs/Runtime/StoreKeys.h
+++ b/Source/Core/Jobs/Runtime/StoreKeys.h
@@ -15,6 +15,7 @@
 constexpr const char* journals = "/marigold/jobs/"; ///< <pool>/<number>: a segment of the pool's journal.
 constexpr const char* snapshots = "/marigold/snapshots/"; ///< <pool>/<segment>/<part>
 constexpr const char* heads = "/marigold/heads/"; ///< <pool>: which snapshot and segments make up the journal.
+constexpr const char* waves = "/marigold/waves/"; ///< <number>: machines of a maintenance wave that have begun theirs.
 
 /// Digits of a number in a key, so that keys sort by it.
 constexpr int numberDigits = 10;
--- a/Source/UnitTests/Jobs/PolicyTest.cpp
+++ b/Source/UnitTests/Jobs/PolicyTest.cpp
@@ -139,7 +139,7 @@
 TEST_CASE("waves: a machine stays cordoned while its order is under way, so that nothing is placed there to be ended")
 {
     const MaintenanceWave wave { 1, { "m0", "m1" }, 30s, 1 };
-    WaveRun run(wave, Instant(1h), {});
+    WaveRun run(wave, {});
     std::map<std::string, MachineView> views;
     for (const auto& name : wave.machines) {
         views[name].machine = { name, "a", Machine::State::Up, "w", "dc", {}, { coresEach, 0, 0 } };
