--- a/Source/Core/Jobs/Decision/JobTable.cpp
+++ b/Source/Core/Jobs/Decision/JobTable.cpp
@@ -72,10 +72,7 @@
 {
     if (m_active.contains(record.job) || m_finished.contains(record.job))
         return;
-    Job job;
-    job.accepted = record;
-    job.chains = chainsOf(record.spec);
-    m_active.emplace(record.job, std::move(job));
+    m_active.emplace(record.job, Job(record));
 }
 
 void JobTable::applyRecord(const JobCancelled& record)
--- a/Source/Core/Jobs/Decision/JobTable.h
+++ b/Source/Core/Jobs/Decision/JobTable.h
@@ -45,6 +45,12 @@
 
 /// A job that was accepted.
 struct Job {
+    explicit Job(JobAccepted record)
+        : accepted(std::move(record))
+        , chains(chainsOf(accepted.spec))
+    {
+    }
+
     JobAccepted accepted;
     JobState state = JobState::Queued;
     Common::WallTime finishedAt {};
--- a/Source/UnitTests/Jobs/PolicyTest.cpp
+++ b/Source/UnitTests/Jobs/PolicyTest.cpp
@@ -113,11 +113,11 @@
 
 Job jobWith(JobSpec spec, std::chrono::milliseconds objective, std::chrono::milliseconds age)
 {
-    Job job;
-    job.accepted.spec = std::move(spec);
-    job.accepted.objective = objective;
-    job.accepted.acceptedAt = Common::WallTime(1000s) - age;
-    return job;
+    JobAccepted accepted;
+    accepted.spec = std::move(spec);
+    accepted.objective = objective;
+    accepted.acceptedAt = Common::WallTime(1000s) - age;
+    return Job(accepted);
 }
 
 } // namespace
