Reset the adapter's connections also when the process dies

Cause: found by reading. Change: the option is set with the socket; closing needs no kinds any more. Test: as before; a killed process isn't tested.

--- a/Source/Core/Adapters/Platform/KeepAliveClient.cpp
+++ b/Source/Core/Adapters/Platform/KeepAliveClient.cpp
@@ -81,7 +81,7 @@
             giveUp(m_calls.begin()->first);
         for (auto& [address, server] : m_servers) {
             for (auto* it : server.idle)
-                it->close(false);
+                it->close();
         }
         m_servers.clear();
         uv_close(reinterpret_cast<uv_handle_t*>(std::exchange(m_timer, nullptr)), [](uv_handle_t* it) { delete reinterpret_cast<uv_timer_t*>(it); });
@@ -146,7 +146,7 @@
         if (isReusable) {
             release(connection);
         } else {
-            connection.close(false);
+            connection.close();
             closed(connection.address());
         }
         end(id, HttpEnd::Answered, status, std::move(body));
@@ -179,7 +179,7 @@
             return;
         }
         if (m_idleConnections >= m_limits.idleConnections) {
-            connection.close(false);
+            connection.close();
             closed(connection.address());
             return;
         }
@@ -214,7 +214,7 @@
         const bool hasSent = connection && connection->call == id && connection->hasSent();
         if (connection && connection->call == id) {
             connection->call = 0;
-            connection->close(true);
+            connection->close();
             closed(connection->address());
         } else if (const auto server = m_servers.find(it->second.address); server != m_servers.end()) {
             std::erase(server->second.waiting, id);
--- a/Source/Core/Adapters/Platform/KeepAliveConnection.cpp
+++ b/Source/Core/Adapters/Platform/KeepAliveConnection.cpp
@@ -58,7 +58,7 @@
     auto* connection = new KeepAliveConnection(owner, address);
     uv_tcp_init(loop, &connection->m_socket);
     if (uv_tcp_connect(&connection->m_connecting, &connection->m_socket, reinterpret_cast<const sockaddr*>(&peer), onConnected) != 0) {
-        connection->close(false);
+        connection->close();
         return nullptr;
     }
     connection->setOptions(deadPeer);
@@ -75,6 +75,9 @@
     const int interval = std::max(1, static_cast<int>(deadPeer.count() / secondInMilliseconds / (keepAliveProbes + 1)));
     const auto userTimeout = static_cast<unsigned>(deadPeer.count());
     const int on = 1;
+    // Also when the process dies: bytes that wait for a partition to end are dropped with the connection.
+    const linger reset { 1, 0 };
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
     uv_tcp_nodelay(&m_socket, 1);
     setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
     setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &interval, sizeof interval);
@@ -182,17 +185,14 @@
 {
     if (m_isClosed)
         return;
-    close(true);
+    close();
     m_owner.broken(*this);
 }
 
-void KeepAliveConnection::close(bool reset)
+void KeepAliveConnection::close()
 {
-    if (std::exchange(m_isClosed, true))
-        return;
-    const auto freeIt = [](uv_handle_t* it) { delete static_cast<KeepAliveConnection*>(it->data); };
-    if (!reset || uv_tcp_close_reset(&m_socket, freeIt) != 0)
-        uv_close(reinterpret_cast<uv_handle_t*>(&m_socket), freeIt);
+    if (!std::exchange(m_isClosed, true))
+        uv_close(reinterpret_cast<uv_handle_t*>(&m_socket), [](uv_handle_t* it) { delete static_cast<KeepAliveConnection*>(it->data); });
 }
 
 } // namespace Adapters
--- a/Source/Core/Adapters/Platform/KeepAliveConnection.h
+++ b/Source/Core/Adapters/Platform/KeepAliveConnection.h
@@ -32,8 +32,8 @@
 
     /// Sends a request; `broken` may be called before it returns.
     void send(std::string request);
-    /// Closes it; the owner isn't told. A reset drops what the system still holds of a request.
-    void close(bool reset);
+    /// Resets it, which drops what the system still holds of a request; the owner isn't told.
+    void close();
 
     const std::string& address() const { return m_address; }
     bool hasSent() const { return m_hasSent; } ///< True when bytes of the present request may have left.
