Count tasks of silent workers as away, and wait a lease at most for workers that were heard

Change: a task counts as at work only while its worker answers. And from the first answer of a worker, which has heard the new fence, the earlier owner can't extend: its leases end one lease later.

--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -66,8 +66,8 @@
     if (task.state != Task::State::Placed)
         return false;
     const auto* worker = findWorker(task.worker);
-    if (!worker)
-        return false;
+    if (!worker || !worker->isOpen)
+        return false; // Silent for a while: most likely it's gone.
     const auto it = worker->runs.find(key);
     return it != worker->runs.end() && it->second.phase == WorkerRun::Phase::Confirmed && it->second.percent >= 100;
 }
--- a/Source/Core/Jobs/Runtime/WorkerClock.h
+++ b/Source/Core/Jobs/Runtime/WorkerClock.h
@@ -14,9 +14,11 @@
 /// Never too early about the end of a lease: a worker's clock may be slow, and calls without an answer count as carried out.
 class WorkerClock {
 public:
-    /// A lease by an earlier owner may last until `inheritedUntil`, whatever this owner asks for.
-    explicit WorkerClock(Common::Instant inheritedUntil)
-        : m_inheritedUntil(inheritedUntil)
+    /// A lease by an earlier owner may last until `inheritedUntil`, whatever this owner asks for; once the worker has heard
+    /// this owner, no longer than `longestLease`, as the earlier one can't extend it any more.
+    WorkerClock(Common::Instant inheritedUntil, std::chrono::milliseconds longestLease)
+        : m_longestLease(longestLease)
+        , m_inheritedUntil(inheritedUntil)
         , m_lapsedAt(inheritedUntil)
     {
     }
@@ -29,6 +31,8 @@
     {
         if (m_isKnown && clock < m_clock)
             return; // Overtaken by a later answer, or of an earlier incarnation.
+        if (!m_isKnown)
+            m_inheritedUntil = std::min(m_inheritedUntil, now + spanOf(m_longestLease));
         m_isKnown = true;
         m_heardAt = now;
         m_clock = clock;
@@ -67,14 +71,20 @@
 
 private:
     Common::Instant lapseOf(Ports::WorkerTime until) const
+    {
+        return std::max(m_inheritedUntil, m_heardAt + spanOf(std::max(Ports::WorkerTime(0), until - m_clock)));
+    }
+
+    /// How long a lease of that length on the worker's clock lasts at most on the own one.
+    static std::chrono::milliseconds spanOf(std::chrono::milliseconds lease)
     {
         constexpr int slowestPermille = 980; // Workers' clocks are up to 2% slow.
         constexpr int permille = 1000;
         constexpr std::chrono::milliseconds margin { 250 }; // Of the kill of what has lapsed, and of timers.
-        const auto left = std::max(Ports::WorkerTime(0), until - m_clock);
-        return std::max(m_inheritedUntil, m_heardAt + left * permille / slowestPermille + margin);
+        return lease * permille / slowestPermille + margin;
     }
 
+    std::chrono::milliseconds m_longestLease;
     bool m_isKnown = false;
     Common::Instant m_heardAt {};
     Ports::WorkerTime m_clock { 0 };
--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -30,7 +30,7 @@
         , fence(ownFence)
         , entry(workerEntry)
         , hooks(std::move(sessionHooks))
-        , clock(taskLoop.now() + given.takeoverLapse)
+        , clock(taskLoop.now() + given.takeoverLapse, given.leaseTime)
     {
     }
 
