--- a/Source/Core/Adapters/Platform/KeepAliveClient.cpp
+++ b/Source/Core/Adapters/Platform/KeepAliveClient.cpp
@@ -293,9 +293,9 @@
     return std::unique_ptr<KeepAliveClient>(new KeepAliveClient(loop, limits));
 }
 
-KeepAliveClient::CallId KeepAliveClient::start(HttpCall call, HttpCallback callback)
+KeepAliveClient::CallId KeepAliveClient::start(const HttpCall& call, HttpCallback callback)
 {
-    return m_private->start(std::move(call), std::move(callback));
+    return m_private->start(call, std::move(callback));
 }
 
 void KeepAliveClient::cancel(CallId id)
--- a/Source/Core/Adapters/Platform/KeepAliveClient.h
+++ b/Source/Core/Adapters/Platform/KeepAliveClient.h
@@ -34,7 +34,7 @@
     /// The callback runs once, later, on the loop's thread; at once, as NotSent, after shutdown(). The time limit of the call
     /// includes connecting and waiting for a connection. A connection whose call is given up is reset, so that nothing of it
     /// reaches the server any more.
-    CallId start(HttpCall, HttpCallback);
+    CallId start(const HttpCall&, HttpCallback);
     /// Ends a call, at once; unknown ones are ignored.
     void cancel(CallId);
     /// Ends all calls and closes all connections.
--- a/Source/UnitTests/Adapters/KeepAliveClientTest.cpp
+++ b/Source/UnitTests/Adapters/KeepAliveClientTest.cpp
@@ -114,10 +114,12 @@
 {
     ScriptedServer server(25171, echo);
     Rig rig({ 8, 2, 3000ms });
+    constexpr int calls = 50;
     std::vector<std::future<HttpOutcome>> outcomes;
-    for (int n = 0; n < 50; ++n)
+    outcomes.reserve(calls);
+    for (int n = 0; n < calls; ++n)
         outcomes.push_back(rig.post(server.address(), std::to_string(n)));
-    for (int n = 0; n < 50; ++n)
+    for (int n = 0; n < calls; ++n)
         CHECK(outcomes[static_cast<std::size_t>(n)].get().body == "echo " + std::to_string(n));
     CHECK(server.connections() <= 2);
 }
