Don't touch a connection that has failed when its call is given up

Cause: found by reading. When a connection failed, its call kept the pointer until the task that tells the caller ran. The connection is freed at the end of the loop's pass; a time limit or a cancel in the next pass, before that task, read freed memory. Change: the call forgets the connection and notes whether bytes were sent; the task gives the call up like any other. Test: KeepAliveClientTest as before; the order can't be forced from outside.

--- a/Source/Core/Adapters/Platform/KeepAliveClient.cpp
+++ b/Source/Core/Adapters/Platform/KeepAliveClient.cpp
@@ -92,7 +92,8 @@
         std::string address;
         std::string request; ///< Empty once it is handed to the connection.
         HttpCallback callback;
-        KeepAliveConnection* connection = nullptr;
+        KeepAliveConnection* connection = nullptr; ///< None while it waits, and once that has failed.
+        bool hasSent = false; ///< On a connection that has failed.
         std::uint64_t deadline = 0; ///< On the loop's clock, in milliseconds; zero for none.
     };
 
@@ -161,9 +162,14 @@
             m_idleConnections -= std::erase(idle, &connection);
         }
         closed(connection.address());
+        if (id == 0)
+            return;
+        // The connection is freed before the task below runs, and the call may be given up in between.
+        auto& running = m_calls.at(id);
+        running.connection = nullptr;
+        running.hasSent = hasSent;
         // The caller isn't told from within its own start().
-        if (id != 0)
-            m_loop.post([this, id, hasSent] { end(id, hasSent ? HttpEnd::Broken : HttpEnd::NotSent, 0, {}); });
+        m_loop.post([this, id] { giveUp(id); });
     }
 
     /// Hands a free connection to the call that waits the longest, or keeps it.
@@ -211,8 +217,8 @@
         if (it == m_calls.end())
             return;
         auto* connection = it->second.connection;
-        const bool hasSent = connection && connection->call == id && connection->hasSent();
-        if (connection && connection->call == id) {
+        const bool hasSent = connection ? connection->hasSent() : it->second.hasSent;
+        if (connection) {
             connection->call = 0;
             connection->close();
             closed(connection->address());
