--- a/Source/Core/Jobs/Runtime/PoolOwner.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwner.cpp
@@ -136,11 +136,11 @@
         if (isOver || isAskingMachines || silent.empty())
             return;
         isAskingMachines = true;
-        context.machines.list([self = weak_from_this()](bool, const std::vector<Machine>& machines) {
+        context.machines.list([self = weak_from_this()](bool isWhole, const std::vector<Machine>& machines) {
             const auto state = self.lock();
             if (!state || state->isOver)
                 return;
-            for (const auto& id : std::set<std::string>(state->silent))
+            for (const auto& id : isWhole ? std::set<std::string>(state->silent) : std::set<std::string>())
                 state->judgeSilent(id, machines);
             state->loop.after(machineInterval, [self] {
                 if (const auto it = self.lock()) {
@@ -153,17 +153,20 @@
 
     void judgeSilent(const std::string& id, const std::vector<Machine>& machines)
     {
-        const auto entry = knownMachines.find(id);
         const auto session = sessions.find(id);
-        if (entry == knownMachines.end() || session == sessions.end())
+        if (session == sessions.end())
             return;
-        const auto machine = std::ranges::find(machines, entry->second, &Machine::name);
-        if (machine == machines.end())
+        // Of a worker that only the journal knows, the list tells whether any machine still runs it.
+        const auto known = knownMachines.find(id);
+        const bool isKnown = known != knownMachines.end();
+        const auto machine = isKnown ? std::ranges::find(machines, known->second, &Machine::name) : std::ranges::find(machines, id, &Machine::worker);
+        const bool isListed = machine != machines.end();
+        if (isKnown && !isListed)
             return;
-        const bool isElsewhere = machine->state == Machine::State::Up && !machine->worker.empty() && machine->worker != id;
-        if (machine->state != Machine::State::Down && !isElsewhere)
+        const bool isElsewhere = isListed && machine->state == Machine::State::Up && !machine->worker.empty() && machine->worker != id;
+        if (isListed && machine->state != Machine::State::Down && !isElsewhere)
             return;
-        log({ "worker-gone", id, { { "machine", machine->name }, { "listed", machine->worker } } });
+        log({ "worker-gone", id, { { "machine", isListed ? machine->name : "" }, { "listed", isListed ? machine->worker : "" } } });
         session->second->confirmGone();
     }
 
--- a/Source/UnitTests/Jobs/TakeoverTest.cpp
+++ b/Source/UnitTests/Jobs/TakeoverTest.cpp
@@ -166,3 +166,26 @@
     CHECK(timeWithoutHolder("desk") <= 500ms);
     CHECK(timeWithoutHolder("~fleet") <= 500ms);
 }
+
+// Day mix --seed 1034189000825 of benjelloun: a worker went into maintenance while the store was away; its entry was gone when the
+// next owner read the journal, and its lasting task stayed away for the 11.5 s of an unreachable worker's lease.
+TEST_CASE("a worker that only the journal knows isn't waited for once no machine runs it")
+{
+    JobFleet fleet(3, 3);
+    fleet.settle();
+    auto spec = oneStep(1, 60s);
+    spec.steps.front().isLasting = true;
+    for (const auto& [id, worker] : fleet.workers)
+        worker->runTime = 60s;
+    REQUIRE(fleet.call("host-0", Ports::JobVerb::Submit, jobId(1), spec).has_value());
+    fleet.runFor(500ms);
+    REQUIRE(fleet.witness.starts == 1);
+    const auto busy = std::ranges::find_if(fleet.workers, [](const auto& it) { return it.second->isBusy(); });
+    REQUIRE(busy != fleet.workers.end());
+    fleet.killHost(fleet.ownerOf("desk"));
+    busy->second->crash();
+    fleet.machines.at(busy->second->entry.machine).worker = "the-next-one";
+    fleet.unpublishWorker(busy->first);
+    fleet.runFor(7s);
+    CHECK(fleet.witness.starts == 2);
+}
