Give CurlClient back the form it had before the job subsystem

The job subsystem had it keep prepared handles, reset its connections and put late timers off, for the platform's adapter, which has called KeepAliveClient alone since that came. Two clients then held the same socket options and the same deferral. Those who still use CurlClient (etcd, stand-ins, tests) used it without them before. No test is changed.

--- a/Source/Core/Adapters/Platform/CurlClient.cpp
+++ b/Source/Core/Adapters/Platform/CurlClient.cpp
@@ -6,9 +6,6 @@
 #include <cctype>
 #include <curl/curl.h>
 #include <map>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 #include <utility>
 #include <uv.h>
 
@@ -16,12 +13,9 @@
 
 namespace {
 
-    constexpr int keepAliveProbes = 3;
-    constexpr long idleConnections = 64; ///< A few for each server that one host calls at once.
-    constexpr std::chrono::milliseconds deadPeer { 15000 }; ///< Without a sign of life of the peer, a connection is given up.
-    constexpr std::size_t maximumSpareEasies = 64; ///< About the calls that are under way at once.
-
-    constexpr std::uint64_t lateTimer = 5; ///< Milliseconds; less is the usual jitter of a loop that isn't busy.
+    constexpr long maximumIdleConnections = 64;
+    constexpr long keepAliveIdleSeconds = 10;
+    constexpr long keepAliveIntervalSeconds = 5;
 
     struct Poll {
         uv_poll_t handle {};
@@ -44,13 +38,6 @@
 
 class CurlClient::Private {
 public:
-    struct Timer {
-        uv_timer_t handle {};
-        Private* owner = nullptr;
-        std::uint64_t dueAt = 0; ///< On the loop's clock, in milliseconds.
-        bool isDeferred = false;
-    };
-
     struct Running {
         CallId id = 0;
         CURL* easy = nullptr;
@@ -62,8 +49,7 @@
 
         ~Running()
         {
-            if (easy)
-                curl_easy_cleanup(easy);
+            curl_easy_cleanup(easy);
             curl_slist_free_all(headers);
         }
     };
@@ -72,15 +58,12 @@
         : m_loop(loop)
     {
         static const GlobalInit s_init;
-        m_timer = new Timer;
-        m_timer->owner = this;
-        uv_timer_init(m_loop.handle(), &m_timer->handle);
         m_multi = curl_multi_init();
         curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, onSocket);
         curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
         curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, onTimer);
         curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
-        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, idleConnections);
+        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maximumIdleConnections);
     }
 
     ~Private() { cleanUp(); }
@@ -93,7 +76,7 @@
         }
         auto running = std::make_unique<Running>();
         running->id = ++m_lastCall;
-        running->easy = takeEasy();
+        running->easy = curl_easy_init();
         running->body = std::move(call.body);
         running->callback = std::move(callback);
         running->dataCallback = std::move(dataCallback);
@@ -145,7 +128,9 @@
         curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
         curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(call.connectTimeout.count()));
         curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
-        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, onSocketMade);
+        curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+        curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, keepAliveIdleSeconds);
+        curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, keepAliveIntervalSeconds);
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.freshConnection ? 1L : 0L);
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, onData);
         curl_easy_setopt(easy, CURLOPT_WRITEDATA, &running);
@@ -153,24 +138,6 @@
         curl_easy_setopt(easy, CURLOPT_HEADERDATA, &running);
     }
 
-    /// A peer that is cut off doesn't answer probes; one that doesn't acknowledge data is given up as soon.
-    static int onSocketMade(void*, curl_socket_t socket, curlsocktype)
-    {
-        const int interval = std::max(1, static_cast<int>(deadPeer.count() / 1000 / (keepAliveProbes + 1)));
-        const auto userTimeout = static_cast<unsigned>(deadPeer.count());
-        const int on = 1;
-        // A connection is only closed idle or given up. Bytes of a call that was given up are dropped by a reset, where a
-        // plain close would still deliver them after a partition.
-        const linger reset { 1, 0 };
-        setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
-        setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
-        setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &interval, sizeof interval);
-        setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof interval);
-        setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof keepAliveProbes);
-        setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeout, sizeof userTimeout);
-        return CURL_SOCKOPT_OK;
-    }
-
     static std::size_t onData(char* bytes, std::size_t size, std::size_t count, void* data)
     {
         auto* running = static_cast<Running*>(data);
@@ -246,29 +213,13 @@
     static int onTimer(CURLM*, long delay, void* data)
     {
         auto* self = static_cast<Private*>(data);
-        if (delay < 0) {
-            uv_timer_stop(&self->m_timer->handle);
-            return 0;
-        }
-        uv_update_time(self->m_loop.handle());
-        self->m_timer->dueAt = uv_now(self->m_loop.handle()) + static_cast<std::uint64_t>(delay);
-        uv_timer_start(&self->m_timer->handle, onTimerFired, static_cast<std::uint64_t>(delay), 0);
+        self->m_loop.cancel(self->m_timer);
+        self->m_timer = 0;
+        if (delay >= 0)
+            self->m_timer = self->m_loop.after(std::chrono::milliseconds(delay), [self] { self->act(CURL_SOCKET_TIMEOUT, 0); });
         return 0;
     }
 
-    static void onTimerFired(uv_timer_t* handle)
-    {
-        auto* timer = reinterpret_cast<Timer*>(handle);
-        // A busy loop runs its timers late and before it reads: answers that are there go before time limits.
-        const bool isLate = uv_now(handle->loop) > timer->dueAt + lateTimer;
-        if (isLate && !std::exchange(timer->isDeferred, true)) {
-            uv_timer_start(handle, onTimerFired, 0, 0);
-            return;
-        }
-        timer->isDeferred = false;
-        timer->owner->act(CURL_SOCKET_TIMEOUT, 0);
-    }
-
     void act(curl_socket_t socket, int flags)
     {
         int stillRunning = 0;
@@ -304,46 +255,22 @@
         m_running.erase(running.id);
         owned->outcome.end = end;
         owned->outcome.status = static_cast<int>(status);
-        giveBackEasy(std::exchange(owned->easy, nullptr));
         owned->callback(std::move(owned->outcome));
     }
 
-    /// Making a handle takes longer than a call with it: a few are kept.
-    CURL* takeEasy()
-    {
-        if (m_spareEasies.empty())
-            return curl_easy_init();
-        auto* easy = m_spareEasies.back();
-        m_spareEasies.pop_back();
-        return easy;
-    }
-
-    void giveBackEasy(CURL* easy)
-    {
-        if (!m_multi || m_spareEasies.size() >= maximumSpareEasies) {
-            curl_easy_cleanup(easy);
-            return;
-        }
-        curl_easy_reset(easy);
-        m_spareEasies.push_back(easy);
-    }
-
     void cleanUp()
     {
         if (!m_multi)
             return;
-        for (auto* it : std::exchange(m_spareEasies, {}))
-            curl_easy_cleanup(it);
         curl_multi_cleanup(m_multi);
         m_multi = nullptr;
-        uv_close(reinterpret_cast<uv_handle_t*>(&m_timer->handle), [](uv_handle_t* it) { delete reinterpret_cast<Timer*>(it); });
+        m_loop.cancel(m_timer);
     }
 
     EventLoop& m_loop;
     CURLM* m_multi = nullptr;
-    Timer* m_timer = nullptr; ///< Freed once the loop has closed it.
+    EventLoop::TimerId m_timer = 0;
     CallId m_lastCall = 0;
-    std::vector<CURL*> m_spareEasies;
     std::map<CallId, std::unique_ptr<Running>> m_running;
 };
 
