Share the set-up of job fleets among their tests

Run times of all workers, the busy worker and a lasting step were written out in each test, here and in TakeoverTest. The assertions are as they were; a fleet without a busy worker ends its test by an exception in place of a REQUIRE.

--- a/Source/Bench/JobsBench.cpp
+++ b/Source/Bench/JobsBench.cpp
@@ -30,8 +30,7 @@
     const unsigned workers = argc > 1 ? static_cast<unsigned>(std::stoul(argv[1])) : 85;
     const unsigned jobs = argc > 2 ? static_cast<unsigned>(std::stoul(argv[2])) : 100;
     JobFleet fleet(1, workers, coresPerWorker);
-    for (const auto& [id, worker] : fleet.workers)
-        worker->runTime = taskTime;
+    fleet.setRunTime(taskTime);
     fleet.settle();
     const auto before = processorSeconds();
     const auto writesBefore = fleet.store.writes;
--- a/Source/UnitTests/Jobs/JobFleet.cpp
+++ b/Source/UnitTests/Jobs/JobFleet.cpp
@@ -1,5 +1,7 @@
 #include "JobFleet.h"
 
+#include <algorithm>
+#include <stdexcept>
 #include <utility>
 
 using std::chrono::milliseconds;
@@ -175,6 +177,20 @@
     return {};
 }
 
+void JobFleet::setRunTime(milliseconds time)
+{
+    for (const auto& [id, worker] : workers)
+        worker->runTime = time;
+}
+
+FakeWorker& JobFleet::busyWorker()
+{
+    const auto it = std::ranges::find_if(workers, [](const auto& entry) { return entry.second->isBusy(); });
+    if (it == workers.end())
+        throw std::logic_error("no worker is busy");
+    return *it->second;
+}
+
 Jobs::JobSpec oneStep(unsigned tasks, milliseconds estimate, std::uint64_t milliCores)
 {
     Jobs::StepSpec step;
@@ -187,6 +203,13 @@
     return spec;
 }
 
+Jobs::JobSpec lastingStep(unsigned tasks)
+{
+    auto spec = oneStep(tasks, std::chrono::minutes(1));
+    spec.steps.front().isLasting = true;
+    return spec;
+}
+
 std::string jobId(unsigned number)
 {
     auto digits = std::to_string(number);
--- a/Source/UnitTests/Jobs/JobFleet.h
+++ b/Source/UnitTests/Jobs/JobFleet.h
@@ -93,6 +93,10 @@
     void publishConfiguration();
     void publishWave(const Jobs::MaintenanceWave&);
     void runFor(std::chrono::milliseconds time) { loop.runFor(time); }
+    /// Of each task that starts from now on, on every worker.
+    void setRunTime(std::chrono::milliseconds);
+    /// The first worker that runs something; there must be one.
+    FakeWorker& busyWorker();
     /// Runs until some host owns the pool and serves.
     void settle() { runFor(std::chrono::milliseconds(1500)); }
 
@@ -123,5 +127,7 @@
 
 /// A job of one step.
 Jobs::JobSpec oneStep(unsigned tasks, std::chrono::milliseconds estimate = std::chrono::milliseconds(500), std::uint64_t milliCores = 1000);
+/// A job of one step whose tasks last.
+Jobs::JobSpec lastingStep(unsigned tasks);
 /// Sixteen hexadecimal digits.
 std::string jobId(unsigned number);
--- a/Source/UnitTests/Jobs/JobFleetTest.cpp
+++ b/Source/UnitTests/Jobs/JobFleetTest.cpp
@@ -23,13 +23,6 @@
     return {};
 }
 
-FakeWorker& busyWorker(JobFleet& fleet)
-{
-    const auto it = std::ranges::find_if(fleet.workers, [](const auto& entry) { return entry.second->isBusy(); });
-    REQUIRE(it != fleet.workers.end());
-    return *it->second;
-}
-
 void submit(JobFleet& fleet, const std::string& host, unsigned number, const Jobs::JobSpec& spec)
 {
     const auto answer = fleet.call(host, JobVerb::Submit, jobId(number), spec);
@@ -118,15 +111,13 @@
 {
     JobFleet fleet(2, 3);
     fleet.settle();
-    auto spec = oneStep(2, 60s);
-    spec.steps.front().isLasting = true;
+    auto spec = lastingStep(2);
     spec.steps.front().maximumPerWorker = 1;
-    for (const auto& [id, worker] : fleet.workers)
-        worker->runTime = 60s;
+    fleet.setRunTime(60s);
     submit(fleet, "host-0", 1, spec);
     fleet.runFor(500ms);
     REQUIRE(fleet.witness.starts == 2);
-    busyWorker(fleet).crash();
+    fleet.busyWorker().crash();
     fleet.runFor(9s);
     CHECK(fleet.witness.starts == 3);
 }
@@ -135,14 +126,12 @@
 {
     JobFleet fleet(2, 3);
     fleet.settle();
-    auto spec = oneStep(2, 60s);
-    spec.steps.front().isLasting = true;
+    auto spec = lastingStep(2);
     spec.steps.front().maximumPerWorker = 1;
-    for (const auto& [id, worker] : fleet.workers)
-        worker->runTime = 60s;
+    fleet.setRunTime(60s);
     submit(fleet, "host-0", 1, spec);
     fleet.runFor(500ms);
-    auto& busy = busyWorker(fleet);
+    auto& busy = fleet.busyWorker();
     busy.crash();
     fleet.machines.at(busy.entry.machine).state = Jobs::Machine::State::Down;
     fleet.runFor(4s);
@@ -153,8 +142,7 @@
 {
     JobFleet fleet(2, 3);
     fleet.settle();
-    for (const auto& [id, worker] : fleet.workers)
-        worker->runTime = 30s;
+    fleet.setRunTime(30s);
     submit(fleet, "host-0", 1, oneStep(6, 30s));
     fleet.runFor(1s);
     fleet.workers.at("w1")->isSilent = true;
@@ -214,8 +202,7 @@
 {
     JobFleet fleet(2, 3);
     fleet.settle();
-    for (const auto& [id, worker] : fleet.workers)
-        worker->runTime = 720ms;
+    fleet.setRunTime(720ms);
     for (const auto& [name, host] : fleet.hosts)
         host->workers->startAnswersToLose = 4;
     // The end is listed, but not stored yet, when the second try is refused as old.
@@ -231,8 +218,7 @@
 {
     JobFleet fleet(2, 3);
     fleet.settle();
-    for (const auto& [id, worker] : fleet.workers)
-        worker->runTime = 5s;
+    fleet.setRunTime(5s);
     auto& owner = *fleet.hosts.at(fleet.ownerOf("desk"))->workers;
     owner.startsToDelay = 1;
     submit(fleet, "host-0", 1, oneStep(1, 5s));
@@ -265,8 +251,7 @@
 {
     JobFleet fleet(2, 2);
     fleet.settle();
-    for (const auto& [id, worker] : fleet.workers)
-        worker->runTime = 4s;
+    fleet.setRunTime(4s);
     submit(fleet, "host-0", 1, oneStep(4, 4s));
     fleet.runFor(500ms);
     fleet.store.isDown = true;
@@ -309,8 +294,7 @@
 {
     JobFleet fleet(3, 3);
     fleet.settle();
-    for (const auto& [id, worker] : fleet.workers)
-        worker->runTime = 3s;
+    fleet.setRunTime(3s);
     for (unsigned n = 0; n < 4; ++n)
         submit(fleet, "host-0", n, oneStep(6, 3s));
     const auto old = fleet.ownerOf("desk");
@@ -327,8 +311,7 @@
 {
     JobFleet fleet(2, 1);
     fleet.settle();
-    for (const auto& [id, worker] : fleet.workers)
-        worker->runTime = 20s;
+    fleet.setRunTime(20s);
     submit(fleet, "host-0", 1, oneStep(12, 20s));
     fleet.runFor(500ms);
     REQUIRE(fleet.witness.starts == 4);
@@ -390,11 +373,9 @@
 {
     JobFleet fleet(2, 4);
     fleet.settle();
-    auto spec = oneStep(2, 60s);
-    spec.steps.front().isLasting = true;
+    auto spec = lastingStep(2);
     spec.steps.front().mayMiss = 1;
-    for (const auto& [id, worker] : fleet.workers)
-        worker->runTime = 60s;
+    fleet.setRunTime(60s);
     submit(fleet, "host-0", 1, spec);
     fleet.runFor(3s);
     Jobs::MaintenanceWave wave { 7, { "m0", "m1", "m2", "m3" }, 30s, 1 };
--- a/Source/UnitTests/Jobs/TakeoverTest.cpp
+++ b/Source/UnitTests/Jobs/TakeoverTest.cpp
@@ -173,19 +173,16 @@
 {
     JobFleet fleet(3, 3);
     fleet.settle();
-    auto spec = oneStep(1, 60s);
-    spec.steps.front().isLasting = true;
-    for (const auto& [id, worker] : fleet.workers)
-        worker->runTime = 60s;
+    auto spec = lastingStep(1);
+    fleet.setRunTime(60s);
     REQUIRE(fleet.call("host-0", Ports::JobVerb::Submit, jobId(1), spec).has_value());
     fleet.runFor(500ms);
     REQUIRE(fleet.witness.starts == 1);
-    const auto busy = std::ranges::find_if(fleet.workers, [](const auto& it) { return it.second->isBusy(); });
-    REQUIRE(busy != fleet.workers.end());
+    auto& busy = fleet.busyWorker();
     fleet.killHost(fleet.ownerOf("desk"));
-    busy->second->crash();
-    fleet.machines.at(busy->second->entry.machine).worker = "the-next-one";
-    fleet.unpublishWorker(busy->first);
+    busy.crash();
+    fleet.machines.at(busy.entry.machine).worker = "the-next-one";
+    fleet.unpublishWorker(busy.entry.id);
     fleet.runFor(7s);
     CHECK(fleet.witness.starts == 2);
 }
