--- a/Source/Core/Jobs/Runtime/Events.cpp
+++ b/Source/Core/Jobs/Runtime/Events.cpp
@@ -60,8 +60,10 @@
 
 void writeEvent(const std::string& component, const LogEvent& event)
 {
-    if (Kernel::Logging::writeLine(lineOf(component, event)))
+    if (Kernel::Logging::takesLines()) {
+        Kernel::Logging::writeLine(lineOf(component, event));
         return;
+    }
     Kernel::LogContext context;
     context.requestId = event.id;
     for (const auto& [name, value] : event.fields)
--- a/Source/Core/Kernel/Logging.cpp
+++ b/Source/Core/Kernel/Logging.cpp
@@ -138,12 +138,15 @@
     return logging;
 }
 
-bool Logging::writeLine(std::string_view json)
+bool Logging::takesLines()
 {
-    auto* writer = eventWriter.load();
-    if (writer)
+    return eventWriter.load() != nullptr;
+}
+
+void Logging::writeLine(std::string_view json)
+{
+    if (auto* writer = eventWriter.load())
         writer->write(json);
-    return writer != nullptr;
 }
 
 Logging::~Logging()
--- a/Source/Core/Kernel/Logging.h
+++ b/Source/Core/Kernel/Logging.h
@@ -50,8 +50,10 @@
     Logging(const Logging&) = delete;
     Logging& operator=(const Logging&) = delete;
 
-    /// Writes one line of JSON made elsewhere to the buffered standard output; false when the settings want no such thing.
-    static bool writeLine(std::string_view json);
+    /// True when the settings want lines of JSON made elsewhere on the buffered standard output.
+    static bool takesLines();
+    /// Writes one such line, where they are wanted.
+    static void writeLine(std::string_view json);
 
     /// Writes one event to the logger of a component, for example "moves".
     static void write(LogLevel, const std::string& component, const std::string& message, const LogContext& = {});
