--- a/Source/Core/Jobs/Runtime/JobNode.cpp
+++ b/Source/Core/Jobs/Runtime/JobNode.cpp
@@ -102,7 +102,14 @@
     if (!workerFeed)
         followWorkers();
     PoolOwner::Hooks hooks;
-    hooks.deposed = [this, duty] { loop.post([self = weak_from_this(), duty] { if (const auto it = self.lock()) it->ownership.release(duty), it->drop(duty); }); };
+    hooks.deposed = [this, duty] {
+        loop.post([self = weak_from_this(), duty] {
+            if (const auto it = self.lock()) {
+                it->ownership.release(duty);
+                it->drop(duty);
+            }
+        });
+    };
     hooks.mayExtend = [this] { return ownership.isLeaseSure() || loop.now() - ownership.lastContact() < storeAbsenceLimit; };
     hooks.mayOrder = [this] { return ownership.isLeaseSure(); };
     hooks.committed = [this, duty](milliseconds took) { metrics->countCommit(duty, took); };
--- a/Source/Core/Jobs/Runtime/PoolOwner.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwner.cpp
@@ -140,8 +140,8 @@
             const auto state = self.lock();
             if (!state || state->isOver)
                 return;
-            for (const auto& id : isWhole ? std::set<std::string>(state->silent) : std::set<std::string>())
-                state->judgeSilent(id, machines);
+            if (isWhole)
+                state->judgeSilent(machines);
             state->loop.after(machineInterval, [self] {
                 if (const auto it = self.lock()) {
                     it->isAskingMachines = false;
@@ -151,6 +151,13 @@
         });
     }
 
+    void judgeSilent(const std::vector<Machine>& machines)
+    {
+        // A worker that is given up leaves the set.
+        for (const auto& id : std::set<std::string>(silent))
+            judgeSilent(id, machines);
+    }
+
     void judgeSilent(const std::string& id, const std::vector<Machine>& machines)
     {
         const auto session = sessions.find(id);
