--- a/Source/Core/Jobs/Decision/PoolCore.cpp
+++ b/Source/Core/Jobs/Decision/PoolCore.cpp
@@ -8,6 +8,13 @@
 using Ports::JobAnswer;
 using Ports::JobOutcome;
 
+namespace {
+
+    /// An order without an answer is given up after 0.7 s, and a stop takes up to a second.
+    constexpr milliseconds stopsUnderWay { 2000 };
+
+} // namespace
+
 PoolCore::PoolCore(const PoolLimits& limits)
     : m_limits(limits)
 {
@@ -21,6 +28,7 @@
 
 void PoolCore::loaded(Moment at)
 {
+    m_settledAt = at.now + stopsUnderWay;
     // What the journal says to be placed may still run: it keeps its place until the worker is heard or surely silent.
     m_jobs.forEachTask([this, at](const Job& job, const TaskKey& key, const Task& task) {
         if (task.state != Task::State::Placed)
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -118,7 +118,7 @@
 
     void beginDue(Moment);
     void vacate(Moment);
-    bool mayInterrupt(const TaskKey&) const;
+    bool mayInterrupt(const TaskKey&, Instant now) const;
     bool isAtWork(const TaskKey&, const Task&) const;
     std::vector<WaitingStep> waitingSteps(Moment);
     bool placeStep(const WaitingStep&, std::vector<Candidate>&, Moment);
@@ -134,6 +134,7 @@
     AdviceBook m_advice;
     std::map<std::string, Worker> m_workers;
     std::set<std::string> m_cordoned;
+    Instant m_settledAt {}; ///< From then on nothing that an owner before has stopped still seems to run.
     PoolOutput m_output;
 };
 
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -48,6 +48,8 @@
         if (isWaiting && worker.avoidUntil > at.now)
             consider(worker.avoidUntil);
     }
+    if (!m_cordoned.empty() && m_settledAt > at.now)
+        consider(m_settledAt);
     return next;
 }
 
@@ -70,9 +72,12 @@
     return it != worker->runs.end() && it->second.phase == WorkerRun::Phase::Confirmed && it->second.percent >= 100;
 }
 
-/// True when stopping the task keeps the step within the number of tasks that may be away.
-bool PoolCore::mayInterrupt(const TaskKey& key) const
+/// True when stopping the task keeps the step within the number of tasks that may be away. Stops aren't in the journal: a new
+/// owner first waits until those of the owner before show.
+bool PoolCore::mayInterrupt(const TaskKey& key, Instant now) const
 {
+    if (now < m_settledAt)
+        return false;
     const auto* job = m_jobs.find(key.job);
     const auto* step = job ? job->stepOf(key) : nullptr;
     if (!step)
@@ -97,7 +102,7 @@
             if (!run.isLasting || run.phase != WorkerRun::Phase::Confirmed)
                 continue;
             const auto hasRoom = [&, reserved = run.reserved](const auto& it) { return it.second.mayTake(at.now) && reserved.fitsInto(it.second.room()); };
-            if (std::ranges::none_of(m_workers, hasRoom) || !(isDraining || mayInterrupt(key)))
+            if (std::ranges::none_of(m_workers, hasRoom) || !(isDraining || mayInterrupt(key, at.now)))
                 continue;
             log("run-vacated", key.job, { { "task", std::to_string(key.step) + "." + std::to_string(key.index) }, { "worker", id }, { "reason", isDraining ? "draining" : "cordoned" } });
             orderStop(worker, key, run);
--- a/Source/Core/Jobs/Runtime/PoolOwner.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwner.cpp
@@ -31,6 +31,7 @@
         , pool(std::move(name))
         , fence(ownFence)
         , hooks(std::move(ownerHooks))
+        , ownedSince(given.loop.now())
         , core(given.poolLimits)
         , journal(given.loop, given.platform, { pool, Ownership::keyOf(pool), fence }, journalHooks())
     {
@@ -90,7 +91,10 @@
             session->entryChanged(entry);
             return;
         }
-        session = std::make_unique<WorkerSession>(loop, context.workers, context.sessionLimits, fence, entry, sessionHooks(entry.id));
+        // The owner before may have granted leases until it was deposed, none later.
+        auto limits = context.sessionLimits;
+        limits.takeoverLapse = std::max(milliseconds(0), std::chrono::ceil<milliseconds>(ownedSince + limits.takeoverLapse - loop.now()));
+        session = std::make_unique<WorkerSession>(loop, context.workers, limits, fence, entry, sessionHooks(entry.id));
         session->begin();
     }
 
@@ -383,6 +387,7 @@
     std::string pool;
     Fence fence;
     Hooks hooks;
+    Common::Instant ownedSince;
     PoolCore core;
     Journal journal;
     std::map<std::string, WorkerEntry> entries; ///< Listed workers of the pool.
--- a/Source/Core/Jobs/Runtime/WorkerClock.h
+++ b/Source/Core/Jobs/Runtime/WorkerClock.h
@@ -5,6 +5,7 @@
 #include "Common/Time.h"
 #include "Ports/WorkerPort.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 
@@ -13,13 +14,15 @@
 /// Never too early about the end of a lease: a worker's clock may be slow, and calls without an answer count as carried out.
 class WorkerClock {
 public:
-    /// Before the worker was heard, a lease by an earlier owner may last until `lapsedAt`.
-    explicit WorkerClock(Common::Instant lapsedAt)
-        : m_lapsedAt(lapsedAt)
+    /// A lease by an earlier owner may last until `inheritedUntil`, whatever this owner asks for.
+    explicit WorkerClock(Common::Instant inheritedUntil)
+        : m_inheritedUntil(inheritedUntil)
+        , m_lapsedAt(inheritedUntil)
     {
     }
 
     bool isKnown() const { return m_isKnown; }
+    Common::Instant heardAt() const { return m_heardAt; }
 
     /// An answer with that clock came in.
     void heard(Common::Instant now, Ports::WorkerTime clock)
@@ -54,6 +57,7 @@
     {
         m_isKnown = false;
         m_latestLease = Ports::WorkerTime(0);
+        m_inheritedUntil = now;
         m_lapsedAt = now;
         ++m_epoch;
     }
@@ -68,13 +72,14 @@
         constexpr int permille = 1000;
         constexpr std::chrono::milliseconds margin { 250 }; // Of the kill of what has lapsed, and of timers.
         const auto left = std::max(Ports::WorkerTime(0), until - m_clock);
-        return m_heardAt + left * permille / slowestPermille + margin;
+        return std::max(m_inheritedUntil, m_heardAt + left * permille / slowestPermille + margin);
     }
 
     bool m_isKnown = false;
     Common::Instant m_heardAt {};
     Ports::WorkerTime m_clock { 0 };
     Ports::WorkerTime m_latestLease { 0 };
+    Common::Instant m_inheritedUntil;
     Common::Instant m_lapsedAt;
     std::uint64_t m_epoch = 0;
 };
--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -1,5 +1,6 @@
 #include "Jobs/Runtime/WorkerSession.h"
 
+#include "Jobs/Runtime/Events.h"
 #include "Jobs/Runtime/WorkerClock.h"
 
 #include <algorithm>
@@ -125,6 +126,8 @@
 
     void lapsed()
     {
+        const auto heardBefore = std::chrono::duration_cast<milliseconds>(loop.now() - clock.heardAt());
+        writeEvent("session", { "lease-lapsed", entry.id, { { "known", clock.isKnown() ? "yes" : "no" }, { "latestLeaseMs", std::to_string(clock.latestLease().count()) }, { "heardBeforeMs", std::to_string(heardBefore.count()) }, { "failedLooks", std::to_string(failures) } } });
         clock.forget(loop.now());
         hooks.lapsed();
     }
--- /dev/null
+++ b/Source/UnitTests/Jobs/TakeoverTest.cpp
@@ -0,0 +1,112 @@
+/// What a pool's new owner has to assume about its predecessor.
+
+#include "JobFleet.h"
+#include "Jobs/Decision/PoolCore.h"
+#include "Jobs/Runtime/WorkerClock.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace Jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+const JobId lastingJob = "00000000000000aa";
+const std::vector<std::string> homes { "w0", "w1", "w2", "w3" };
+
+/// A pool that was taken over with a lasting job of two tasks, on the first two workers.
+class TakenPool {
+public:
+    TakenPool()
+        : core(PoolLimits {})
+    {
+        JobAccepted accepted;
+        accepted.job = lastingJob;
+        accepted.queue = "season";
+        accepted.spec.steps.emplace_back();
+        auto& step = accepted.spec.steps.front();
+        step.taskCount = 2;
+        step.need = { 1000, 0, 0 };
+        step.isLasting = true;
+        step.mayMiss = 1;
+        core.load({ accepted, RunStarted { key(0), 1, homes[0] }, RunStarted { key(1), 1, homes[1] } });
+        core.loaded(at());
+        for (const auto& id : homes) {
+            WorkerEntry entry;
+            entry.id = id;
+            entry.address = "127.0.0.1:1";
+            entry.capacity = { 8000, 0, 0 };
+            core.workerListed(entry, at());
+        }
+    }
+
+    static TaskKey key(unsigned index) { return { lastingJob, 0, 0, index }; }
+    Moment at() const { return { now, {} }; }
+
+    /// Each worker tells what it runs.
+    void look(const std::vector<std::optional<unsigned>>& tasks)
+    {
+        for (std::size_t n = 0; n < homes.size(); ++n) {
+            Ports::LookAnswer answer;
+            if (n < tasks.size() && tasks[n])
+                answer.running.push_back({ key(*tasks[n]), 1, "", 100, 0 });
+            core.looked(homes[n], answer, now, at());
+        }
+    }
+
+    std::size_t stopsDecided()
+    {
+        core.decide(at());
+        const auto output = core.takeOutput();
+        return static_cast<std::size_t>(std::ranges::count_if(output.orders, [](const auto& it) { return std::holds_alternative<StopRun>(it); }));
+    }
+
+    PoolCore core;
+    Instant now { 1h };
+};
+
+} // namespace
+
+// Days hunt-2ba6-35 and hunt-6528-15 of fleetbench: the owner before had stopped one task, which still ran when the next owner
+// looked, and the next owner stopped the other.
+TEST_CASE("a new owner interrupts no lasting task while its predecessor's stops may be under way")
+{
+    TakenPool pool;
+    pool.core.cordon({ homes[0], homes[1] }, pool.at());
+    pool.look({ 0, 1 });
+    CHECK(pool.stopsDecided() == 0);
+    // A second later the task that the owner before has stopped is gone; the step misses what it may miss.
+    pool.now += 1s;
+    pool.look({ std::nullopt, 1 });
+    CHECK(pool.stopsDecided() == 0);
+}
+
+TEST_CASE("a new owner vacates workers once its predecessor's stops would show")
+{
+    TakenPool pool;
+    pool.core.cordon({ homes[0], homes[1] }, pool.at());
+    pool.look({ 0, 1 });
+    CHECK(pool.stopsDecided() == 0);
+    const auto next = pool.core.nextDecision(pool.at());
+    REQUIRE(next);
+    pool.now = *next;
+    pool.look({ 0, 1 });
+    CHECK(pool.stopsDecided() == 1);
+}
+
+// Day trouble-2 --seed 288220455006: an answer told the clock of a worker before any lease was asked for, and the new
+// owner took the leases that its predecessor had granted for lapsed.
+TEST_CASE("a lease that an earlier owner may have granted stands, whatever the worker says of its clock")
+{
+    const Instant start { 1h };
+    WorkerClock clock(start + 10s);
+    clock.heard(start + 1s, Ports::WorkerTime(5000));
+    CHECK(clock.lapsedAt() >= start + 10s);
+    clock.leaseUntil(start + 2s, 3s);
+    CHECK(clock.lapsedAt() >= start + 10s);
+    clock.leaseUntil(start + 9s, 3s);
+    CHECK(clock.lapsedAt() >= start + 12s);
+    clock.forget(start + 13s);
+    CHECK(clock.lapsedAt() == start + 13s);
+}
