Write event lines in whole lines that a pipe takes at once

On a pipe, longer writes may also be mixed with those of others.

Writes are cut after the last whole line within PIPE_BUF.

--- a/Source/Core/Kernel/EventWriter.cpp
+++ b/Source/Core/Kernel/EventWriter.cpp
@@ -1,6 +1,7 @@
 #include "Kernel/EventWriter.h"
 
 #include <chrono>
+#include <climits>
 #include <condition_variable>
 #include <mutex>
 #include <string>
@@ -40,15 +41,28 @@
         }
     }
 
-    void writeAll(const std::string& text) const
+    /// In whole lines and pieces that a pipe takes at once: collectors cut longer writes or mix them with those of others.
+    void writeAll(std::string_view text) const
     {
-        std::size_t done = 0;
-        while (done < text.size()) {
-            const auto n = ::write(descriptor, text.data() + done, text.size() - done);
-            if (n <= 0)
+        while (!text.empty()) {
+            auto end = text.rfind('\n', PIPE_BUF - 1);
+            if (end == std::string_view::npos)
+                end = text.find('\n');
+            if (!writePiece(text.substr(0, end + 1)))
                 return; // Whoever reads the log has gone, and there is nowhere to say so.
-            done += static_cast<std::size_t>(n);
+            text.remove_prefix(end + 1);
+        }
+    }
+
+    bool writePiece(std::string_view text) const
+    {
+        while (!text.empty()) {
+            const auto n = ::write(descriptor, text.data(), text.size());
+            if (n <= 0)
+                return false;
+            text.remove_prefix(static_cast<std::size_t>(n));
         }
+        return true;
     }
 
     const int descriptor;
--- /dev/null
+++ b/Source/UnitTests/Kernel/EventWriterTest.cpp
@@ -0,0 +1,58 @@
+/// Event lines on their way to whoever collects them.
+
+#include "Kernel/EventWriter.h"
+
+#include <array>
+#include <climits>
+#include <doctest/doctest.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+namespace {
+
+/// What was written with one call each; a socket that keeps the borders of messages shows them.
+std::vector<std::string> readWrites(int descriptor)
+{
+    std::vector<std::string> writes;
+    std::array<char, 1 << 16> buf {};
+    for (;;) {
+        const auto n = ::recv(descriptor, buf.data(), buf.size(), MSG_DONTWAIT);
+        if (n <= 0)
+            return writes;
+        writes.emplace_back(buf.data(), static_cast<std::size_t>(n));
+    }
+}
+
+} // namespace
+
+TEST_CASE("a burst of event lines is written in whole lines, each write small enough to be atomic on a pipe")
+{
+    std::array<int, 2> ends {};
+    REQUIRE(::socketpair(AF_UNIX, SOCK_SEQPACKET, 0, ends.data()) == 0);
+    constexpr unsigned lines = 400;
+    const std::string text(150, 'x');
+    {
+        Kernel::EventWriter writer(ends[0], 1 << 20);
+        for (unsigned n = 0; n < lines; ++n)
+            writer.write(text + std::to_string(n));
+        writer.write(std::string(3 * PIPE_BUF, 'y'));
+        writer.write("last");
+    }
+    std::string all;
+    for (const auto& it : readWrites(ends[1])) {
+        const bool isWhole = it.ends_with('\n');
+        CHECK(isWhole);
+        const bool isAtomic = it.size() <= PIPE_BUF || it.find('\n') == it.size() - 1;
+        CHECK(isAtomic);
+        all += it;
+    }
+    std::string expected;
+    for (unsigned n = 0; n < lines; ++n)
+        expected += text + std::to_string(n) + '\n';
+    expected += std::string(3 * PIPE_BUF, 'y') + "\nlast\n";
+    CHECK(all == expected);
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
