Log what a pool's load, and a job's time, went into

The log couldn't tell the hypotheses (order of the queue, machines that don't come, admission that outruns the owner) apart: an accepted job's line had its steps and objective, a finished one's its state, and nothing told how much waited or why.

job-accepted gets tasks, workCoreMs and chainMs. job-finished gets queue, outcome (in-time, late up to three objectives, overdue), tookMs, objectiveMs, firstStartMs and runs; the first start is kept with the job in memory only, so it is "unknown" after a takeover. Each owned pool writes a pool-load line a second while work waits or runs or a commit stalls: what waits, is late, runs and is free, how many workers may take tasks and why the others may not, what was accepted, placed and ended in that second, and how long decisions, their timer and commits took. No decision changes.

--- /dev/null
+++ b/Source/Core/Jobs/Decision/JobAccount.cpp
@@ -0,0 +1,31 @@
+#include "Jobs/Decision/JobAccount.h"
+
+namespace Jobs {
+
+namespace {
+
+    constexpr int lateObjectives = 3; ///< Beyond so many objectives a completed job is worth nothing to its caller.
+
+} // namespace
+
+const char* JobAccount::outcome() const
+{
+    if (took <= objective)
+        return "in-time";
+    return took <= objective * lateObjectives ? "late" : "overdue";
+}
+
+JobAccount accountOf(const Job& job, Common::WallTime endedAt)
+{
+    JobAccount account;
+    account.queue = job.accepted.queue;
+    account.state = job.state;
+    account.took = endedAt - job.dueAt(job.occurrenceCount() - 1);
+    account.objective = job.accepted.objective;
+    if (job.firstPlacedAt != Common::WallTime())
+        account.untilFirstStart = job.firstPlacedAt - job.dueAt(0);
+    account.runs = job.runs;
+    return account;
+}
+
+} // namespace Jobs
--- a/Source/Core/Jobs/Decision/JobTable.cpp
+++ b/Source/Core/Jobs/Decision/JobTable.cpp
@@ -96,6 +96,7 @@
     task->lastRun = std::max(task->lastRun, record.run);
     task->worker = record.worker;
     job->state = JobState::Running;
+    ++job->runs;
 }
 
 void JobTable::applyRecord(const RunEnded& record)
--- a/Source/Core/Jobs/Decision/JobTable.h
+++ b/Source/Core/Jobs/Decision/JobTable.h
@@ -59,6 +59,10 @@
     unsigned occurrencesDone = 0;
     std::vector<milliseconds> chains; ///< By step; see chainsOf().
 
+    // For logs and metrics only; not in snapshots.
+    Common::WallTime firstPlacedAt {}; ///< Zero until a run is placed, and when an owner before placed it.
+    unsigned runs = 0; ///< Records of runs applied.
+
     const JobSpec& spec() const { return accepted.spec; }
     unsigned occurrenceCount() const { return std::max(1U, accepted.spec.repeatCount); }
     /// When the occurrence may begin.
--- a/Source/Core/Jobs/Decision/PoolCore.cpp
+++ b/Source/Core/Jobs/Decision/PoolCore.cpp
@@ -148,7 +148,7 @@
     accepted.objective = objectiveOf(spec, queue.stretchPermille, queue.targetDuration);
     accepted.acceptedAt = at.wall;
     accepted.spec = std::move(spec);
-    log("job-accepted", id, { { "queue", queue.name }, { "steps", std::to_string(accepted.spec.steps.size()) }, { "objectiveMs", std::to_string(accepted.objective.count()) } });
+    log("job-accepted", id, { { "queue", queue.name }, { "steps", std::to_string(accepted.spec.steps.size()) }, { "tasks", std::to_string(taskCountOf(accepted.spec)) }, { "workCoreMs", std::to_string(workOf(accepted.spec)) }, { "chainMs", std::to_string(longestChain(accepted.spec).count()) }, { "objectiveMs", std::to_string(accepted.objective.count()) } });
     record(std::move(accepted));
     answer.outcome = JobOutcome::Accepted;
     return answer;
@@ -200,36 +200,6 @@
     return it == m_workers.end() ? nullptr : &it->second;
 }
 
-PoolLoad PoolCore::loadReport(Moment at) const
-{
-    PoolLoad load;
-    for (const auto& [id, worker] : m_workers) {
-        const auto isLasting = [](const auto& it) { return it.second.isLasting; };
-        if (worker.mayTake(at.now))
-            load.capacityMilliCores += worker.entry.capacity.milliCores;
-        for (const auto& [key, run] : worker.runs) {
-            load.busyMilliCores += run.reserved.milliCores;
-            load.lastingMilliCores += run.isLasting ? run.reserved.milliCores : 0;
-        }
-        load.workers.push_back({ id, worker.entry.machine, static_cast<unsigned>(worker.runs.size()), static_cast<unsigned>(std::ranges::count_if(worker.runs, isLasting)), worker.isCordoned });
-    }
-    for (const auto& [id, job] : m_jobs.active()) {
-        for (const auto& [number, occurrence] : job.occurrences) {
-            for (unsigned step = 0; step < occurrence.steps.size(); ++step) {
-                const auto& spec = job.spec().steps[step];
-                if (!job.isReleased(number, step))
-                    continue;
-                const auto milliCores = occurrence.steps[step].waitingCount() * reservedBy(spec).milliCores;
-                load.waitingMilliCores += milliCores;
-                load.waitingWork += milliCores * static_cast<std::uint64_t>(std::max<std::int64_t>(0, spec.estimate.count())) / 1000;
-                if (queueKeyOf(job, number, step, at.wall).isLate)
-                    load.lateMilliCores += milliCores;
-            }
-        }
-    }
-    return load;
-}
-
 void PoolCore::record(JobRecord record)
 {
     m_jobs.apply(record);
@@ -238,15 +208,26 @@
 
 void PoolCore::recordEnd(RunEnded end)
 {
-    const auto job = end.task.job;
+    const auto id = end.task.job;
+    const auto* job = m_jobs.find(id);
+    auto account = job ? accountOf(*job, end.at) : JobAccount();
     record(std::move(end));
-    const auto* state = m_jobs.stateOf(job);
+    const auto* state = m_jobs.stateOf(id);
     if (!state || !isFinal(*state))
         return;
-    log("job-finished", job, { { "state", nameOf(*state) } });
-    m_advice.dropJob(job);
+    if (job) {
+        account.state = *state;
+        logFinished(id, account);
+    }
+    m_advice.dropJob(id);
     if (*state == JobState::Failed)
-        stopJob(job);
+        stopJob(id);
+}
+
+void PoolCore::logFinished(const JobId& id, const JobAccount& account)
+{
+    const auto firstStart = account.untilFirstStart ? std::to_string(account.untilFirstStart->count()) : "unknown";
+    log("job-finished", id, { { "queue", account.queue }, { "state", nameOf(account.state) }, { "outcome", account.outcome() }, { "tookMs", std::to_string(account.took.count()) }, { "objectiveMs", std::to_string(account.objective.count()) }, { "firstStartMs", firstStart }, { "runs", std::to_string(account.runs) } });
 }
 
 void PoolCore::log(const char* event, const std::string& id, std::vector<std::pair<const char*, std::string>> fields)
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -3,6 +3,7 @@
 /// Decides everything about one pool's jobs: (time, event) in, records and orders out. No I/O, no clock.
 
 #include "Jobs/Decision/AdviceBook.h"
+#include "Jobs/Decision/JobAccount.h"
 #include "Jobs/Decision/JobTable.h"
 #include "Jobs/Decision/Placement.h"
 #include "Jobs/Decision/PoolOutput.h"
@@ -49,6 +50,21 @@
     std::vector<WorkerLoad> workers;
 };
 
+/// Load of a pool and why it isn't less, as operators want to see it.
+struct PoolPressure {
+    PoolLoad load;
+    std::size_t activeJobs = 0;
+    std::size_t runs = 0;
+    std::size_t waitingTasks = 0; ///< Released tasks without a place.
+    milliseconds oldestWaiting { 0 }; ///< Since the job of such a task became due.
+    std::uint64_t freeMilliCores = 0; ///< Of workers that may take tasks.
+    std::size_t candidates = 0; ///< Workers that may take tasks; those that may not count below, some more than once.
+    std::size_t silent = 0; ///< Haven't answered lately, or not yet.
+    std::size_t cordoned = 0;
+    std::size_t avoided = 0; ///< For a while, after refusals and failures.
+    std::size_t leaving = 0; ///< Draining, or not listed.
+};
+
 /// The pool's state and its decisions.
 class PoolCore {
 public:
@@ -87,6 +103,7 @@
 
     PoolOutput takeOutput();
     PoolLoad loadReport(Moment) const;
+    PoolPressure pressure(Moment) const;
     std::vector<JobRecord> snapshot(Moment);
     const JobTable& jobs() const { return m_jobs; }
     const Worker* findWorker(const std::string& id) const;
@@ -103,6 +120,7 @@
 
     void record(JobRecord);
     void recordEnd(RunEnded);
+    void logFinished(const JobId&, const JobAccount&);
     void log(const char* event, const std::string& id, std::vector<std::pair<const char*, std::string>> fields);
     std::string faultFor(const JobSpec&) const;
 
--- /dev/null
+++ b/Source/Core/Jobs/Decision/PoolCoreReport.cpp
@@ -0,0 +1,75 @@
+/// What a pool's owner tells others and the log about the pool's load.
+
+#include "Jobs/Decision/PoolCore.h"
+
+#include <algorithm>
+
+namespace Jobs {
+
+namespace {
+
+    /// Visits the steps of which tasks wait for nothing but a place.
+    template<typename Visit>
+    void forEachWaitingStep(const JobTable& jobs, const Visit& visit)
+    {
+        for (const auto& [id, job] : jobs.active()) {
+            for (const auto& [number, occurrence] : job.occurrences) {
+                for (unsigned step = 0; step < occurrence.steps.size(); ++step) {
+                    const auto waiting = occurrence.steps[step].waitingCount();
+                    if (waiting > 0 && job.isReleased(number, step))
+                        visit(job, number, step, waiting);
+                }
+            }
+        }
+    }
+
+} // namespace
+
+PoolLoad PoolCore::loadReport(Moment at) const
+{
+    PoolLoad load;
+    for (const auto& [id, worker] : m_workers) {
+        const auto isLasting = [](const auto& it) { return it.second.isLasting; };
+        if (worker.mayTake(at.now))
+            load.capacityMilliCores += worker.entry.capacity.milliCores;
+        for (const auto& [key, run] : worker.runs) {
+            load.busyMilliCores += run.reserved.milliCores;
+            load.lastingMilliCores += run.isLasting ? run.reserved.milliCores : 0;
+        }
+        load.workers.push_back({ id, worker.entry.machine, static_cast<unsigned>(worker.runs.size()), static_cast<unsigned>(std::ranges::count_if(worker.runs, isLasting)), worker.isCordoned });
+    }
+    forEachWaitingStep(m_jobs, [&](const Job& job, unsigned occurrence, unsigned step, unsigned waiting) {
+        const auto& spec = job.spec().steps[step];
+        const auto milliCores = waiting * reservedBy(spec).milliCores;
+        load.waitingMilliCores += milliCores;
+        load.waitingWork += milliCores * static_cast<std::uint64_t>(std::max<std::int64_t>(0, spec.estimate.count())) / 1000;
+        if (queueKeyOf(job, occurrence, step, at.wall).isLate)
+            load.lateMilliCores += milliCores;
+    });
+    return load;
+}
+
+PoolPressure PoolCore::pressure(Moment at) const
+{
+    PoolPressure result;
+    result.load = loadReport(at);
+    result.activeJobs = m_jobs.active().size();
+    for (const auto& [id, worker] : m_workers) {
+        result.runs += worker.runs.size();
+        if (worker.mayTake(at.now)) {
+            ++result.candidates;
+            result.freeMilliCores += worker.room().milliCores;
+        }
+        result.silent += worker.isOpen ? 0 : 1;
+        result.cordoned += worker.isCordoned ? 1 : 0;
+        result.avoided += worker.avoidUntil > at.now ? 1 : 0;
+        result.leaving += !worker.isListed || worker.entry.state != WorkerEntry::State::Ready ? 1 : 0;
+    }
+    forEachWaitingStep(m_jobs, [&](const Job& job, unsigned occurrence, unsigned, unsigned waiting) {
+        result.waitingTasks += waiting;
+        result.oldestWaiting = std::max(result.oldestWaiting, at.wall - job.dueAt(occurrence));
+    });
+    return result;
+}
+
+} // namespace Jobs
--- a/Source/Core/Jobs/Model/JobTypes.cpp
+++ b/Source/Core/Jobs/Model/JobTypes.cpp
@@ -84,4 +84,21 @@
     return chains.empty() ? milliseconds(0) : *std::ranges::max_element(chains);
 }
 
+unsigned taskCountOf(const JobSpec& spec)
+{
+    unsigned count = 0;
+    for (const auto& it : spec.steps)
+        count += it.taskCount;
+    return count;
+}
+
+std::uint64_t workOf(const JobSpec& spec)
+{
+    constexpr std::uint64_t permille = 1000;
+    std::uint64_t work = 0;
+    for (const auto& it : spec.steps)
+        work += it.taskCount * it.need.milliCores * static_cast<std::uint64_t>(std::max<std::int64_t>(0, it.estimate.count())) / permille;
+    return work;
+}
+
 } // namespace Jobs
--- a/Source/Core/Jobs/Model/JobTypes.h
+++ b/Source/Core/Jobs/Model/JobTypes.h
@@ -112,6 +112,10 @@
 std::vector<milliseconds> chainsOf(const JobSpec&);
 /// Longest chain of the whole job.
 milliseconds longestChain(const JobSpec&);
+/// Tasks of one occurrence.
+unsigned taskCountOf(const JobSpec&);
+/// Core-milliseconds of one occurrence, by the estimates.
+std::uint64_t workOf(const JobSpec&);
 
 } // namespace Jobs
 
--- a/Source/Core/Jobs/Runtime/PoolOwner.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwner.cpp
@@ -19,6 +19,7 @@
     constexpr milliseconds recoveryRetryAfter { 400 };
     /// A decision goes through all active jobs, and its orders wait for a commit, of which there is one in 20 ms.
     constexpr milliseconds decisionInterval { 10 };
+    constexpr milliseconds reportInterval { 1000 }; ///< Of lines about a pool's load.
 
 } // namespace
 
@@ -44,7 +45,10 @@
     Journal::Hooks result;
     result.deposed = [this] { depose("journal"); };
     result.snapshot = [this] { return core.snapshot(moment()); };
-    result.committed = [this](milliseconds took) { hooks.committed(took); };
+    result.committed = [this](milliseconds took) {
+        activity.committed(loop.now(), took);
+        hooks.committed(took);
+    };
     return result;
 }
 
@@ -87,8 +91,9 @@
     if (isOver || !isServing || isDeciding)
         return;
     isDeciding = true;
-    const auto delay = std::chrono::ceil<milliseconds>(decidedAt + decisionInterval - loop.now());
-    loop.after(std::max(milliseconds(0), delay), [self = weak_from_this()] {
+    const auto now = loop.now();
+    decisionDueAt = std::max(now, decidedAt + decisionInterval);
+    loop.after(std::chrono::ceil<milliseconds>(decisionDueAt - now), [self = weak_from_this()] {
         if (const auto state = self.lock())
             state->decide();
     });
@@ -102,6 +107,7 @@
         return;
     core.decide(moment());
     flush();
+    activity.decided(decisionDueAt, decidedAt, loop.now());
     loop.cancel(decisionTimer);
     if (const auto next = core.nextDecision(moment())) {
         const auto delay = std::max(milliseconds(1), std::chrono::ceil<milliseconds>(*next - loop.now()));
@@ -119,6 +125,7 @@
         log(it);
     if (output.records.empty() && output.orders.empty())
         return;
+    activity.recorded(output.records);
     journal.append(output.records, [self = weak_from_this(), orders = std::move(output.orders)] {
         const auto state = self.lock();
         if (!state || state->isOver)
@@ -128,6 +135,23 @@
     });
 }
 
+void PoolOwner::State::reportLater()
+{
+    reportTimer = loop.after(reportInterval, [self = weak_from_this()] {
+        if (const auto state = self.lock(); state && !state->isOver)
+            state->report();
+    });
+}
+
+void PoolOwner::State::report()
+{
+    const auto pressure = core.pressure(moment());
+    if (pressure.runs > 0 || pressure.waitingTasks > 0 || journal.stalledFor() > stallLimit)
+        log(activity.describe(pool, pressure, journal.stalledFor(), loop.now()));
+    activity.reset();
+    reportLater();
+}
+
 void PoolOwner::State::handle(PoolRequest request, Ports::JobReply reply)
 {
     if (!isServing || journal.stalledFor() > stallLimit) {
@@ -170,10 +194,12 @@
     m_state->isOver = true;
     m_state->sessions.clear();
     m_state->loop.cancel(m_state->decisionTimer);
+    m_state->loop.cancel(m_state->reportTimer);
 }
 
 void PoolOwner::begin()
 {
+    m_state->reportLater();
     m_state->journal.load([state = m_state.get()](const std::vector<JobRecord>& records) { state->journalRead(records); });
 }
 
--- a/Source/Core/Jobs/Runtime/PoolOwnerState.h
+++ b/Source/Core/Jobs/Runtime/PoolOwnerState.h
@@ -3,6 +3,7 @@
 /// State of the owner of a pool; see PoolOwner.
 
 #include "Jobs/Runtime/Journal.h"
+#include "Jobs/Runtime/OwnerActivity.h"
 #include "Jobs/Runtime/PoolOwner.h"
 
 #include <vector>
@@ -22,6 +23,9 @@
     void decide();
     /// Stores what was decided; orders leave once it is stored.
     void flush();
+    /// Logs the pool's load now and then, while there is any.
+    void reportLater();
+    void report();
     void handle(PoolRequest, Ports::JobReply);
     Ports::JobAnswer answerTo(PoolRequest&);
 
@@ -60,8 +64,11 @@
     std::set<std::string> cordoned; ///< Machines.
     std::map<std::string, std::unique_ptr<WorkerSession>> sessions;
     std::vector<AskAdvice> advice; ///< The first is being asked for.
+    OwnerActivity activity;
     Common::Instant decidedAt {};
+    Common::Instant decisionDueAt {};
     Common::TaskLoop::TimerId decisionTimer = 0;
+    Common::TaskLoop::TimerId reportTimer = 0;
     bool isAsking = false;
     bool isAskingMachines = false;
     bool isServing = false;
--- /dev/null
+++ b/Source/UnitTests/Jobs/EventLog.cpp
@@ -0,0 +1,62 @@
+#include "EventLog.h"
+
+#include "Kernel/Logging.h"
+
+#include <cstdlib>
+#include <doctest/doctest.h>
+#include <fstream>
+#include <json/json.h>
+
+const std::string& SeenEvent::at(const std::string& field) const
+{
+    INFO(event, " has no field ", field);
+    REQUIRE(fields.contains(field));
+    return fields.at(field);
+}
+
+EventLog::EventLog()
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "marigoldstile-events-XXXXXX").string();
+    REQUIRE(mkdtemp(pattern.data()));
+    m_directory = pattern;
+    Kernel::LoggingSection section;
+    section.file = (m_directory / "events.log").string();
+    auto logging = Kernel::Logging::create(section);
+    REQUIRE(logging);
+    m_logging = logging.take();
+}
+
+EventLog::~EventLog()
+{
+    m_logging.reset();
+    std::filesystem::remove_all(m_directory);
+}
+
+std::vector<SeenEvent> EventLog::all(const std::string& event) const
+{
+    const std::string loggerPrefix = "marigoldstile.";
+    std::vector<SeenEvent> found;
+    std::ifstream stream(m_directory / "events.log");
+    for (std::string line; std::getline(stream, line);) {
+        if (line.find('"' + event + '"') == std::string::npos)
+            continue;
+        Json::Value value;
+        REQUIRE(Json::Reader().parse(line, value));
+        if (value["message"].asString() != event)
+            continue;
+        SeenEvent seen { value["logger"].asString().substr(loggerPrefix.size()), event, {}, {} };
+        for (const auto& name : value["context_map"].getMemberNames())
+            seen.fields[name] = value["context_map"][name].asString();
+        seen.id = seen.fields["requestId"];
+        found.push_back(std::move(seen));
+    }
+    return found;
+}
+
+SeenEvent EventLog::last(const std::string& event) const
+{
+    const auto events = all(event);
+    INFO("no event ", event);
+    REQUIRE(!events.empty());
+    return events.back();
+}
--- /dev/null
+++ b/Source/UnitTests/Jobs/JobEventsTest.cpp
@@ -0,0 +1,156 @@
+/// What operators find in the log: the fields that tell one cause of a late job from another.
+
+#include "EventLog.h"
+#include "JobFleet.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace std::chrono_literals;
+using Ports::JobOutcome;
+using Ports::JobVerb;
+
+namespace {
+
+void submitJobs(JobFleet& fleet, unsigned count, const Jobs::JobSpec& spec)
+{
+    for (unsigned n = 0; n < count; ++n) {
+        const auto answer = fleet.call("host-0", JobVerb::Submit, jobId(n), spec);
+        REQUIRE(answer);
+        REQUIRE(answer->outcome == JobOutcome::Accepted);
+    }
+}
+
+} // namespace
+
+TEST_CASE("a late job's events tell what it asked for, how long it waited for its first start and how often it ran")
+{
+    const EventLog log;
+    JobFleet fleet(1, 1);
+    fleet.setRunTime(2s);
+    fleet.settle();
+    submitJobs(fleet, 2, oneStep(8, 500ms));
+    fleet.runFor(10s);
+
+    const auto accepted = log.last("job-accepted");
+    CHECK(accepted.component == "pool.desk");
+    CHECK(accepted.id == jobId(1));
+    CHECK(accepted.at("queue") == "bookings");
+    CHECK(accepted.number("tasks") == 8);
+    CHECK(accepted.number("workCoreMs") == 4000);
+    CHECK(accepted.number("chainMs") == 500);
+    CHECK(accepted.number("objectiveMs") == 2000);
+
+    const auto finished = log.all("job-finished");
+    REQUIRE(finished.size() == 2);
+    CHECK(finished[0].at("queue") == "bookings");
+    CHECK(finished[0].at("state") == "completed");
+    CHECK(finished[0].at("outcome") == "late");
+    CHECK(finished[0].number("tookMs") > 4000);
+    CHECK(finished[0].number("objectiveMs") == 2000);
+    CHECK(finished[0].number("firstStartMs") < 100);
+    CHECK(finished[0].number("runs") == 8);
+    CHECK(finished[1].at("outcome") == "overdue");
+    CHECK(finished[1].number("firstStartMs") > 3000);
+}
+
+TEST_CASE("a job whose first start an earlier owner placed finishes with that start unknown, not as one that never waited")
+{
+    const EventLog log;
+    JobFleet fleet(2, 1);
+    fleet.setRunTime(5s);
+    fleet.settle();
+    submitJobs(fleet, 1, oneStep(2));
+    fleet.runFor(1s);
+    fleet.killHost(fleet.ownerOf("desk"));
+    fleet.runFor(10s);
+    const auto finished = log.last("job-finished");
+    CHECK(finished.at("firstStartMs") == "unknown");
+    CHECK(finished.number("runs") == 2);
+}
+
+TEST_CASE("a full pool's load lines say so, once a second, and stop with the load")
+{
+    const EventLog log;
+    JobFleet fleet(1, 1);
+    fleet.setRunTime(1s);
+    fleet.settle();
+    submitJobs(fleet, 4, oneStep(4));
+    fleet.runFor(1s);
+    const auto full = log.last("pool-load");
+    CHECK(full.id == "desk");
+    CHECK(full.number("activeJobs") >= 3);
+    CHECK(full.number("waitingTasks") >= 8);
+    CHECK(full.number("waitingMilliCores") == full.number("waitingTasks") * 1000);
+    CHECK(full.number("waitingCoreMs") == full.number("waitingTasks") * 500);
+    CHECK(full.number("busyMilliCores") == 4000);
+    CHECK(full.number("freeMilliCores") == 0);
+    CHECK(full.number("runs") == 4);
+    CHECK(full.number("candidates") == 1);
+    CHECK(full.number("workers") == 1);
+    fleet.runFor(9s);
+    long oldest = 0;
+    long accepted = 0;
+    long placed = 0;
+    long ended = 0;
+    for (const auto& it : log.all("pool-load")) {
+        oldest = std::max(oldest, it.number("oldestWaitingMs"));
+        accepted += it.number("accepted");
+        placed += it.number("placed");
+        ended += it.number("ended");
+    }
+    CHECK(oldest >= 1000);
+    CHECK(accepted == 4);
+    CHECK(placed == 16);
+    CHECK(ended >= 12);
+    const auto lines = log.all("pool-load").size();
+    CHECK(lines >= 4);
+    CHECK(lines <= 6);
+    fleet.runFor(5s);
+    CHECK(log.all("pool-load").size() == lines);
+}
+
+TEST_CASE("work that waits without a worker that may take it shows no candidates, and why")
+{
+    const EventLog log;
+    JobFleet fleet(1, 2);
+    fleet.settle();
+    fleet.workers.at("w0")->isSilent = true;
+    fleet.workers.at("w1")->isSilent = true;
+    fleet.runFor(4s);
+    submitJobs(fleet, 1, oneStep(4));
+    fleet.runFor(2s);
+    const auto line = log.last("pool-load");
+    CHECK(line.number("waitingTasks") == 4);
+    CHECK(line.number("candidates") == 0);
+    CHECK(line.number("workers") == 2);
+    CHECK(line.number("silent") == 2);
+    CHECK(line.number("cordoned") == 0);
+    CHECK(line.number("avoided") == 0);
+    CHECK(line.number("leaving") == 0);
+    CHECK(line.number("oldestWaitingMs") > 900);
+}
+
+TEST_CASE("an owner whose store is away shows commits that age, beside room that is free")
+{
+    const EventLog log;
+    JobFleet fleet(1, 1);
+    fleet.setRunTime(3s);
+    fleet.settle();
+    submitJobs(fleet, 1, oneStep(2));
+    fleet.runFor(2s);
+    const auto before = log.last("pool-load");
+    CHECK(before.number("decisions") > 0);
+    CHECK(before.number("stalledMs") == 0);
+    CHECK(before.number("longestCommitMs") < 50);
+    fleet.store.isDown = true;
+    fleet.runFor(4s);
+    const auto line = log.last("pool-load");
+    CHECK(line.number("freeMilliCores") == 4000);
+    CHECK(line.number("stalledMs") > 1000);
+    CHECK(line.number("commitAgeMs") > 2000);
+    CHECK(line.number("decisionUs") >= 0);
+    CHECK(line.number("longestDecisionUs") >= 0);
+    CHECK(line.number("longestDelayMs") >= 0);
+    CHECK(line.number("commitMs") >= 0);
+}
