Serve late jobs that are still of use before those that aren't any more

Cause: all late jobs stood in one line by their age, so the oldest, which had passed three times their objective and are of no use to anybody, went before those that could still be served late. Large jobs wait longest for the last of their tasks, are late first and were then stuck behind jobs that had become hopeless. Class of fault: order of arrival under overload.

Evidence: a replay of the load against the decision core.

--- a/Source/Core/Jobs/Decision/JobAccount.cpp
+++ b/Source/Core/Jobs/Decision/JobAccount.cpp
@@ -1,18 +1,14 @@
 #include "Jobs/Decision/JobAccount.h"
 
-namespace Jobs {
-
-namespace {
+#include "Jobs/Decision/QueueOrder.h"
 
-    constexpr int lateObjectives = 3; ///< Beyond so many objectives a completed job is worth nothing to its caller.
-
-} // namespace
+namespace Jobs {
 
 const char* JobAccount::outcome() const
 {
     if (took <= objective)
         return "in-time";
-    return took <= objective * lateObjectives ? "late" : "overdue";
+    return took <= objective * usefulObjectives ? "late" : "overdue";
 }
 
 JobAccount accountOf(const Job& job, Common::WallTime endedAt)
--- a/Source/Core/Jobs/Decision/PoolCoreReport.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreReport.cpp
@@ -43,7 +43,7 @@
         const auto milliCores = waiting * reservedBy(spec).milliCores;
         load.waitingMilliCores += milliCores;
         load.waitingWork += milliCores * static_cast<std::uint64_t>(std::max<std::int64_t>(0, spec.estimate.count())) / 1000;
-        if (queueKeyOf(job, occurrence, step, at.wall).isLate)
+        if (queueKeyOf(job, occurrence, step, at.wall).prospect != Prospect::InTime)
             load.lateMilliCores += milliCores;
     });
     return load;
--- a/Source/Core/Jobs/Decision/QueueOrder.cpp
+++ b/Source/Core/Jobs/Decision/QueueOrder.cpp
@@ -14,9 +14,15 @@
         key.milliseconds = 0;
         return key;
     }
-    const auto toSpare = dueAt + job.accepted.objective - now - job.chains[step];
-    key.isLate = toSpare < milliseconds(0);
-    key.milliseconds = key.isLate ? dueAt.time_since_epoch().count() : toSpare.count();
+    const auto earliestEnd = now + job.chains[step];
+    const auto toSpare = dueAt + job.accepted.objective - earliestEnd;
+    if (toSpare >= milliseconds(0)) {
+        key.milliseconds = toSpare.count();
+        return key;
+    }
+    const bool isUseful = dueAt + job.accepted.objective * usefulObjectives >= earliestEnd;
+    key.prospect = isUseful ? Prospect::Late : Prospect::Overdue;
+    key.milliseconds = dueAt.time_since_epoch().count();
     return key;
 }
 
