Log why machines aren't moved or maintained

fleet-load, a line a second at most while a pool lacks cores, a used pool isn't heard or a wave is due: the pools that lack, with how much and how much of that is late, those not heard, idle, switched-off and absent machines, planned moves, whether the lease is sure, the silence left after another holder, each wave's progress and the age of the list of machines. Errors of the duty that were passed over have events, once a second each (EventLimiter): machines-unlisted, wave-unread, write-failed; a move whose retry is dropped as the lease isn't sure writes move-given-up. No order changes.

--- a/Source/Core/Jobs/Runtime/FleetDuty.cpp
+++ b/Source/Core/Jobs/Runtime/FleetDuty.cpp
@@ -2,7 +2,9 @@
 
 #include "Jobs/Fleet/MovePlanner.h"
 #include "Jobs/Fleet/WaveRun.h"
+#include "Jobs/Runtime/EventLimiter.h"
 #include "Jobs/Runtime/Events.h"
+#include "Jobs/Runtime/FleetReport.h"
 #include "Jobs/Runtime/JobNodeState.h"
 #include "Jobs/Runtime/Ownership.h"
 #include "Jobs/Runtime/StoreKeys.h"
@@ -19,6 +21,7 @@
     constexpr milliseconds orderRetry { 400 };
     constexpr milliseconds ordersUnderWay { 1500 }; ///< After it, a call to the machine service is given up.
     constexpr milliseconds silenceMargin { 300 }; ///< On top of the silence between two holders, for orders under way.
+    constexpr milliseconds reportInterval { 1000 }; ///< Of lines about what keeps orders back.
     constexpr milliseconds listInterval { 2500 }; ///< Of machines; own orders are reckoned with before.
 
     std::set<std::string> readNames(const std::string& text)
@@ -94,6 +97,8 @@
                     return;
                 if (isWhole)
                     state->take(std::move(list));
+                else
+                    state->limiter.write({ "machines-unlisted", state->context.holder, {} }, state->loop.now());
                 state->askLoads();
             });
             return;
@@ -103,7 +108,8 @@
 
     void take(std::vector<Machine> list)
     {
-        nextList = loop.now() + listInterval;
+        listedAt = loop.now();
+        nextList = listedAt + listInterval;
         machines.clear();
         for (auto& it : list)
             machines[it.name] = std::move(it);
@@ -194,10 +200,31 @@
         }
         if (context.limits.movesMachines && mayOrder)
             decideMoves(seen);
+        if (now >= nextReport)
+            report(seen);
         const bool isNew = std::ranges::any_of(cordon, [&before](const auto& it) { return !before.contains(it); });
         stepAfter(isNew ? cordonInterval : stepInterval);
     }
 
+    void report(const std::map<std::string, MachineView>& seen)
+    {
+        const auto now = loop.now();
+        nextReport = now + reportInterval;
+        FleetPicture picture { poolViews(), {}, seen, waves };
+        for (const auto& it : configuration.queues)
+            picture.usedPools.insert(it.pool);
+        picture.plannedMoves = moves.cordon().size();
+        picture.movesMachines = context.limits.movesMachines;
+        picture.isLeaseSure = context.mayOrder();
+        picture.silenceLeft = std::max(milliseconds(0), std::chrono::ceil<milliseconds>(firstOrderAt - now));
+        if (listedAt != Common::Instant())
+            picture.listAge = std::chrono::duration_cast<milliseconds>(now - listedAt);
+        if (auto event = describeFleet(picture, now)) {
+            event->id = context.holder;
+            writeEvent("fleet", *event);
+        }
+    }
+
     void decideMoves(const std::map<std::string, MachineView>& seen)
     {
         auto excluded = cordon;
@@ -228,8 +255,13 @@
         if (status == Ports::MachineStatus::NoAnswer) {
             // It may have been carried out, and is answered alike when it was.
             loop.after(orderRetry, [self = weak_from_this(), move] {
-                if (const auto state = self.lock(); state && !state->isOver && state->context.mayOrder())
+                const auto state = self.lock();
+                if (!state || state->isOver)
+                    return;
+                if (state->context.mayOrder())
                     state->sendMove(move);
+                else
+                    log("move-given-up", move.machine, { { "to", move.pool }, { "reason", "lease-unsure" } });
             });
             return;
         }
@@ -298,6 +330,15 @@
         }
     }
 
+    /// True when a write under the fence needn't be tried again: it was carried out, or another host has the duty.
+    bool isStored(const Ports::PlatformReply& reply, const char* what, std::uint64_t wave)
+    {
+        if (reply.status == Ports::PlatformStatus::Ok)
+            return true;
+        limiter.write({ "write-failed", std::to_string(wave), { { "what", what }, { "status", std::to_string(static_cast<int>(reply.status)) } } }, loop.now());
+        return reply.status == Ports::PlatformStatus::ComparesFailed;
+    }
+
     std::string progressKey(std::uint64_t number) const { return StoreKeys::waves + std::to_string(number); }
 
     /// Keeps what is done for the next holder, which would vacate those machines in vain.
@@ -311,7 +352,7 @@
         transaction.puts = { { progressKey(number), joinNames(it->second.done()), 0 } };
         context.platform.transact(std::move(transaction), [self = weak_from_this(), number](const Ports::PlatformReply& reply) {
             const auto state = self.lock();
-            if (!state || state->isOver || reply.status == Ports::PlatformStatus::Ok || reply.status == Ports::PlatformStatus::ComparesFailed)
+            if (!state || state->isOver || state->isStored(reply, "wave-progress", number))
                 return;
             state->loop.after(orderRetry, [self, number] {
                 if (const auto again = self.lock(); again && !again->isOver)
@@ -335,7 +376,7 @@
         transaction.puts = { context.published.waveStatus(number, isCompleted) };
         context.platform.transact(std::move(transaction), [self = weak_from_this(), number, isCompleted](const Ports::PlatformReply& reply) {
             const auto state = self.lock();
-            if (!state || state->isOver || reply.status == Ports::PlatformStatus::Ok || reply.status == Ports::PlatformStatus::ComparesFailed)
+            if (!state || state->isOver || state->isStored(reply, "wave-status", number))
                 return;
             state->loop.after(orderRetry, [self, number, isCompleted] {
                 if (const auto it = self.lock(); it && !it->isOver)
@@ -359,6 +400,7 @@
             if (!state || state->isOver)
                 return;
             if (reply.status != Ports::PlatformStatus::Ok) {
+                state->limiter.write({ "wave-unread", std::to_string(wave.number), { { "status", std::to_string(static_cast<int>(reply.status)) } } }, state->loop.now());
                 state->loop.after(orderRetry, [self, wave] {
                     if (const auto it = self.lock(); it && !it->isOver)
                         it->readProgress(wave);
@@ -380,7 +422,10 @@
     Fence fence;
     MovePlanner moves;
     Common::Instant firstOrderAt;
+    EventLimiter limiter { "fleet" };
     Common::Instant nextList {};
+    Common::Instant listedAt {};
+    Common::Instant nextReport {};
     JobConfiguration configuration;
     std::map<std::string, Machine> machines;
     std::map<std::string, PoolLoad> loads;
--- a/Source/UnitTests/Jobs/JobEventsTest.cpp
+++ b/Source/UnitTests/Jobs/JobEventsTest.cpp
@@ -154,3 +154,79 @@
     CHECK(line.number("longestDelayMs") >= 0);
     CHECK(line.number("commitMs") >= 0);
 }
+
+TEST_CASE("a short pool whose machines are held back by the silence between two holders of the fleet's duty shows so")
+{
+    const EventLog log;
+    JobFleet fleet(2, 1);
+    fleet.configuration.pools.push_back({ "off", true, true });
+    for (const std::string name : { "s0", "s1" })
+        fleet.machines[name] = { name, "off", Jobs::Machine::State::Up, "", "dc", {}, { 4000, 64000, 0 } };
+    fleet.setRunTime(10s);
+    fleet.settle();
+    const auto first = fleet.ownerOf("~fleet");
+    fleet.killHost(first);
+    fleet.runFor(2500ms);
+    const auto second = first == "host-0" ? "host-1" : "host-0";
+    CHECK(fleet.call(second, JobVerb::Submit, jobId(1), oneStep(16, 10s))->outcome == JobOutcome::Accepted);
+    fleet.runFor(2s);
+    const auto silent = log.last("fleet-load");
+    CHECK(silent.component == "fleet");
+    CHECK(silent.id == second);
+    CHECK(silent.at("short") == "desk:12000/0");
+    CHECK(silent.number("shortPools") == 1);
+    CHECK(silent.number("unheardPools") == 0);
+    CHECK(silent.number("machines") == 3);
+    CHECK(silent.number("off") == 2);
+    CHECK(silent.number("idle") == 0);
+    CHECK(silent.number("away") == 0);
+    CHECK(silent.number("plannedMoves") == 0);
+    CHECK(silent.at("moves") == "allowed");
+    CHECK(silent.at("lease") == "sure");
+    CHECK(silent.number("silenceLeftMs") > 0);
+    CHECK(silent.number("listAgeMs") < 3000);
+    CHECK(log.all("move-ordered").empty());
+    fleet.runFor(4s);
+    CHECK(log.last("fleet-load").number("silenceLeftMs") == 0);
+    CHECK_FALSE(log.all("move-ordered").empty());
+    CHECK(log.all("fleet-load").size() <= 8);
+}
+
+TEST_CASE("a pool that no host owns shows as unheard at the holder of the fleet's duty")
+{
+    const EventLog log;
+    JobFleet fleet(2, 1);
+    auto queue = fleet.configuration.queues.front();
+    queue.name = "camps";
+    queue.prefix = "/camps/";
+    queue.pool = "camp";
+    fleet.configuration.queues.push_back(queue);
+    fleet.configuration.pools.push_back({ "camp", false, true });
+    fleet.settle();
+    const auto holder = fleet.ownerOf("~fleet");
+    for (const std::string duty : { "desk", "camp" }) {
+        const auto owner = fleet.ownerOf(duty);
+        if (owner != holder) {
+            fleet.killHost(owner);
+            fleet.runFor(1500ms);
+            CHECK(log.last("fleet-load").at("unheard").find(duty) != std::string::npos);
+            CHECK(log.last("fleet-load").number("unheardPools") >= 1);
+            return;
+        }
+    }
+    FAIL("the holder of the fleet's duty owns both pools");
+}
+
+TEST_CASE("a wave that is due shows how far it is, once a second")
+{
+    const EventLog log;
+    JobFleet fleet(2, 4);
+    fleet.settle();
+    fleet.publishWave({ 7, { "m0", "m1", "m2", "m3" }, 30s, 1 });
+    fleet.runFor(3s);
+    const auto line = log.last("fleet-load");
+    CHECK(line.at("waves").starts_with("7:"));
+    CHECK(line.at("waves").find("/4/") != std::string::npos);
+    CHECK_FALSE(line.fields.contains("short")); // The log leaves out empty fields.
+    CHECK(log.all("fleet-load").size() <= 4);
+}
