Log each way in which something accepted may get lost

Calls that wait are kept by their id, of which the first 50 are named when the process ends. No order, retry or answer changes.

--- a/Source/Core/Jobs/Runtime/JobDoor.cpp
+++ b/Source/Core/Jobs/Runtime/JobDoor.cpp
@@ -85,14 +85,18 @@
 void JobNode::State::called(JobCall call, JobReply reply)
 {
     const auto began = loop.now();
-    auto logged = [this, began, verb = call.verb, path = call.path, reply = std::move(reply)](const JobAnswer& answer) {
+    const auto number = ++lastCall;
+    const auto id = call.path.substr(call.path.rfind('/') + 1);
+    unanswered.emplace(number, UnansweredCall { id, call.verb, began });
+    auto logged = [this, began, number, verb = call.verb, id, reply = std::move(reply)](const JobAnswer& answer) {
+        unanswered.erase(number);
         const auto* verbName = verbNames.at(static_cast<std::size_t>(verb));
         const auto* outcome = outcomeNames.at(static_cast<std::size_t>(answer.outcome));
         const auto took = loop.now() - began;
         metrics->countAnswer(verbName, outcome, answer.reason, took);
         const bool isPlain = answer.outcome == JobOutcome::Shown || answer.outcome == JobOutcome::Counted;
         if (!isPlain)
-            writeEvent("door", { "answered", path.substr(path.rfind('/') + 1), { { "verb", verbName }, { "outcome", outcome }, { "reason", answer.reason }, { "tookMs", std::to_string(std::chrono::duration_cast<milliseconds>(took).count()) }, { "configuration", std::to_string(configuration.version) } } });
+            writeEvent("door", { "answered", id, { { "verb", verbName }, { "outcome", outcome }, { "reason", answer.reason }, { "tookMs", std::to_string(std::chrono::duration_cast<milliseconds>(took).count()) }, { "configuration", std::to_string(configuration.version) } } });
         reply(answer);
     };
     if (isAbandoned) {
@@ -104,14 +108,26 @@
         return;
     }
     const auto* queue = configuration.route(call.host, call.path);
-    const auto id = queue ? call.path.substr(queue->prefix.size()) : std::string();
-    const bool isCount = queue && id.empty() && call.verb == JobVerb::Show;
-    if (!queue || !(isCount || isJobId(id)))
+    const auto job = queue ? call.path.substr(queue->prefix.size()) : std::string();
+    const bool isCount = queue && job.empty() && call.verb == JobVerb::Show;
+    if (!queue || !(isCount || isJobId(job)))
         logged(answerWith(JobOutcome::NoSuchQueue));
     else if (call.verb == JobVerb::Submit && !call.spec)
         logged(answerWith(JobOutcome::Malformed, call.fault));
     else
-        pass(*queue, id, std::move(call), std::move(logged));
+        pass(*queue, job, std::move(call), std::move(logged));
+}
+
+void JobNode::State::logUnanswered() const
+{
+    constexpr std::size_t mostListed = 50; // They are answered in a moment, as unknown; a line each bounds the log.
+    std::size_t listed = 0;
+    for (const auto& [number, call] : unanswered) {
+        if (listed++ == mostListed)
+            break;
+        const auto waited = std::chrono::duration_cast<milliseconds>(loop.now() - call.since);
+        writeEvent("door", { "unanswered", call.id, { { "verb", verbNames.at(static_cast<std::size_t>(call.verb)) }, { "waitedMs", std::to_string(waited.count()) }, { "calls", std::to_string(unanswered.size()) } } });
+    }
 }
 
 void JobNode::State::pass(const QueueRule& queue, const JobId& id, JobCall call, JobReply reply)
--- a/Source/Core/Jobs/Runtime/JobNode.cpp
+++ b/Source/Core/Jobs/Runtime/JobNode.cpp
@@ -282,8 +282,11 @@
         return;
     }
     std::vector<std::string> duties;
-    for (const auto& [pool, owner] : owners)
+    for (const auto& [pool, owner] : owners) {
+        if (!owner->isIdle())
+            writeEvent("node", { "handed-over-unstored", pool, { { "limitMs", std::to_string(handOverLimit.count()) } } });
         duties.push_back(pool);
+    }
     if (fleet)
         duties.push_back(fleetDuty);
     for (const auto& duty : duties) {
@@ -307,6 +310,7 @@
 void JobNode::abandon()
 {
     m_state->isAbandoned = true;
+    m_state->logUnanswered();
     m_state->peerCalls.abandon();
 }
 
--- a/Source/Core/Jobs/Runtime/JobNodeState.h
+++ b/Source/Core/Jobs/Runtime/JobNodeState.h
@@ -22,6 +22,13 @@
     Common::Instant goneAt {}; ///< Zero for a member.
 };
 
+/// A caller's call that waits for its answer.
+struct UnansweredCall {
+    std::string id;
+    Ports::JobVerb verb = Ports::JobVerb::Show;
+    Common::Instant since {};
+};
+
 struct JobNode::State : std::enable_shared_from_this<JobNode::State> {
     State(const JobNodePorts&, JobNodeSettings);
 
@@ -52,6 +59,7 @@
     void askLoad(LoadCall, std::function<void(const LoadCallAnswer&)>);
 
     // Callers; in JobDoor.cpp.
+    void logUnanswered() const;
     void called(Ports::JobCall, Ports::JobReply);
     void pass(const QueueRule&, const JobId&, Ports::JobCall, Ports::JobReply);
     void passToPeer(const std::string& host, const QueueRule&, const JobId&, Ports::JobCall, Ports::JobReply);
@@ -60,6 +68,8 @@
     Common::TaskLoop& loop;
     JobNodeSettings settings;
     std::unique_ptr<JobMetrics> metrics;
+    std::map<std::uint64_t, UnansweredCall> unanswered; ///< In the order of their arrival; outlives the owners, who answer last.
+    std::uint64_t lastCall = 0;
     PeerCalls peerCalls;
     std::unique_ptr<PrefixFeed> operatorFeed;
     std::unique_ptr<PrefixFeed> workerFeed; ///< Since the first duty.
--- a/Source/Core/Jobs/Runtime/Journal.cpp
+++ b/Source/Core/Jobs/Runtime/Journal.cpp
@@ -1,5 +1,7 @@
 #include "Jobs/Runtime/Journal.h"
 
+#include "Jobs/Runtime/EventLimiter.h"
+#include "Jobs/Runtime/Events.h"
 #include "Jobs/Runtime/JournalLoader.h"
 #include "Jobs/Runtime/SnapshotWriter.h"
 #include "Jobs/Runtime/StoreKeys.h"
@@ -77,7 +79,14 @@
         else if (reply.status == Ports::PlatformStatus::ComparesFailed)
             settle();
         else
-            timer = loop.after(retryDelay, [self = shared_from_this()] { self->isOver ? void() : self->send(); });
+            tryLater("commit-failed", reply.status, &State::send);
+    }
+
+    void tryLater(const char* event, Ports::PlatformStatus status, void (State::*step)())
+    {
+        const auto stalled = std::chrono::duration_cast<milliseconds>(loop.now() - lastCommit);
+        limiter.write({ event, settings.pool, { { "segment", std::to_string(nextSegment) }, { "status", std::to_string(static_cast<int>(status)) }, { "stalledMs", std::to_string(stalled.count()) }, { "effects", std::to_string(inFlight->effects.size()) }, { "waiting", std::to_string(waiting.effects.size()) } } }, loop.now());
+        timer = loop.after(retryDelay, [self = shared_from_this(), step] { self->isOver ? void() : (self.get()->*step)(); });
     }
 
     /// The segment exists or the owner key has changed: only an own segment means that an earlier try was carried out.
@@ -87,10 +96,12 @@
             if (self->isOver)
                 return;
             if (reply.status != Ports::PlatformStatus::Ok) {
-                self->timer = self->loop.after(retryDelay, [self] { self->isOver ? void() : self->settle(); });
+                self->tryLater("settle-failed", reply.status, &State::settle);
                 return;
             }
-            if (!reply.values.empty() && reply.values.front().value == self->segment)
+            const bool isOwn = !reply.values.empty() && reply.values.front().value == self->segment;
+            writeEvent("journal", { "commit-settled", self->settings.pool, { { "segment", std::to_string(self->nextSegment) }, { "stored", isOwn ? "own" : (reply.values.empty() ? "none" : "other") } } });
+            if (isOwn)
                 self->committed();
             else
                 self->depose();
@@ -127,6 +138,7 @@
     Ports::PlatformPort& platform;
     JournalSettings settings;
     Hooks hooks;
+    EventLimiter limiter { "journal" };
     SnapshotWriter snapshots { platform, settings.pool, settings.ownerKey, settings.fence };
     Batch waiting;
     std::optional<Batch> inFlight;
--- a/Source/Core/Jobs/Runtime/JournalLoader.cpp
+++ b/Source/Core/Jobs/Runtime/JournalLoader.cpp
@@ -53,8 +53,9 @@
     readHead();
 }
 
-void JournalLoader::again()
+void JournalLoader::again(const char* step, const Ports::PlatformReply& reply)
 {
+    m_limiter.write({ "load-failed", m_pool, { { "step", step }, { "status", std::to_string(static_cast<int>(reply.status)) }, { "values", std::to_string(reply.values.size()) }, { "tries", std::to_string(++m_tries) } } }, m_loop.now());
     m_contents = {};
     m_loop.after(retryDelay, [self = shared_from_this()] { self->readHead(); });
 }
@@ -69,7 +70,7 @@
         else if (isRead && readHeadText(reply.values.front().value, head))
             self->readSnapshot(head);
         else
-            self->again();
+            self->again("head", reply);
     });
 }
 
@@ -79,7 +80,7 @@
         if (reply.status == Ports::PlatformStatus::Ok && self->takeSnapshot(reply.values, head))
             self->readSegments();
         else
-            self->again();
+            self->again("snapshot", reply);
     });
 }
 
@@ -107,7 +108,7 @@
         if (reply.status == Ports::PlatformStatus::Ok && self->takeSegments(reply.values))
             self->m_callback(std::move(self->m_contents));
         else
-            self->again();
+            self->again("segments", reply);
     });
 }
 
--- a/Source/Core/Jobs/Runtime/JournalLoader.h
+++ b/Source/Core/Jobs/Runtime/JournalLoader.h
@@ -4,6 +4,7 @@
 
 #include "Common/TaskLoop.h"
 #include "Jobs/Model/JobRecords.h"
+#include "Jobs/Runtime/EventLimiter.h"
 #include "Ports/PlatformPort.h"
 
 #include <functional>
@@ -47,13 +48,16 @@
     void readSegments();
     bool takeSnapshot(const std::vector<Ports::KeyValue>&, const JournalHead&);
     bool takeSegments(const std::vector<Ports::KeyValue>&);
-    void again();
+    /// `step` is what failed.
+    void again(const char* step, const Ports::PlatformReply&);
 
     Common::TaskLoop& m_loop;
     Ports::PlatformPort& m_platform;
     std::string m_pool;
     Callback m_callback;
     JournalContents m_contents;
+    unsigned m_tries = 0;
+    EventLimiter m_limiter { "journal" };
 };
 
 } // namespace Jobs
--- a/Source/Core/Jobs/Runtime/Ownership.cpp
+++ b/Source/Core/Jobs/Runtime/Ownership.cpp
@@ -79,6 +79,7 @@
             if (self->isOver)
                 return;
             if (reply.status != PlatformStatus::Ok || reply.lease == 0) {
+                self->logFailed("grant", self->settings.self.host, reply.status);
                 self->later(retryDelay, &State::grant);
                 return;
             }
@@ -104,6 +105,7 @@
             } else if (reply.status == PlatformStatus::ComparesFailed) {
                 self->leaseLapsed();
             } else {
+                self->logFailed("register", self->settings.self.host, reply.status);
                 self->later(retryDelay, &State::enroll);
             }
         });
@@ -114,7 +116,17 @@
     {
         Ports::Transaction transaction;
         transaction.puts = { { StoreKeys::members + settings.self.host, memberText(settings.self), lease } };
-        platform.transact(std::move(transaction), [](const Ports::PlatformReply&) {});
+        platform.transact(std::move(transaction), [self = shared_from_this()](const Ports::PlatformReply& reply) {
+            if (reply.status != PlatformStatus::Ok)
+                self->logFailed("tell-leaving", self->settings.self.host, reply.status);
+        });
+    }
+
+    /// A call to the store that wasn't carried out, or of which that isn't known.
+    void logFailed(const char* call, const std::string& id, PlatformStatus status)
+    {
+        const auto unheard = std::chrono::duration_cast<std::chrono::milliseconds>(loop.now() - lastContact);
+        writeEvent("ownership", { "call-failed", id, { { "call", call }, { "status", std::to_string(static_cast<int>(status)) }, { "unheardMs", lastContact == Common::Instant() ? "never" : std::to_string(unheard.count()) } } });
     }
 
     void renew()
@@ -129,6 +141,8 @@
             }
             if (reply.status == PlatformStatus::Ok)
                 self->renewed(sentAt);
+            else
+                self->logFailed("renew", self->settings.self.host, reply.status);
             self->later(reply.status == PlatformStatus::Ok ? self->settings.renewInterval : retryDelay, &State::renew);
         });
     }
@@ -327,13 +341,17 @@
                 return;
             if (reply.status == PlatformStatus::Ok)
                 self->gained(duty, static_cast<Fence>(reply.revision));
-            else if (reply.status != PlatformStatus::ComparesFailed)
-                self->claimLater(); // It may have been carried out, of which the feed tells.
+            else
+                self->claimFailed(duty, reply.status);
         });
     }
 
-    void claimLater()
+    void claimFailed(const std::string& duty, PlatformStatus status)
     {
+        logFailed("claim", duty, status);
+        if (status == PlatformStatus::ComparesFailed)
+            return;
+        // It may have been carried out, of which the feed tells.
         loop.after(retryDelay, [self = shared_from_this()] {
             if (!self->isOver)
                 self->considerSoon();
@@ -365,7 +383,10 @@
         transaction.puts = { { StoreKeys::terms + duty, releasedText, 0 } };
         transaction.deletes = { keyOf(duty) };
         writeEvent("ownership", { "duty-released", duty, { { "fence", std::to_string(fence) } } });
-        platform.transact(std::move(transaction), [](const Ports::PlatformReply&) {});
+        platform.transact(std::move(transaction), [self = shared_from_this(), duty](const Ports::PlatformReply& reply) {
+            if (reply.status != PlatformStatus::Ok)
+                self->logFailed("release", duty, reply.status);
+        });
     }
 
     Common::TaskLoop& loop;
--- a/Source/Core/Jobs/Runtime/PeerCalls.h
+++ b/Source/Core/Jobs/Runtime/PeerCalls.h
@@ -3,6 +3,7 @@
 /// Calls between hosts with one answer or none: matches answers to calls over the peer port's frames.
 
 #include "Common/TaskLoop.h"
+#include "Jobs/Runtime/EventLimiter.h"
 #include "Jobs/Runtime/NodeMessages.h"
 #include "Ports/PeerPort.h"
 
@@ -50,6 +51,7 @@
     Ports::PeerPort& m_port;
     std::map<std::uint64_t, Pending> m_pending;
     std::uint64_t m_lastCall = 0;
+    EventLimiter m_limiter { "peers" };
 };
 
 } // namespace Jobs
--- a/Source/Core/Jobs/Runtime/PoolOwner.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwner.cpp
@@ -32,6 +32,7 @@
     , ownedSince(given.loop.now())
     , core(given.poolLimits)
     , journal(given.loop, given.platform, { pool, Ownership::keyOf(pool), fence }, journalHooks())
+    , limiter("pool." + pool)
 {
 }
 
@@ -67,7 +68,7 @@
     core.load(records);
     core.loaded(moment());
     isServing = true;
-    log({ "recovered", pool, { { "fence", std::to_string(fence) }, { "records", std::to_string(records.size()) }, { "active", std::to_string(core.jobs().active().size()) } } });
+    log({ "recovered", pool, { { "fence", std::to_string(fence) }, { "tookMs", std::to_string(ownedFor().count()) }, { "records", std::to_string(records.size()) }, { "active", std::to_string(core.jobs().active().size()) } } });
     for (const auto& [id, entry] : entries)
         core.workerListed(entry, moment());
     for (const auto& [id, entry] : entries)
@@ -145,6 +146,8 @@
 
 void PoolOwner::State::report()
 {
+    if (!isServing)
+        log({ "recovering", pool, { { "fence", std::to_string(fence) }, { "ownedForMs", std::to_string(ownedFor().count()) } } });
     const auto pressure = core.pressure(moment());
     if (pressure.runs > 0 || pressure.waitingTasks > 0 || journal.stalledFor() > stallLimit)
         log(activity.describe(pool, pressure, journal.stalledFor(), loop.now()));
--- a/Source/Core/Jobs/Runtime/PoolOwnerState.h
+++ b/Source/Core/Jobs/Runtime/PoolOwnerState.h
@@ -2,6 +2,7 @@
 
 /// State of the owner of a pool; see PoolOwner.
 
+#include "Jobs/Runtime/EventLimiter.h"
 #include "Jobs/Runtime/Journal.h"
 #include "Jobs/Runtime/OwnerActivity.h"
 #include "Jobs/Runtime/PoolOwner.h"
@@ -15,6 +16,7 @@
 
     Journal::Hooks journalHooks();
     Moment moment() const { return { loop.now(), loop.wallNow() }; }
+    milliseconds ownedFor() const { return std::chrono::duration_cast<milliseconds>(loop.now() - ownedSince); }
     void log(const LogEvent&) const;
     void depose(const char* reason);
     void journalRead(const std::vector<JobRecord>& records);
@@ -45,6 +47,7 @@
     void carryOut(const StopRun&);
     void carryOut(const ThrottleRun&);
     void carryOut(const AskAdvice&);
+    void logDropped(const char* kind, const TaskKey&, RunNumber, const std::string& worker);
     /// The advice service takes one call of a host at a time.
     void askNext();
     void adviceCame(const AskAdvice&, Ports::AdviceStatus, const std::vector<Ports::Ticket>&, milliseconds validity);
@@ -65,6 +68,7 @@
     std::map<std::string, std::unique_ptr<WorkerSession>> sessions;
     std::vector<AskAdvice> advice; ///< The first is being asked for.
     OwnerActivity activity;
+    EventLimiter limiter;
     Common::Instant decidedAt {};
     Common::Instant decisionDueAt {};
     Common::TaskLoop::TimerId decisionTimer = 0;
--- a/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
@@ -70,6 +70,8 @@
             return;
         if (isWhole)
             state->judgeSilent(machines);
+        else
+            state->limiter.write({ "machines-unlisted", state->pool, { { "silent", std::to_string(state->silent.size()) } } }, state->loop.now());
         state->loop.after(machineInterval, [self] {
             if (const auto it = self.lock()) {
                 it->isAskingMachines = false;
@@ -194,12 +196,21 @@
 {
     if (const auto it = sessions.find(run.worker); it != sessions.end())
         it->second->stop(run);
+    else
+        logDropped("stop", run.task, run.run, run.worker);
 }
 
 void PoolOwner::State::carryOut(const ThrottleRun& run)
 {
     if (const auto it = sessions.find(run.worker); it != sessions.end())
         it->second->throttle(run);
+    else
+        logDropped("throttle", run.task, run.run, run.worker);
+}
+
+void PoolOwner::State::logDropped(const char* kind, const TaskKey& task, RunNumber run, const std::string& worker)
+{
+    log({ "order-dropped", task.job, { { "order", kind }, { "task", std::to_string(task.step) + "." + std::to_string(task.index) }, { "run", std::to_string(run) }, { "worker", worker }, { "reason", "no-session" } } });
 }
 
 void PoolOwner::State::carryOut(const AskAdvice& order)
@@ -224,6 +235,7 @@
 void PoolOwner::State::adviceCame(const AskAdvice& order, Ports::AdviceStatus status, const std::vector<Ports::Ticket>& tickets, milliseconds validity)
 {
     if (status != Ports::AdviceStatus::Given) {
+        limiter.write({ "advice-failed", order.step.job, { { "status", std::to_string(static_cast<int>(status)) }, { "waiting", std::to_string(advice.size()) } } }, loop.now());
         loop.after(adviceRetry, [self = weak_from_this()] {
             if (const auto state = self.lock()) {
                 state->isAsking = false;
--- a/Source/Core/Jobs/Runtime/PrefixFeed.cpp
+++ b/Source/Core/Jobs/Runtime/PrefixFeed.cpp
@@ -1,5 +1,8 @@
 #include "Jobs/Runtime/PrefixFeed.h"
 
+#include "Jobs/Runtime/EventLimiter.h"
+#include "Jobs/Runtime/Events.h"
+
 #include <utility>
 
 namespace Jobs {
@@ -27,13 +30,15 @@
             if (reply.status == Ports::PlatformStatus::Ok)
                 self->take(reply);
             else
-                self->readLater();
+                self->readLater("read-failed");
         });
     }
 
-    void readLater()
+    void readLater(const char* reason)
     {
-        isSynced = false;
+        if (std::exchange(isSynced, false))
+            brokenAt = loop.now();
+        limiter.write({ "feed-broken", prefix, { { "reason", reason }, { "keys", std::to_string(revisions.size()) } } }, loop.now());
         if (hooks.broken)
             hooks.broken();
         timer = loop.after(rereadDelay, [self = shared_from_this()] { self->read(); });
@@ -54,6 +59,8 @@
             change(it);
         isSynced = true;
         const bool isAgain = std::exchange(wasSynced, true);
+        const auto away = std::chrono::duration_cast<std::chrono::milliseconds>(loop.now() - brokenAt);
+        writeEvent("feed", { "feed-synced", prefix, { { "keys", std::to_string(revisions.size()) }, { "revision", std::to_string(reply.revision) }, { "awayMs", isAgain ? std::to_string(away.count()) : "0" } } });
         if (hooks.synced)
             hooks.synced(isAgain);
         watch(reply.revision + 1);
@@ -80,7 +87,7 @@
                     self->hooks.removed(it.pair.key);
             }
             if (broken)
-                self->readLater();
+                self->readLater("watch-broken");
         });
     }
 
@@ -88,6 +95,8 @@
     Ports::PlatformPort& platform;
     std::string prefix;
     Hooks hooks;
+    EventLimiter limiter { "feed" };
+    Common::Instant brokenAt {};
     std::map<std::string, std::int64_t> revisions; ///< Of the keys that are there.
     Common::TaskLoop::TimerId timer = 0;
     bool isSynced = false;
--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -18,6 +18,7 @@
     constexpr milliseconds firstRetry { 60 }; ///< A lost answer costs little; the worker answers in a few milliseconds.
     constexpr milliseconds longestRetry { 1000 }; ///< Each try of a look and each new connection is paid for.
     constexpr milliseconds storeWait { 300 }; ///< For ends to be stored before a look that takes none is sent.
+    constexpr milliseconds unansweredLimit { 3000 }; ///< Of an order; twice the time of a try, and the pauses between the first ones.
     constexpr unsigned orderTries = 40; ///< Of a start or stop; the worker is given up long before.
 
 } // namespace
@@ -150,9 +151,26 @@
     struct Attempt {
         unsigned tries = 0;
         std::uint64_t epoch = 0;
+        Instant since {};
+        bool isReported = false; ///< As waiting for long.
     };
 
-    Attempt firstAttempt() const { return { 0, clock.epoch() }; }
+    /// What an order is about, for the log.
+    struct OrderName {
+        const char* kind = "";
+        TaskKey task;
+        RunNumber run = 0;
+    };
+
+    Attempt firstAttempt() const { return { 0, clock.epoch(), loop.now() }; }
+
+    /// An order that is dropped, or not answered for long, is the last that is heard of its run unless the worker tells more.
+    void logOrder(const char* event, const OrderName& name, const Attempt& attempt) const
+    {
+        const auto waited = std::chrono::duration_cast<milliseconds>(loop.now() - attempt.since);
+        const auto heardBefore = std::chrono::duration_cast<milliseconds>(loop.now() - clock.heardAt());
+        writeEvent("session", { event, name.task.job, { { "order", name.kind }, { "task", std::to_string(name.task.step) + "." + std::to_string(name.task.index) }, { "run", std::to_string(name.run) }, { "worker", entry.id }, { "tries", std::to_string(attempt.tries + 1) }, { "waitedMs", std::to_string(waited.count()) }, { "heardBeforeMs", clock.isKnown() ? std::to_string(heardBefore.count()) : "never" }, { "failedLooks", std::to_string(failures) } } });
+    }
 
     bool isSettled(const Attempt& attempt) const { return isOver || attempt.epoch != clock.epoch(); }
 
@@ -161,7 +179,7 @@
         if (isSettled(attempt))
             return;
         if (!hooks.mayOrder()) {
-            retry(attempt, [run](State& self, const Attempt& next) { self.start(run, next); });
+            retry({ "start", run.task, run.run }, attempt, [run](State& self, const Attempt& next) { self.start(run, next); });
             return;
         }
         const Ports::StartOrder order { target(), run.task, run.run, run.payload, leaseOfStart(), fence, run.checkpoint, run.ticket };
@@ -174,9 +192,9 @@
             const bool isUnsure = answer.status == WorkerStatus::NoAnswer || (answer.status == WorkerStatus::NotSent && attempt.tries > 0);
             const bool isTooLate = answer.refusal == WorkerRefusal::LeasePassed;
             if (isUnsure || isTooLate)
-                self->retry(attempt, [run](State& it, const Attempt& next) { it.start(run, next); });
+                self->retry({ "start", run.task, run.run }, attempt, [run](State& it, const Attempt& next) { it.start(run, next); });
             else if (attempt.tries > 0 && mayComeLate(answer))
-                self->voidStart(run, answer, { 0, attempt.epoch });
+                self->voidStart(run, answer, { 0, attempt.epoch, attempt.since, attempt.isReported });
             else if (answer.refusal != WorkerRefusal::Fence)
                 self->hooks.startAnswered(run, answer);
         });
@@ -201,7 +219,7 @@
             if (answer.status == WorkerStatus::Done)
                 self->hooks.startAnswered(run, refusal);
             else if (answer.refusal != WorkerRefusal::Fence)
-                self->retry(attempt, [run, refusal](State& it, const Attempt& next) { it.voidStart(run, refusal, next); });
+                self->retry({ "void-start", run.task, run.run }, attempt, [run, refusal](State& it, const Attempt& next) { it.voidStart(run, refusal, next); });
         });
     }
 
@@ -217,21 +235,38 @@
                 return;
             const bool isUnsure = answer.status != WorkerStatus::Done && answer.status != WorkerStatus::Refused;
             if (isUnsure)
-                self->retry(attempt, [run](State& it, const Attempt& next) { it.stop(run, next); });
+                self->retry({ "stop", run.task, run.run }, attempt, [run](State& it, const Attempt& next) { it.stop(run, next); });
             else if (answer.refusal != WorkerRefusal::Fence)
-                self->hooks.stopAnswered(run, answer);
+                self->stopAnswered(run, attempt, answer);
         });
     }
 
+    void stopAnswered(const StopRun& run, const Attempt& attempt, const WorkerAnswer& answer)
+    {
+        if (answer.status != WorkerStatus::Done)
+            logOrder("order-refused", { "stop", run.task, run.run }, attempt);
+        hooks.stopAnswered(run, answer);
+    }
+
     /// Tries again, unless the worker is given up meanwhile.
-    void retry(const Attempt& attempt, std::function<void(State&, const Attempt&)> again)
+    void retry(const OrderName& name, Attempt attempt, std::function<void(State&, const Attempt&)> again)
     {
-        if (attempt.tries >= orderTries)
+        if (attempt.tries >= orderTries) {
+            logOrder("order-given-up", name, attempt);
             return;
+        }
+        if (!attempt.isReported && loop.now() - attempt.since > unansweredLimit) {
+            logOrder("order-unanswered", name, attempt);
+            attempt.isReported = true;
+        }
         const auto delay = std::min(longestRetry, firstRetry * (1 << std::min(attempt.tries, 4U)));
-        loop.after(delay, [self = shared_from_this(), attempt, again = std::move(again)] {
-            if (!self->isSettled(attempt))
-                again(*self, { attempt.tries + 1, attempt.epoch });
+        loop.after(delay, [self = shared_from_this(), name, attempt, again = std::move(again)] {
+            if (self->isOver)
+                return;
+            if (self->isSettled(attempt))
+                self->logOrder("order-void", name, attempt);
+            else
+                again(*self, { attempt.tries + 1, attempt.epoch, attempt.since, attempt.isReported });
         });
     }
 
@@ -293,7 +328,12 @@
     state.port.throttle({ state.target(), run.task, run.run, run.percent, state.fence }, [self = m_state, run](const WorkerAnswer& answer) {
         if (self->isOver || answer.status == WorkerStatus::Done)
             return;
-        self->retry(self->firstAttempt(), [run](State& it, const State::Attempt&) { it.port.throttle({ it.target(), run.task, run.run, run.percent, it.fence }, [](const WorkerAnswer&) {}); });
+        self->retry({ "throttle", run.task, run.run }, self->firstAttempt(), [self, run](State& it, const State::Attempt& attempt) {
+            it.port.throttle({ it.target(), run.task, run.run, run.percent, it.fence }, [self, run, attempt](const WorkerAnswer& again) {
+                if (!self->isOver && again.status != WorkerStatus::Done)
+                    self->logOrder("order-given-up", { "throttle", run.task, run.run }, attempt);
+            });
+        });
     });
 }
 
--- /dev/null
+++ b/Source/UnitTests/Jobs/LostTraceTest.cpp
@@ -0,0 +1,153 @@
+/// What operators find in the log where something accepted may have been lost: each way that ends without an answer has a line.
+
+#include "EventLog.h"
+#include "JobFleet.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace std::chrono_literals;
+using Ports::JobOutcome;
+using Ports::JobVerb;
+
+namespace {
+
+void submit(JobFleet& fleet, const Jobs::JobSpec& spec)
+{
+    const auto answer = fleet.call("host-0", JobVerb::Submit, jobId(1), spec);
+    REQUIRE(answer);
+    REQUIRE(answer->outcome == JobOutcome::Accepted);
+}
+
+/// Events of calls to the store that failed, of that call.
+std::vector<SeenEvent> failedCalls(const EventLog& log, const std::string& call)
+{
+    auto events = log.all("call-failed");
+    std::erase_if(events, [&call](const auto& it) { return it.at("call") != call; });
+    return events;
+}
+
+} // namespace
+
+TEST_CASE("a start that its worker never answers is reported while it waits, and as void once the worker has lapsed")
+{
+    const EventLog log;
+    JobFleet fleet(1, 1);
+    fleet.settle();
+    fleet.workers.at("w0")->isSilent = true;
+    submit(fleet, oneStep(1));
+    fleet.runFor(4s);
+    const auto unanswered = log.all("order-unanswered");
+    REQUIRE(unanswered.size() == 1);
+    CHECK(unanswered[0].component == "session");
+    CHECK(unanswered[0].id == jobId(1));
+    CHECK(unanswered[0].at("order") == "start");
+    CHECK(unanswered[0].at("task") == "0.0");
+    CHECK(unanswered[0].number("run") == 1);
+    CHECK(unanswered[0].at("worker") == "w0");
+    CHECK(unanswered[0].number("tries") >= 3);
+    CHECK(unanswered[0].number("waitedMs") > 3000);
+    CHECK(unanswered[0].number("heardBeforeMs") > 3000);
+    CHECK(unanswered[0].number("failedLooks") > 0);
+    fleet.runFor(10s);
+    CHECK(log.last("order-void").id == jobId(1));
+    CHECK(log.all("order-given-up").empty());
+}
+
+TEST_CASE("a start that is given up after its last try is reported")
+{
+    const EventLog log;
+    JobFleet fleet(1, 1);
+    fleet.setRunTime(200s);
+    fleet.settle();
+    fleet.hosts.at("host-0")->workers->startAnswersToLose = 1000;
+    submit(fleet, oneStep(1));
+    fleet.runFor(100s);
+    const auto events = log.all("order-given-up");
+    REQUIRE(events.size() == 1);
+    CHECK(events[0].id == jobId(1));
+    CHECK(events[0].at("order") == "start");
+    CHECK(events[0].number("tries") > 30);
+}
+
+TEST_CASE("an owner that can't read its journal says so until it serves")
+{
+    const EventLog log;
+    JobFleet fleet(1, 1);
+    while (fleet.ownerOf("desk").empty())
+        fleet.runFor(1ms);
+    fleet.store.isDown = true;
+    fleet.runFor(1500ms);
+    fleet.store.isDown = false;
+    fleet.runFor(2s);
+    const auto failed = log.last("load-failed");
+    CHECK(failed.component == "journal");
+    CHECK(failed.id == "desk");
+    CHECK(failed.at("step") == "head");
+    CHECK(failed.number("status") == static_cast<long>(Ports::PlatformStatus::Uncertain));
+    CHECK(failed.number("tries") >= 1);
+    CHECK(log.last("recovering").number("ownedForMs") >= 1000);
+    CHECK(log.last("recovered").number("tookMs") >= 1000);
+}
+
+TEST_CASE("calls of a host's duties that the store doesn't answer are reported")
+{
+    const EventLog log;
+    JobFleet fleet(2, 1);
+    fleet.settle();
+    const auto owner = fleet.ownerOf("desk");
+    fleet.store.isDown = true;
+    fleet.runFor(1500ms);
+    const auto renewals = failedCalls(log, "renew");
+    REQUIRE(!renewals.empty());
+    CHECK(renewals[0].component == "ownership");
+    CHECK(renewals[0].number("status") == static_cast<long>(Ports::PlatformStatus::Uncertain));
+    CHECK(renewals[0].number("unheardMs") > 500);
+    fleet.hosts.at(owner)->node->leave([] {});
+    fleet.runFor(2s);
+    const auto releases = failedCalls(log, "release");
+    REQUIRE(!releases.empty());
+    CHECK(std::ranges::any_of(releases, [](const auto& it) { return it.id == "desk"; }));
+    CHECK(!failedCalls(log, "tell-leaving").empty());
+}
+
+TEST_CASE("a call that still waits when its host ends is named, and the commit that it waits for is seen to fail")
+{
+    const EventLog log;
+    JobFleet fleet(1, 1);
+    fleet.settle();
+    fleet.store.isDown = true;
+    fleet.call("host-0", JobVerb::Submit, jobId(7), oneStep(1), 200ms);
+    fleet.runFor(1s);
+    const auto commit = log.last("commit-failed");
+    CHECK(commit.component == "journal");
+    CHECK(commit.id == "desk");
+    CHECK(commit.number("status") == static_cast<long>(Ports::PlatformStatus::Uncertain));
+    CHECK(commit.number("stalledMs") >= 500);
+    CHECK(commit.number("effects") >= 1);
+    CHECK(commit.number("waiting") >= 0);
+    CHECK(commit.number("segment") >= 1);
+    fleet.hosts.at("host-0")->node->abandon();
+    const auto line = log.last("unanswered");
+    CHECK(line.component == "door");
+    CHECK(line.id == jobId(7));
+    CHECK(line.at("verb") == "submit");
+    CHECK(line.number("waitedMs") >= 1000);
+    CHECK(line.number("calls") == 1);
+}
+
+TEST_CASE("a fault that repeats is logged once a second, with the number left out")
+{
+    const EventLog log;
+    JobFleet fleet(1, 1);
+    fleet.settle();
+    submit(fleet, oneStep(1));
+    fleet.runFor(2s);
+    fleet.store.isDown = true;
+    fleet.call("host-0", JobVerb::Cancel, jobId(1), {}, 100ms);
+    fleet.call("host-0", JobVerb::Submit, jobId(2), oneStep(1), 100ms);
+    fleet.runFor(5s);
+    const auto events = log.all("commit-failed");
+    CHECK(events.size() >= 2);
+    CHECK(events.size() <= 6);
+}
