Count finished jobs by outcome, and measure waits, decisions and load of pools

marigoldstile_jobs_finished_total{pool,queue,state,outcome}, marigoldstile_job_first_start_wait_seconds{pool}, marigoldstile_pool_decision_duration_seconds{pool}, and gauges of each owned pool: active jobs, workers that may take tasks, waiting, late and free cores, set once a second and zero once the pool is given up. A pool's labels are looked up once, by PoolMetrics, which owners get in place of a hook for commits. The core hands accounts of finished jobs and waits for first starts out with its output.

--- a/Source/Core/Jobs/Decision/JobAccount.cpp
+++ b/Source/Core/Jobs/Decision/JobAccount.cpp
@@ -10,6 +10,8 @@
 
 const char* JobAccount::outcome() const
 {
+    if (state == JobState::Cancelled)
+        return "cancelled";
     if (took <= objective)
         return "in-time";
     return took <= objective * lateObjectives ? "late" : "overdue";
--- a/Source/Core/Jobs/Decision/JobAccount.h
+++ b/Source/Core/Jobs/Decision/JobAccount.h
@@ -18,7 +18,7 @@
     std::optional<milliseconds> untilFirstStart; ///< Nothing when an earlier owner placed the first run.
     unsigned runs = 0; ///< Placed, as far as the journal still told this owner.
 
-    /// "in-time", "late" (within three times the objective) or "overdue".
+    /// "in-time", "late" (within three times the objective), "overdue", or "cancelled".
     const char* outcome() const;
 };
 
--- a/Source/Core/Jobs/Decision/PoolCore.cpp
+++ b/Source/Core/Jobs/Decision/PoolCore.cpp
@@ -162,6 +162,10 @@
     if (!state || isFinal(*state))
         return answer;
     log("job-cancelled", id, { { "state", nameOf(*state) } });
+    if (const auto* job = m_jobs.find(id)) {
+        m_output.finished.push_back(accountOf(*job, at.wall));
+        m_output.finished.back().state = JobState::Cancelled;
+    }
     record(JobCancelled { id, at.wall });
     stopJob(id);
     return answer;
@@ -218,6 +222,7 @@
     if (job) {
         account.state = *state;
         logFinished(id, account);
+        m_output.finished.push_back(std::move(account));
     }
     m_advice.dropJob(id);
     if (*state == JobState::Failed)
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -243,8 +243,10 @@
     const auto checkpoint = m_jobs.findTask(key)->checkpoint;
     place.room -= reservedBy(spec);
     worker.runs[key] = makeRun(spec, run, at.now);
-    if (job.state == JobState::Queued)
+    if (job.state == JobState::Queued) {
         job.firstPlacedAt = at.wall;
+        m_output.firstStarts.push_back(at.wall - job.dueAt(key.occurrence));
+    }
     record(RunStarted { key, run, worker.entry.id });
     const auto ticket = m_advice.ticketOf(key, worker.entry.id, at.now).value_or("");
     log("run-placed", key.job, { { "task", std::to_string(key.step) + "." + std::to_string(key.index) }, { "run", std::to_string(run) }, { "worker", worker.entry.id }, { "roomMilliCores", std::to_string(place.room.milliCores) } });
--- a/Source/Core/Jobs/Runtime/JobMetrics.h
+++ b/Source/Core/Jobs/Runtime/JobMetrics.h
@@ -8,6 +8,42 @@
 
 namespace Jobs {
 
+/// Load of a pool as its owner sees it.
+struct LoadGauges {
+    std::size_t activeJobs = 0;
+    std::size_t candidates = 0; ///< Workers that may take tasks.
+    std::uint64_t waitingMilliCores = 0;
+    std::uint64_t lateMilliCores = 0;
+    std::uint64_t freeMilliCores = 0;
+};
+
+/// Metrics of one pool, with its label looked up once: an owner makes thousands of observations a second. Thread-safe, but
+/// for finished().
+class PoolMetrics {
+public:
+    ~PoolMetrics();
+    PoolMetrics(const PoolMetrics&) = delete;
+    PoolMetrics& operator=(const PoolMetrics&) = delete;
+
+    /// marigoldstile_journal_commit_duration_seconds{pool}.
+    void committed(std::chrono::microseconds duration);
+    /// marigoldstile_pool_decision_duration_seconds{pool}.
+    void decided(std::chrono::microseconds duration);
+    /// marigoldstile_job_first_start_wait_seconds{pool}: from when a job is due to its first run.
+    void started(std::chrono::microseconds wait);
+    /// marigoldstile_jobs_finished_total{pool,queue,state,outcome}.
+    void finished(const std::string& queue, const std::string& state, const std::string& outcome);
+    /// marigoldstile_pool_active_jobs{pool}, _candidates, _waiting_cores, _late_cores and _free_cores.
+    void setLoad(const LoadGauges&);
+
+private:
+    friend class JobMetrics;
+    struct Private;
+    explicit PoolMetrics(std::unique_ptr<Private>);
+
+    std::unique_ptr<Private> m_private;
+};
+
 /// Thread-safe.
 class JobMetrics {
 public:
@@ -18,8 +54,8 @@
 
     /// marigoldstile_job_answers_total{verb,outcome,reason} and marigoldstile_job_answer_duration_seconds{verb}.
     void countAnswer(const std::string& verb, const std::string& outcome, const std::string& reason, std::chrono::microseconds duration);
-    /// marigoldstile_journal_commit_duration_seconds{pool}.
-    void countCommit(const std::string& pool, std::chrono::milliseconds duration);
+    /// Those of a pool, which live as long as this.
+    PoolMetrics& pool(const std::string& name);
     /// marigoldstile_duty_changes_total{duty,change}.
     void countDuty(const std::string& duty, const std::string& change);
     /// marigoldstile_unreadable_entries_total{kind}.
@@ -33,6 +69,8 @@
     std::string exposition() const;
 
 private:
+    friend class PoolMetrics;
+
     JobMetrics();
 
     struct Private;
--- a/Source/Core/Jobs/Runtime/JobNode.cpp
+++ b/Source/Core/Jobs/Runtime/JobNode.cpp
@@ -112,8 +112,7 @@
     };
     hooks.mayExtend = [this] { return ownership.isLeaseSure() || loop.now() - ownership.lastContact() < storeAbsenceLimit; };
     hooks.mayOrder = [this] { return ownership.isLeaseSure(); };
-    hooks.committed = [this, duty](milliseconds took) { metrics->countCommit(duty, took); };
-    OwnerContext context { loop, ports.platform, ports.workers, ports.machines, settings.pool, settings.session };
+    OwnerContext context { loop, ports.platform, ports.workers, ports.machines, *metrics, settings.pool, settings.session };
     if (predecessor != Predecessor::Lapsed)
         context.sessionLimits.takeoverLapse = settings.session.leaseTime * 21 / 20; // Workers' clocks are up to 2% slow.
     auto owner = std::make_unique<PoolOwner>(context, duty, fence, std::move(hooks));
--- a/Source/Core/Jobs/Runtime/PoolOwner.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwner.cpp
@@ -27,6 +27,7 @@
     : context(given)
     , loop(given.loop)
     , pool(std::move(name))
+    , metrics(given.metrics.pool(pool))
     , fence(ownFence)
     , hooks(std::move(ownerHooks))
     , ownedSince(given.loop.now())
@@ -48,7 +49,7 @@
     result.snapshot = [this] { return core.snapshot(moment()); };
     result.committed = [this](milliseconds took) {
         activity.committed(loop.now(), took);
-        hooks.committed(took);
+        metrics.committed(took);
     };
     return result;
 }
@@ -108,7 +109,9 @@
         return;
     core.decide(moment());
     flush();
-    activity.decided(decisionDueAt, decidedAt, loop.now());
+    const auto endedAt = loop.now();
+    activity.decided(decisionDueAt, decidedAt, endedAt);
+    metrics.decided(endedAt - decidedAt);
     loop.cancel(decisionTimer);
     if (const auto next = core.nextDecision(moment())) {
         const auto delay = std::max(milliseconds(1), std::chrono::ceil<milliseconds>(*next - loop.now()));
@@ -124,6 +127,10 @@
     auto output = core.takeOutput();
     for (const auto& it : output.log)
         log(it);
+    for (const auto& it : output.finished)
+        metrics.finished(it.queue, nameOf(it.state), it.outcome());
+    for (const auto& it : output.firstStarts)
+        metrics.started(it);
     if (output.records.empty() && output.orders.empty())
         return;
     activity.recorded(output.records);
@@ -149,6 +156,7 @@
     if (!isServing)
         log({ "recovering", pool, { { "fence", std::to_string(fence) }, { "ownedForMs", std::to_string(ownedFor().count()) } } });
     const auto pressure = core.pressure(moment());
+    metrics.setLoad({ pressure.activeJobs, pressure.candidates, pressure.load.waitingMilliCores, pressure.load.lateMilliCores, pressure.freeMilliCores });
     if (pressure.runs > 0 || pressure.waitingTasks > 0 || journal.stalledFor() > stallLimit)
         log(activity.describe(pool, pressure, journal.stalledFor(), loop.now()));
     activity.reset();
@@ -195,6 +203,7 @@
 PoolOwner::~PoolOwner()
 {
     m_state->isOver = true;
+    m_state->metrics.setLoad({});
     m_state->sessions.clear();
     m_state->loop.cancel(m_state->decisionTimer);
     m_state->loop.cancel(m_state->reportTimer);
--- a/Source/Core/Jobs/Runtime/PoolOwner.h
+++ b/Source/Core/Jobs/Runtime/PoolOwner.h
@@ -4,6 +4,7 @@
 
 #include "Common/TaskLoop.h"
 #include "Jobs/Decision/PoolCore.h"
+#include "Jobs/Runtime/JobMetrics.h"
 #include "Jobs/Runtime/WorkerSession.h"
 #include "Ports/JobPort.h"
 #include "Ports/MachinePort.h"
@@ -23,6 +24,7 @@
     Ports::PlatformPort& platform;
     Ports::WorkerPort& workers;
     Ports::MachinePort& machines;
+    JobMetrics& metrics;
     PoolLimits poolLimits;
     SessionLimits sessionLimits;
 };
@@ -42,7 +44,6 @@
         std::function<void()> deposed; ///< Another host has the pool; this owner is to be destroyed, later.
         std::function<bool()> mayExtend; ///< See WorkerSession.
         std::function<bool()> mayOrder;
-        std::function<void(milliseconds)> committed;
     };
 
     PoolOwner(const OwnerContext&, std::string pool, Fence, Hooks);
--- a/Source/Core/Jobs/Runtime/PoolOwnerState.h
+++ b/Source/Core/Jobs/Runtime/PoolOwnerState.h
@@ -55,6 +55,7 @@
     OwnerContext context;
     Common::TaskLoop& loop;
     std::string pool;
+    PoolMetrics& metrics;
     Fence fence;
     Hooks hooks;
     Common::Instant ownedSince;
--- a/Source/UnitTests/Jobs/JobEventsTest.cpp
+++ b/Source/UnitTests/Jobs/JobEventsTest.cpp
@@ -230,3 +230,29 @@
     CHECK_FALSE(line.fields.contains("short")); // The log leaves out empty fields.
     CHECK(log.all("fleet-load").size() <= 4);
 }
+
+TEST_CASE("a starved pool shows in its metrics: what waits, how long until the first start, and how jobs ended")
+{
+    JobFleet fleet(1, 1);
+    fleet.setRunTime(2s);
+    fleet.settle();
+    submitJobs(fleet, 3, oneStep(8, 500ms));
+    const auto shows = [&fleet](const std::string& line) { return fleet.hosts.at("host-0")->node->metrics().find(line + '\n') != std::string::npos; };
+    fleet.runFor(1500ms);
+    CHECK(shows("marigoldstile_pool_active_jobs{pool=\"desk\"} 3"));
+    CHECK(shows("marigoldstile_pool_candidates{pool=\"desk\"} 1"));
+    CHECK(shows("marigoldstile_pool_waiting_cores{pool=\"desk\"} 20"));
+    CHECK(shows("marigoldstile_pool_free_cores{pool=\"desk\"} 0"));
+    fleet.runFor(3s);
+    CHECK(shows("marigoldstile_pool_late_cores{pool=\"desk\"} 12"));
+    CHECK(fleet.call("host-0", JobVerb::Cancel, jobId(2))->outcome == JobOutcome::Cancelled);
+    fleet.runFor(10s);
+    CHECK(shows("marigoldstile_jobs_finished_total{outcome=\"late\",pool=\"desk\",queue=\"bookings\",state=\"completed\"} 1"));
+    CHECK(shows("marigoldstile_jobs_finished_total{outcome=\"overdue\",pool=\"desk\",queue=\"bookings\",state=\"completed\"} 1"));
+    CHECK(shows("marigoldstile_jobs_finished_total{outcome=\"cancelled\",pool=\"desk\",queue=\"bookings\",state=\"cancelled\"} 1"));
+    CHECK(shows("marigoldstile_job_first_start_wait_seconds_count{pool=\"desk\"} 2"));
+    CHECK(shows("marigoldstile_job_first_start_wait_seconds_bucket{pool=\"desk\",le=\"0.1\"} 1"));
+    CHECK(shows("marigoldstile_pool_active_jobs{pool=\"desk\"} 0"));
+    CHECK(shows("marigoldstile_pool_waiting_cores{pool=\"desk\"} 0"));
+    CHECK(fleet.hosts.at("host-0")->node->metrics().find("marigoldstile_pool_decision_duration_seconds_count{pool=\"desk\"}") != std::string::npos);
+}
