--- a/Source/Core/Jobs/Decision/JobAccount.cpp
+++ b/Source/Core/Jobs/Decision/JobAccount.cpp
@@ -6,6 +6,8 @@
 
 const char* JobAccount::outcome() const
 {
+    if (state == JobState::Cancelled)
+        return "cancelled";
     if (took <= objective)
         return "in-time";
     return took <= objective * usefulObjectives ? "late" : "overdue";
--- a/Source/Core/Jobs/Runtime/JobNode.cpp
+++ b/Source/Core/Jobs/Runtime/JobNode.cpp
@@ -112,8 +112,7 @@
     };
     hooks.mayExtend = [this] { return ownership.isLeaseSure() || loop.now() - ownership.lastContact() < storeAbsenceLimit; };
     hooks.mayOrder = [this] { return ownership.isLeaseSure(); };
-    hooks.committed = [this, duty](milliseconds took) { metrics->countCommit(duty, took); };
-    OwnerContext context { loop, ports.platform, ports.workers, ports.machines, settings.pool, settings.session };
+    OwnerContext context { loop, ports.platform, ports.workers, ports.machines, *metrics, settings.pool, settings.session };
     if (predecessor != Predecessor::Lapsed)
         context.sessionLimits.takeoverLapse = settings.session.leaseTime * 21 / 20; // Workers' clocks are up to 2% slow.
     auto owner = std::make_unique<PoolOwner>(context, duty, fence, std::move(hooks));
@@ -282,8 +281,11 @@
         return;
     }
     std::vector<std::string> duties;
-    for (const auto& [pool, owner] : owners)
+    for (const auto& [pool, owner] : owners) {
+        if (!owner->isIdle())
+            writeEvent("node", { "handed-over-unstored", pool, { { "limitMs", std::to_string(handOverLimit.count()) } } });
         duties.push_back(pool);
+    }
     if (fleet)
         duties.push_back(fleetDuty);
     for (const auto& duty : duties) {
@@ -307,6 +309,7 @@
 void JobNode::abandon()
 {
     m_state->isAbandoned = true;
+    m_state->logUnanswered();
     m_state->peerCalls.abandon();
 }
 
--- a/Source/UnitTests/Jobs/JobEventsTest.cpp
+++ b/Source/UnitTests/Jobs/JobEventsTest.cpp
@@ -154,3 +154,105 @@
     CHECK(line.number("longestDelayMs") >= 0);
     CHECK(line.number("commitMs") >= 0);
 }
+
+TEST_CASE("a short pool whose machines are held back by the silence between two holders of the fleet's duty shows so")
+{
+    const EventLog log;
+    JobFleet fleet(2, 1);
+    fleet.configuration.pools.push_back({ "off", true, true });
+    for (const std::string name : { "s0", "s1" })
+        fleet.machines[name] = { name, "off", Jobs::Machine::State::Up, "", "dc", {}, { 4000, 64000, 0 } };
+    fleet.setRunTime(10s);
+    fleet.settle();
+    const auto first = fleet.ownerOf("~fleet");
+    fleet.killHost(first);
+    fleet.runFor(2500ms);
+    const auto second = first == "host-0" ? "host-1" : "host-0";
+    CHECK(fleet.call(second, JobVerb::Submit, jobId(1), oneStep(16, 10s))->outcome == JobOutcome::Accepted);
+    fleet.runFor(2s);
+    const auto silent = log.last("fleet-load");
+    CHECK(silent.component == "fleet");
+    CHECK(silent.id == second);
+    CHECK(silent.at("short") == "desk:12000/0");
+    CHECK(silent.number("shortPools") == 1);
+    CHECK(silent.number("unheardPools") == 0);
+    CHECK(silent.number("machines") == 3);
+    CHECK(silent.number("off") == 2);
+    CHECK(silent.number("idle") == 0);
+    CHECK(silent.number("away") == 0);
+    CHECK(silent.number("plannedMoves") == 0);
+    CHECK(silent.at("moves") == "allowed");
+    CHECK(silent.at("lease") == "sure");
+    CHECK(silent.number("silenceLeftMs") > 0);
+    CHECK(silent.number("listAgeMs") < 3000);
+    CHECK(log.all("move-ordered").empty());
+    fleet.runFor(4s);
+    CHECK(log.last("fleet-load").number("silenceLeftMs") == 0);
+    CHECK_FALSE(log.all("move-ordered").empty());
+    CHECK(log.all("fleet-load").size() <= 8);
+}
+
+TEST_CASE("a pool that no host owns shows as unheard at the holder of the fleet's duty")
+{
+    const EventLog log;
+    JobFleet fleet(2, 1);
+    auto queue = fleet.configuration.queues.front();
+    queue.name = "camps";
+    queue.prefix = "/camps/";
+    queue.pool = "camp";
+    fleet.configuration.queues.push_back(queue);
+    fleet.configuration.pools.push_back({ "camp", false, true });
+    fleet.settle();
+    const auto holder = fleet.ownerOf("~fleet");
+    for (const std::string duty : { "desk", "camp" }) {
+        const auto owner = fleet.ownerOf(duty);
+        if (owner != holder) {
+            fleet.killHost(owner);
+            fleet.runFor(1500ms);
+            CHECK(log.last("fleet-load").at("unheard").find(duty) != std::string::npos);
+            CHECK(log.last("fleet-load").number("unheardPools") >= 1);
+            return;
+        }
+    }
+    FAIL("the holder of the fleet's duty owns both pools");
+}
+
+TEST_CASE("a wave that is due shows how far it is, once a second")
+{
+    const EventLog log;
+    JobFleet fleet(2, 4);
+    fleet.settle();
+    fleet.publishWave({ 7, { "m0", "m1", "m2", "m3" }, 30s, 1 });
+    fleet.runFor(3s);
+    const auto line = log.last("fleet-load");
+    CHECK(line.at("waves").starts_with("7:"));
+    CHECK(line.at("waves").find("/4/") != std::string::npos);
+    CHECK_FALSE(line.fields.contains("short")); // The log leaves out empty fields.
+    CHECK(log.all("fleet-load").size() <= 4);
+}
+
+TEST_CASE("a starved pool shows in its metrics: what waits, how long until the first start, and how jobs ended")
+{
+    JobFleet fleet(1, 1);
+    fleet.setRunTime(2s);
+    fleet.settle();
+    submitJobs(fleet, 3, oneStep(8, 500ms));
+    const auto shows = [&fleet](const std::string& line) { return fleet.hosts.at("host-0")->node->metrics().find(line + '\n') != std::string::npos; };
+    fleet.runFor(1500ms);
+    CHECK(shows("marigoldstile_pool_active_jobs{pool=\"desk\"} 3"));
+    CHECK(shows("marigoldstile_pool_candidates{pool=\"desk\"} 1"));
+    CHECK(shows("marigoldstile_pool_waiting_cores{pool=\"desk\"} 20"));
+    CHECK(shows("marigoldstile_pool_free_cores{pool=\"desk\"} 0"));
+    fleet.runFor(3s);
+    CHECK(shows("marigoldstile_pool_late_cores{pool=\"desk\"} 12"));
+    CHECK(fleet.call("host-0", JobVerb::Cancel, jobId(2))->outcome == JobOutcome::Cancelled);
+    fleet.runFor(10s);
+    CHECK(shows("marigoldstile_jobs_finished_total{outcome=\"late\",pool=\"desk\",queue=\"bookings\",state=\"completed\"} 1"));
+    CHECK(shows("marigoldstile_jobs_finished_total{outcome=\"overdue\",pool=\"desk\",queue=\"bookings\",state=\"completed\"} 1"));
+    CHECK(shows("marigoldstile_jobs_finished_total{outcome=\"cancelled\",pool=\"desk\",queue=\"bookings\",state=\"cancelled\"} 1"));
+    CHECK(shows("marigoldstile_job_first_start_wait_seconds_count{pool=\"desk\"} 2"));
+    CHECK(shows("marigoldstile_job_first_start_wait_seconds_bucket{pool=\"desk\",le=\"0.1\"} 1"));
+    CHECK(shows("marigoldstile_pool_active_jobs{pool=\"desk\"} 0"));
+    CHECK(shows("marigoldstile_pool_waiting_cores{pool=\"desk\"} 0"));
+    CHECK(fleet.hosts.at("host-0")->node->metrics().find("marigoldstile_pool_decision_duration_seconds_count{pool=\"desk\"}") != std::string::npos);
+}
