Register a host again whose member key the store took away

Callers see: calls through such a host end as unknown after 1.5 s, and once no other host is left nobody takes the pool. Cause: a host registers only after a new lease. If its keys go while the lease stands, as a store may do that takes a host's keys away, renewals still succeed: the host isn't a member any more, so that it claims no duty and owners don't connect to it. Change: a host that sees its own member key removed puts it again; a lapsed lease shows at that put, as it does at a renewal. Renewals begin with the lease, so that a refused put doesn't hold them up. Evidence: OwnershipTest, "a host whose keys the store took away, but not their lease, takes duties again", failed before (no holder after 3 s, submission refused). Class of fault: state in the store is taken to stand because its lease does.

--- a/Source/Core/Jobs/Runtime/Ownership.cpp
+++ b/Source/Core/Jobs/Runtime/Ownership.cpp
@@ -66,6 +66,7 @@
 
     void later(std::chrono::milliseconds delay, void (State::*step)())
     {
+        loop.cancel(leaseTimer);
         leaseTimer = loop.after(delay, [self = shared_from_this(), step] {
             if (!self->isOver)
                 (self.get()->*step)();
@@ -84,6 +85,7 @@
             }
             self->lease = reply.lease;
             self->renewed(sentAt);
+            self->later(self->settings.renewInterval, &State::renew);
             self->enroll();
         });
     }
@@ -92,23 +94,30 @@
     {
         Ports::Transaction transaction;
         transaction.puts = { { StoreKeys::members + settings.self.host, memberText(settings.self), lease } };
-        platform.transact(std::move(transaction), [self = shared_from_this()](const Ports::PlatformReply& reply) {
-            if (self->isOver)
+        platform.transact(std::move(transaction), [self = shared_from_this(), given = lease](const Ports::PlatformReply& reply) {
+            if (self->isOver || self->lease != given)
                 return;
             if (reply.status == PlatformStatus::Ok) {
                 self->isRegistered = true;
-                writeEvent("ownership", { "registered", self->settings.self.host, { { "lease", std::to_string(self->lease) } } });
-                self->later(self->settings.renewInterval, &State::renew);
+                writeEvent("ownership", { "registered", self->settings.self.host, { { "lease", std::to_string(given) } } });
                 self->reclaim();
                 self->considerSoon();
             } else if (reply.status == PlatformStatus::ComparesFailed) {
                 self->leaseLapsed();
             } else {
-                self->later(retryDelay, &State::enroll);
+                self->enrollLater();
             }
         });
     }
 
+    void enrollLater()
+    {
+        loop.after(retryDelay, [self = shared_from_this(), given = lease] {
+            if (!self->isOver && self->lease == given)
+                self->enroll();
+        });
+    }
+
     /// Best effort: others also see that this host doesn't claim.
     void tellLeaving()
     {
@@ -120,8 +129,8 @@
     void renew()
     {
         const auto sentAt = loop.now();
-        platform.renewLease(lease, [self = shared_from_this(), sentAt](const Ports::PlatformReply& reply) {
-            if (self->isOver)
+        platform.renewLease(lease, [self = shared_from_this(), sentAt, given = lease](const Ports::PlatformReply& reply) {
+            if (self->isOver || self->lease != given)
                 return;
             if (reply.status == PlatformStatus::Ok && reply.timeToLive.count() == 0) {
                 self->leaseLapsed();
@@ -201,7 +210,11 @@
     {
         const std::string_view key = text;
         if (key.starts_with(StoreKeys::members)) {
-            members.erase(std::string(key.substr(std::string_view(StoreKeys::members).size())));
+            const std::string host(key.substr(std::string_view(StoreKeys::members).size()));
+            members.erase(host);
+            // The store may take keys away and leave their lease; the next renewal wouldn't tell.
+            if (host == settings.self.host && std::exchange(isRegistered, false))
+                enroll();
         } else if (key.starts_with(StoreKeys::owners)) {
             const std::string duty(key.substr(std::string_view(StoreKeys::owners).size()));
             owners.erase(duty);
--- /dev/null
+++ b/Source/UnitTests/Jobs/OwnershipTest.cpp
@@ -0,0 +1,43 @@
+/// Duties that nobody serves while a key in the store says otherwise, or that nobody claims.
+
+#include "Jobs/Runtime/Ownership.h"
+#include "JobFleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace Jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Host that the store names as the duty's holder; empty for none.
+std::string storedHolder(JobFleet& fleet, const std::string& duty)
+{
+    const auto reply = fleet.store.state.read(Ownership::keyOf(duty), false, fleet.loop.now());
+    if (reply.values.empty())
+        return {};
+    return reply.values.front().value.substr(0, reply.values.front().value.find(' '));
+}
+
+void takeKeyAway(JobFleet& fleet, const std::string& key)
+{
+    Ports::Transaction transaction;
+    transaction.deletes = { key };
+    fleet.store.state.transact(transaction, fleet.loop.now());
+}
+
+} // namespace
+
+TEST_CASE("a host whose keys the store took away, but not their lease, takes duties again")
+{
+    JobFleet fleet(1, 2);
+    fleet.settle();
+    REQUIRE(storedHolder(fleet, "desk") == "host-0");
+    takeKeyAway(fleet, "/marigold/control/members/host-0");
+    takeKeyAway(fleet, Ownership::keyOf("desk"));
+    fleet.runFor(3s);
+    CHECK(storedHolder(fleet, "desk") == "host-0");
+    const auto answer = fleet.call("host-0", Ports::JobVerb::Submit, jobId(1), oneStep(2));
+    REQUIRE(answer);
+    CHECK(answer->outcome == Ports::JobOutcome::Accepted);
+}
