Give a duty back surely, also one that is gained while the host stops

Callers see: a host that stops keeps its lease for up to 5 s more; for as long, and 2 s after it, the pool has no working owner. Cause: the transaction that ends a term was sent once, and its answer ignored: one that the busy store refused left the key under the lease of a host that had dropped the pool. And a claim that was under way when the host began to stop was either served until the end without a hand-over, or, when only the watch told of it, not served at all. Change: the transaction is tried until it is known that the key is gone. A duty that a stopping host gains is given back at once; its term isn't marked as ended, as the holder before may go on. Evidence: OwnershipTest, two cases more; both failed before (the stopping host still held the key after 3 s). Class of fault: an order to the store is given up without an answer, and nothing is left that would notice.

--- a/Source/Core/Jobs/Runtime/Ownership.cpp
+++ b/Source/Core/Jobs/Runtime/Ownership.cpp
@@ -196,11 +196,11 @@
             lose(duty, lostFence, "taken");
         }
         const bool wasReleased = released.contains(duty) && fence <= released.at(duty);
-        if (wasReleased || isLeaving)
+        if (wasReleased)
             return;
         if (text == ownerText())
             gained(duty, fence); // A claim whose answer was lost.
-        else if (owners[duty].host == settings.self.host && duties.contains(duty) && isRegistered)
+        else if (!isLeaving && owners[duty].host == settings.self.host && duties.contains(duty) && isRegistered)
             claim(duty, fence); // Left by this host's earlier incarnation, which is surely gone.
     }
 
@@ -359,6 +359,10 @@
         if (own.contains(duty) || (known != owners.end() && known->second.fence > fence))
             return;
         owners[duty] = { settings.self.host, fence };
+        if (isLeaving) {
+            giveBack(duty, fence, false); // Claimed before.
+            return;
+        }
         own[duty] = fence;
         writeEvent("ownership", { "duty-acquired", duty, { { "fence", std::to_string(fence) } } });
         hooks.acquired(duty, fence, predecessors[duty]);
@@ -372,13 +376,30 @@
             return;
         const auto fence = it->second;
         own.erase(it);
+        giveBack(duty, fence, true);
+    }
+
+    /// The next holder may rely on the end of a term only where this host has served it: the holder before may go on.
+    void giveBack(const std::string& duty, Fence fence, bool hasServed)
+    {
         released[duty] = fence;
+        writeEvent("ownership", { "duty-released", duty, { { "fence", std::to_string(fence) } } });
         Ports::Transaction transaction;
         transaction.compares = { { keyOf(duty), static_cast<std::int64_t>(fence) } };
-        transaction.puts = { { StoreKeys::terms + duty, releasedText, 0 } };
         transaction.deletes = { keyOf(duty) };
-        writeEvent("ownership", { "duty-released", duty, { { "fence", std::to_string(fence) } } });
-        platform.transact(std::move(transaction), [](const Ports::PlatformReply&) {});
+        if (hasServed)
+            transaction.puts = { { StoreKeys::terms + duty, releasedText, 0 } };
+        transactSurely(transaction);
+    }
+
+    /// Tries until it is known to be done, or that it can't be any more.
+    void transactSurely(const Ports::Transaction& transaction)
+    {
+        platform.transact(transaction, [self = shared_from_this(), transaction](const Ports::PlatformReply& reply) {
+            if (self->isOver || reply.status == PlatformStatus::Ok || reply.status == PlatformStatus::ComparesFailed)
+                return;
+            self->loop.after(retryDelay, [self, transaction] { self->isOver ? void() : self->transactSurely(transaction); });
+        });
     }
 
     Common::TaskLoop& loop;
--- a/Source/UnitTests/Jobs/OwnershipTest.cpp
+++ b/Source/UnitTests/Jobs/OwnershipTest.cpp
@@ -41,3 +41,35 @@
     REQUIRE(answer);
     CHECK(answer->outcome == Ports::JobOutcome::Accepted);
 }
+
+TEST_CASE("a pool whose hand-over the store didn't take isn't left under the lease of the host that stops")
+{
+    JobFleet fleet(2, 2);
+    fleet.settle();
+    const auto owner = storedHolder(fleet, "desk");
+    REQUIRE_FALSE(owner.empty());
+    fleet.store.cutHosts = { owner };
+    fleet.hosts.at(owner)->node->leave([] {});
+    fleet.runFor(300ms);
+    fleet.store.cutHosts.clear();
+    fleet.runFor(3s);
+    CHECK_FALSE(storedHolder(fleet, "desk").empty());
+    CHECK(storedHolder(fleet, "desk") != owner);
+}
+
+TEST_CASE("a claim that is answered while its host stops doesn't leave the pool without a working owner")
+{
+    JobFleet fleet(2, 2);
+    fleet.settle();
+    const auto owner = storedHolder(fleet, "desk");
+    REQUIRE_FALSE(owner.empty());
+    fleet.killHost(owner);
+    const auto claimer = fleet.hosts.begin()->first;
+    for (auto time = 0ms; storedHolder(fleet, "desk") != claimer && time < 5s; time += 1ms)
+        fleet.runFor(1ms);
+    REQUIRE(fleet.ownerOf("desk").empty()); // The answer is on its way.
+    fleet.hosts.at(claimer)->node->leave([] {});
+    fleet.addHost("host-2");
+    fleet.runFor(3s);
+    CHECK(storedHolder(fleet, "desk") == "host-2");
+}
