--- a/Source/Core/Jobs/Runtime/Journal.cpp
+++ b/Source/Core/Jobs/Runtime/Journal.cpp
@@ -4,6 +4,7 @@
 #include "Jobs/Runtime/SnapshotWriter.h"
 #include "Jobs/Runtime/StoreKeys.h"
 
+#include <deque>
 #include <optional>
 #include <utility>
 
@@ -36,7 +37,7 @@
 
     void schedule()
     {
-        if (inFlight || isScheduled || waiting.records.empty())
+        if (inFlight || isScheduled || waiting.empty())
             return;
         isScheduled = true;
         const auto sinceLast = std::chrono::duration_cast<milliseconds>(loop.now() - lastCommit);
@@ -49,13 +50,15 @@
 
     void commit()
     {
-        if (isOver || inFlight || waiting.records.empty())
+        if (isOver || inFlight || waiting.empty())
             return;
-        inFlight = std::exchange(waiting, {});
+        inFlight = std::move(waiting.front());
+        waiting.pop_front();
         // The fence makes the segment's text this owner's own, which settles a commit without an answer.
         segment = std::to_string(settings.fence) + '\n' + inFlight->records;
         lastCommit = loop.now();
-        if (nextSegment - snapshotSegment >= settings.segmentsPerSnapshot && !snapshots.isBusy())
+        // A snapshot tells the state as of this segment: nothing that waits for a later one may be in it.
+        if (waiting.empty() && nextSegment - snapshotSegment >= settings.segmentsPerSnapshot && !snapshots.isBusy())
             snapshotRecords = hooks.snapshot();
         send();
     }
@@ -97,6 +100,16 @@
         });
     }
 
+    /// Opens another segment once the last one is full: the store would never take one that is too long.
+    void append(const std::vector<JobRecord>& records)
+    {
+        for (const auto& it : records) {
+            if (waiting.empty() || waiting.back().records.size() >= StoreKeys::valueBytes)
+                waiting.emplace_back();
+            appendRecord(waiting.back().records, it);
+        }
+    }
+
     void committed()
     {
         ++nextSegment;
@@ -128,7 +141,7 @@
     JournalSettings settings;
     Hooks hooks;
     SnapshotWriter snapshots { platform, settings.pool, settings.ownerKey, settings.fence };
-    Batch waiting;
+    std::deque<Batch> waiting;
     std::optional<Batch> inFlight;
     std::string segment; ///< Text of the segment in flight.
     std::vector<JobRecord> snapshotRecords; ///< State as of the segment in flight.
@@ -174,10 +187,9 @@
     auto& state = *m_state;
     if (state.isOver)
         return;
-    for (const auto& it : records)
-        appendRecord(state.waiting.records, it);
-    if (!state.waiting.records.empty())
-        state.waiting.effects.push_back(std::move(effect));
+    state.append(records);
+    if (!state.waiting.empty())
+        state.waiting.back().effects.push_back(std::move(effect));
     else if (state.inFlight)
         state.inFlight->effects.push_back(std::move(effect));
     else
@@ -192,6 +204,6 @@
     return std::chrono::duration_cast<milliseconds>(m_state->loop.now() - m_state->lastCommit);
 }
 
-bool Journal::isIdle() const { return !m_state->inFlight && m_state->waiting.records.empty(); }
+bool Journal::isIdle() const { return !m_state->inFlight && m_state->waiting.empty(); }
 
 } // namespace Jobs
--- a/Source/Core/Jobs/Runtime/SnapshotWriter.cpp
+++ b/Source/Core/Jobs/Runtime/SnapshotWriter.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-    constexpr std::size_t partBytes = std::size_t { 256 } << 10; ///< Well under the store's megabyte for a value, base64 included.
     constexpr std::size_t deletesPerCall = 30; ///< The store takes 32 entries a call; two are the compare and a reserve.
 
 } // namespace
@@ -92,10 +91,10 @@
         appendRecord(text, it);
     JournalHead head { firstSegment, 0 };
     std::vector<std::string> parts;
-    for (std::size_t n = 0; n < text.size() || parts.empty(); n += partBytes) {
+    for (std::size_t n = 0; n < text.size() || parts.empty(); n += StoreKeys::valueBytes) {
         auto transaction = state.fenced();
         const auto key = snapshotPrefix(state.pool, firstSegment) + StoreKeys::numberText(head.parts++);
-        transaction.puts = { { key, text.substr(n, partBytes), 0 } };
+        transaction.puts = { { key, text.substr(n, StoreKeys::valueBytes), 0 } };
         state.steps.push_back(std::move(transaction));
         parts.push_back(key);
     }
--- a/Source/Core/Jobs/Runtime/StoreKeys.h
+++ b/Source/Core/Jobs/Runtime/StoreKeys.h
@@ -2,6 +2,7 @@
 
 /// Keys of the job subsystem in the platform's store.
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -17,6 +18,9 @@
 constexpr const char* heads = "/marigold/heads/"; ///< <pool>: which snapshot and segments make up the journal.
 constexpr const char* waves = "/marigold/waves/"; ///< <number>: machines of a maintenance wave that have begun theirs.
 
+/// Length at which a value ends and the next one begins: well under the store's megabyte, base64 included.
+constexpr std::size_t valueBytes = std::size_t { 256 } << 10;
+
 /// Digits of a number in a key, so that keys sort by it.
 constexpr int numberDigits = 10;
 
--- a/Source/UnitTests/Jobs/JournalTest.cpp
+++ b/Source/UnitTests/Jobs/JournalTest.cpp
@@ -4,6 +4,7 @@
 #include "FakeStore.h"
 #include "JobFleet.h"
 
+#include <algorithm>
 #include <array>
 #include <doctest/doctest.h>
 #include <memory>
@@ -119,3 +120,25 @@
     const auto left = bed.store.state.read("/marigold/jobs/desk/", true, bed.loop.now()).values.size();
     CHECK(left <= 10);
 }
+
+TEST_CASE("more records at once than the store takes in one value are stored, in their order and before their effects")
+{
+    Bed bed;
+    const auto journal = bed.open();
+    constexpr std::size_t storeLimit = std::size_t { 1 } << 20; // Of a value, base64 included.
+    const std::string payload(4000, 'x');
+    std::vector<unsigned> effects;
+    for (unsigned n = 0; n < 300; ++n) {
+        JobAccepted accepted;
+        accepted.job = jobId(n);
+        accepted.spec.payload = payload;
+        journal->append({ accepted }, [&effects, n] { effects.push_back(n); });
+    }
+    bed.loop.runFor(2s);
+    CHECK(std::ranges::is_sorted(effects));
+    CHECK(effects.size() == 300);
+    for (const auto& it : bed.store.state.read("/marigold/jobs/desk/", true, bed.loop.now()).values)
+        CHECK(it.value.size() * 4 / 3 < storeLimit);
+    const auto again = bed.open();
+    CHECK(bed.records == 300);
+}
