Send orders to a worker until it is given up

Cause: a start or stop was tried 40 times and then dropped without a word. Its run stayed in the state in which no look finds it vanished, so that its task counted as placed while no worker had it. Change: no limit on tries; an answer or the worker's lapse settles an order, nothing else does. Evidence: JobFleetTest, "a start that a worker which answers looks leaves unanswered for a minute isn't given up for good", failed before (job still running after 90 s, no start).

--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -18,7 +18,6 @@
     constexpr milliseconds firstRetry { 60 }; ///< A lost answer costs little; the worker answers in a few milliseconds.
     constexpr milliseconds longestRetry { 1000 }; ///< Each try of a look and each new connection is paid for.
     constexpr milliseconds storeWait { 300 }; ///< For ends to be stored before a look that takes none is sent.
-    constexpr unsigned orderTries = 40; ///< Of a start or stop; the worker is given up long before.
 
 } // namespace
 
@@ -223,11 +222,9 @@
         });
     }
 
-    /// Tries again, unless the worker is given up meanwhile.
+    /// Tries again until the worker is given up: nothing but an answer or that frees what the order's run occupies.
     void retry(const Attempt& attempt, std::function<void(State&, const Attempt&)> again)
     {
-        if (attempt.tries >= orderTries)
-            return;
         const auto delay = std::min(longestRetry, firstRetry * (1 << std::min(attempt.tries, 4U)));
         loop.after(delay, [self = shared_from_this(), attempt, again = std::move(again)] {
             if (!self->isSettled(attempt))
--- a/Source/UnitTests/Jobs/FakeWorkers.cpp
+++ b/Source/UnitTests/Jobs/FakeWorkers.cpp
@@ -41,6 +41,11 @@
 
 void FakeWorkerPort::start(const Ports::StartOrder& order, Ports::WorkerCallback callback)
 {
+    if (startsToLose > 0) {
+        --startsToLose;
+        m_loop.after(callTimeout, [alive = m_isAlive, callback] { *alive ? callback({}) : void(); });
+        return;
+    }
     const bool isDelayed = startsToDelay > 0;
     const bool isLost = !isDelayed && startAnswersToLose > 0;
     startsToDelay -= isDelayed ? 1 : 0;
--- a/Source/UnitTests/Jobs/FakeWorkers.h
+++ b/Source/UnitTests/Jobs/FakeWorkers.h
@@ -34,6 +34,8 @@
     std::string delayedWorker; ///< That the latest of these was for.
     /// Starts for a worker that is cut off wait in the network and reach it when the cut ends.
     bool holdsUpStarts = false;
+    /// The next starts are lost on their way.
+    unsigned startsToLose = 0;
     /// The next starts are carried out, but their answers are lost.
     unsigned startAnswersToLose = 0;
 
--- a/Source/UnitTests/Jobs/JobFleetTest.cpp
+++ b/Source/UnitTests/Jobs/JobFleetTest.cpp
@@ -231,6 +231,18 @@
     CHECK(fleet.stateOf("host-0", jobId(1)) == Jobs::JobState::Completed);
 }
 
+TEST_CASE("a start that a worker which answers looks leaves unanswered for a minute isn't given up for good")
+{
+    JobFleet fleet(2, 2);
+    fleet.settle();
+    for (const auto& [name, host] : fleet.hosts)
+        host->workers->startsToLose = 45;
+    submit(fleet, "host-0", 1, oneStep(1));
+    fleet.runFor(90s);
+    CHECK(fleet.stateOf("host-0", jobId(1)) == Jobs::JobState::Completed);
+    CHECK(fleet.witness.starts == 1);
+}
+
 TEST_CASE("commits whose answers are lost, and take effect late, are settled: accepted once, nothing lost")
 {
     JobFleet fleet(2, 3);
