Keep pools with strong hosts when all leases have lapsed

Cause: when the leases of all hosts lapse, the hosts register again one after the other, as their renewals fail. Open duties went to the best of the members known at that moment, so to the one or two hosts that were back first, mostly those with an eighth of a core, several duties each; and a duty stays where it is until its holder's lease ends. Change: the last holder of a duty takes it again at once when it is back. Other hosts whose lease has lapsed wait 1.4 s for it, the longest time between two tries of a renewal. A host that has carried, at two checks a second apart, more than twice what another member would with one more duty, hands a pool over in order: calls are refused, commits end, the key is deleted. The fleet's duty isn't handed over, as its orders pause between two holders. Class of fault: a choice among those who happen to be known already, which nothing corrects later.

--- a/Source/Core/Jobs/Runtime/JobNode.cpp
+++ b/Source/Core/Jobs/Runtime/JobNode.cpp
@@ -37,6 +37,7 @@
     hooks.acquired = [this](const std::string& duty, Fence fence, Predecessor predecessor) { acquired(duty, fence, predecessor); };
     hooks.lost = [this](const std::string& duty) { lost(duty); };
     hooks.changed = [this] { membersChanged(); };
+    hooks.overloaded = [this] { shedPool(); };
     return hooks;
 }
 
@@ -156,6 +157,35 @@
     metrics->setOwnedPools(owners.size());
 }
 
+/// Pools only: the fleet's duty pauses its orders between two holders.
+void JobNode::State::shedPool()
+{
+    const auto it = std::ranges::find_if(owners, [](const auto& entry) { return entry.second->isServing(); });
+    if (isShedding || isLeaving || it == owners.end())
+        return;
+    isShedding = true;
+    writeEvent("node", { "pool-shed", it->first, { { "pools", std::to_string(owners.size()) } } });
+    it->second->stopServing();
+    handOverPool(it->first, loop.now() + handOverLimit);
+}
+
+void JobNode::State::handOverPool(const std::string& pool, Common::Instant limit)
+{
+    const auto it = owners.find(pool);
+    if (it != owners.end() && !it->second->isIdle() && loop.now() < limit) {
+        loop.after(handOverStep, [self = weak_from_this(), pool, limit] {
+            if (const auto state = self.lock())
+                state->handOverPool(pool, limit);
+        });
+        return;
+    }
+    isShedding = false;
+    if (it == owners.end() || it->second->isServing())
+        return; // Lost meanwhile, and perhaps gained again.
+    drop(pool);
+    ownership.release(pool);
+}
+
 void JobNode::State::followWorkers()
 {
     PrefixFeed::Hooks hooks;
--- a/Source/Core/Jobs/Runtime/JobNodeState.h
+++ b/Source/Core/Jobs/Runtime/JobNodeState.h
@@ -43,6 +43,8 @@
     void beginFleet(Fence, Predecessor);
     void lost(const std::string& duty);
     void drop(const std::string& duty);
+    void shedPool();
+    void handOverPool(const std::string& pool, Common::Instant limit);
     void membersChanged();
 
     // Peers.
@@ -70,6 +72,7 @@
     std::unique_ptr<FleetDuty> fleet;
     std::map<std::string, KnownPeer> knownPeers;
     std::vector<Ports::PeerAddress> dialledPeers;
+    bool isShedding = false; ///< A pool is being handed over.
     bool isAbandoned = false;
     std::atomic<bool> isConfigured { false };
     std::atomic<bool> isLeaving { false };
--- a/Source/Core/Jobs/Runtime/Ownership.cpp
+++ b/Source/Core/Jobs/Runtime/Ownership.cpp
@@ -1,11 +1,11 @@
 #include "Jobs/Runtime/Ownership.h"
 
-#include "Common/Rendezvous.h"
+#include "Jobs/Runtime/DutyRanking.h"
 #include "Jobs/Runtime/Events.h"
+#include "Jobs/Runtime/MemberText.h"
 #include "Jobs/Runtime/StoreKeys.h"
 
 #include <algorithm>
-#include <sstream>
 #include <string_view>
 #include <utility>
 
@@ -15,32 +15,13 @@
 
     using Ports::PlatformStatus;
 
-    constexpr unsigned loadScale = 1000000; ///< Of a duty on a thousandth of a core, to compare whole numbers.
     constexpr std::chrono::milliseconds reconsiderInterval { 500 }; ///< While a duty is without a holder.
+    constexpr std::chrono::milliseconds loadCheckInterval { 1000 }; ///< A returning host counts once it has been a member at two checks.
     constexpr std::chrono::milliseconds retryDelay { 400 }; ///< While the store doesn't answer or refuses.
 
-    /// At the end of a member's text that is about to go.
-    constexpr const char* leavingText = " leaving";
-
-    std::string memberText(const MemberInfo& member)
-    {
-        return member.address + ' ' + member.dataCentre + ' ' + std::to_string(member.strength) + (member.isLeaving ? leavingText : "");
-    }
-
     /// The holder's text in a term that was given up.
     constexpr const char* releasedText = "released";
 
-    MemberInfo readMember(const std::string& host, const std::string& text)
-    {
-        MemberInfo member;
-        member.host = host;
-        std::istringstream stream(text);
-        stream >> member.address >> member.dataCentre >> member.strength;
-        member.strength = std::max(1U, member.strength);
-        member.isLeaving = text.ends_with(leavingText);
-        return member;
-    }
-
 } // namespace
 
 struct Ownership::State : std::enable_shared_from_this<Ownership::State> {
@@ -54,7 +35,7 @@
 
     void start()
     {
-        startedAt = loop.now();
+        settledAt = loop.now() + settings.settleTime;
         PrefixFeed::Hooks feedHooks;
         feedHooks.changed = [this](const Ports::KeyValue& pair) { keyChanged(pair); };
         feedHooks.removed = [this](const std::string& key) { keyRemoved(key); };
@@ -62,6 +43,7 @@
         feed = std::make_unique<PrefixFeed>(loop, platform, StoreKeys::control, std::move(feedHooks));
         feed->start();
         grant();
+        checkLoadLater();
     }
 
     void later(std::chrono::milliseconds delay, void (State::*step)())
@@ -154,6 +136,8 @@
         lease = 0;
         isRegistered = false;
         leaseSureUntil = {};
+        // Other hosts' leases may have lapsed with it, and these come back one after the other.
+        settledAt = loop.now() + settings.lapseSettleTime;
         loseAll("lease-lapsed");
         grant();
     }
@@ -229,18 +213,18 @@
         hooks.changed();
     }
 
-    /// Members in the order in which they should take a duty: those with the fewest duties for their processor share first.
-    std::vector<std::string> candidates(const std::string& duty, const std::map<std::string, unsigned>& dutyCounts) const
+    std::string lastHolder(const std::string& duty) const
     {
-        std::vector<std::string> names;
-        for (const auto& [host, info] : members) {
-            if (!info.isLeaving)
-                names.push_back(host);
-        }
-        auto ranked = Common::rendezvousTop(duty, names, names.size());
-        const auto loadWith = [&](const std::string& host) { return (dutyCounts.at(host) + 1) * loadScale / members.at(host).strength; };
-        std::ranges::stable_sort(ranked, [&loadWith](const auto& left, const auto& right) { return loadWith(left) < loadWith(right); });
-        return ranked;
+        const auto term = terms.find(duty);
+        return term == terms.end() ? std::string() : term->second.substr(0, term->second.find(' '));
+    }
+
+    DutyCounts dutyCounts() const
+    {
+        DutyCounts counts;
+        for (const auto& [duty, owner] : owners)
+            ++counts[owner.host];
+        return counts;
     }
 
     bool hasOpenDuty() const
@@ -252,9 +236,7 @@
     {
         if (isLeaving || considerTimer != 0 || !hasOpenDuty())
             return;
-        const auto settled = startedAt + settings.settleTime;
-        const auto delay = std::max(std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(settled - loop.now()));
-        considerTimer = loop.after(delay, [self = shared_from_this()] {
+        considerTimer = loop.after(std::chrono::milliseconds(1), [self = shared_from_this()] {
             self->considerTimer = 0;
             if (!self->isOver)
                 self->consider();
@@ -279,21 +261,48 @@
         considerAgain();
         if (isLeaving || !isRegistered || !feed->isSynced() || !members.contains(settings.self.host) || members.at(settings.self.host).isLeaving)
             return;
-        std::map<std::string, unsigned> dutyCounts;
-        for (const auto& [host, info] : members)
-            dutyCounts[host] = 0;
-        for (const auto& [duty, owner] : owners)
-            ++dutyCounts[owner.host];
+        auto counts = dutyCounts();
         for (const auto& duty : duties) {
             if (owners.contains(duty))
                 continue;
-            const auto ranked = candidates(duty, dutyCounts);
-            ++dutyCounts[ranked.front()];
+            const auto last = lastHolder(duty);
+            const auto ranked = rankCandidates(duty, members, counts, last);
+            ++counts[ranked.front()];
             const auto turn = std::ranges::find(ranked, settings.self.host) - ranked.begin();
-            claimAt(duty, settings.turnTime * turn);
+            if (last == settings.self.host || loop.now() >= settledAt)
+                claimAt(duty, settings.turnTime * turn);
+            else
+                considerOnceSettled();
         }
     }
 
+    void considerOnceSettled()
+    {
+        loop.cancel(settleTimer);
+        settleTimer = loop.after(std::chrono::ceil<std::chrono::milliseconds>(settledAt - loop.now()), [self = shared_from_this()] {
+            if (!self->isOver)
+                self->considerSoon();
+        });
+    }
+
+    void checkLoadLater()
+    {
+        loadTimer = loop.after(loadCheckInterval, [self = shared_from_this()] {
+            if (!self->isOver)
+                self->checkLoad();
+        });
+    }
+
+    /// After an outage duties may lie with the hosts that were back first, whatever their strength.
+    void checkLoad()
+    {
+        checkLoadLater();
+        const bool isSettled = isRegistered && !isLeaving && feed->isSynced() && !hasOpenDuty();
+        const bool wasOverloaded = std::exchange(isAtLimit, isSettled && isOverloaded(settings.self.host, members, dutyCounts()));
+        if (wasOverloaded && isAtLimit && hooks.overloaded)
+            hooks.overloaded();
+    }
+
     void claimAt(const std::string& duty, std::chrono::milliseconds delay)
     {
         if (!claims.insert(duty).second)
@@ -416,14 +425,17 @@
     std::set<std::string> duties;
     std::set<std::string> claims; ///< Duties that a claim is waiting or under way for.
     Ports::LeaseId lease = 0;
-    Common::Instant startedAt {};
+    Common::Instant settledAt {}; ///< From then on the members that are known are taken for all that there are.
     Common::Instant leaseSureUntil {};
     Common::Instant lastContact {};
     Common::TaskLoop::TimerId leaseTimer = 0;
     Common::TaskLoop::TimerId considerTimer = 0;
     Common::TaskLoop::TimerId reconsiderTimer = 0;
+    Common::TaskLoop::TimerId settleTimer = 0;
+    Common::TaskLoop::TimerId loadTimer = 0;
     bool isRegistered = false;
     bool isLeaving = false;
+    bool isAtLimit = false; ///< Another host would be better at the last check.
     bool isOver = false;
 };
 
@@ -438,6 +450,8 @@
     m_state->loop.cancel(m_state->leaseTimer);
     m_state->loop.cancel(m_state->considerTimer);
     m_state->loop.cancel(m_state->reconsiderTimer);
+    m_state->loop.cancel(m_state->settleTimer);
+    m_state->loop.cancel(m_state->loadTimer);
     m_state->feed.reset();
     m_state->hooks = {};
 }
--- a/Source/Core/Jobs/Runtime/Ownership.h
+++ b/Source/Core/Jobs/Runtime/Ownership.h
@@ -47,6 +47,7 @@
     std::chrono::seconds leaseTime { 2 }; ///< Workers' leases outlast a takeover with it.
     std::chrono::milliseconds renewInterval { 600 }; ///< Two renewals may be lost.
     std::chrono::milliseconds settleTime { 700 }; ///< After the start, for the other hosts to register.
+    std::chrono::milliseconds lapseSettleTime { 1400 }; ///< After a lapse: a renewal is given up after 0.9 s and tried again 0.4 s later.
     std::chrono::milliseconds turnTime { 150 }; ///< Between candidates, so that the first choice usually gets a duty.
 };
 
@@ -57,6 +58,7 @@
         std::function<void(const std::string& duty, Fence, Predecessor)> acquired;
         std::function<void(const std::string& duty)> lost;
         std::function<void()> changed; ///< Members or owners changed.
+        std::function<void()> overloaded; ///< Another host would carry one of the duties far better.
     };
 
     Ownership(Common::TaskLoop&, Ports::PlatformPort&, OwnershipSettings, Hooks);
--- a/Source/Core/Jobs/Runtime/PoolOwner.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwner.cpp
@@ -214,7 +214,7 @@
     {
         isDeciding = false;
         decidedAt = loop.now();
-        if (isOver)
+        if (isOver || !isServing)
             return;
         core.decide(moment());
         flush();
@@ -458,6 +458,13 @@
 
 void PoolOwner::handle(PoolRequest request, Ports::JobReply reply) { m_state->handle(std::move(request), std::move(reply)); }
 
+void PoolOwner::stopServing()
+{
+    m_state->isServing = false;
+    m_state->sessions.clear();
+    m_state->loop.cancel(m_state->decisionTimer);
+}
+
 bool PoolOwner::isServing() const { return m_state->isServing; }
 
 bool PoolOwner::isIdle() const { return m_state->journal.isIdle(); }
--- a/Source/Core/Jobs/Runtime/PoolOwner.h
+++ b/Source/Core/Jobs/Runtime/PoolOwner.h
@@ -59,7 +59,9 @@
     void cordon(const std::set<std::string>& machines);
     /// Exactly one answer follows, unless the owner is destroyed before.
     void handle(PoolRequest, Ports::JobReply);
-    /// True once the journal is read.
+    /// Takes no more calls and decides nothing more; what was decided is still stored.
+    void stopServing();
+    /// True once the journal is read, until it stops.
     bool isServing() const;
     /// True when nothing waits to be stored.
     bool isIdle() const;
--- a/Source/UnitTests/Jobs/JobFleet.cpp
+++ b/Source/UnitTests/Jobs/JobFleet.cpp
@@ -89,7 +89,7 @@
         addHost("host-" + std::to_string(n));
 }
 
-void JobFleet::addHost(const std::string& name)
+void JobFleet::addHost(const std::string& name, unsigned strength)
 {
     auto host = std::make_unique<Host>();
     host->name = name;
@@ -97,7 +97,7 @@
     host->workers = std::make_unique<FakeWorkerPort>(loop, workers);
     host->peers = std::make_unique<FakePeerPort>(*this, name);
     Jobs::JobNodeSettings settings;
-    settings.ownership.self = { name, name + ":1", "dc" };
+    settings.ownership.self = { name, name + ":1", "dc", strength };
     settings.ownership.incarnation = ++m_incarnations;
     const Jobs::JobNodePorts ports { loop, *host->store, *host->workers, machinePort, published, *host->peers };
     host->node = std::make_unique<Jobs::JobNode>(ports, settings);
--- a/Source/UnitTests/Jobs/JobFleet.h
+++ b/Source/UnitTests/Jobs/JobFleet.h
@@ -84,7 +84,7 @@
 
     explicit JobFleet(unsigned hosts, unsigned workers, unsigned coresEach = 4);
 
-    void addHost(const std::string& name);
+    void addHost(const std::string& name, unsigned strength = 1000);
     /// The process dies with all it knew.
     void killHost(const std::string& name);
     std::shared_ptr<FakeWorker> addWorker(const std::string& id, const std::string& machine, unsigned cores);
--- a/Source/UnitTests/Jobs/OwnershipTest.cpp
+++ b/Source/UnitTests/Jobs/OwnershipTest.cpp
@@ -73,3 +73,44 @@
     fleet.runFor(3s);
     CHECK(storedHolder(fleet, "desk") == "host-2");
 }
+
+TEST_CASE("after an outage of the store pools go back to the hosts that had them, not to the first that register")
+{
+    for (auto outage = 3000ms; outage < 4300ms; outage += 100ms) {
+        JobFleet fleet(0, 2);
+        for (unsigned n = 0; n < 8; ++n) {
+            fleet.addHost("host-" + std::to_string(n));
+            fleet.runFor(170ms); // Renewals are out of step, and so are the hosts' ways back.
+        }
+        fleet.settle();
+        const auto owner = storedHolder(fleet, "desk");
+        fleet.store.isDown = true;
+        fleet.runFor(outage);
+        fleet.store.state.expireLeases(fleet.loop.now());
+        fleet.runFor(100ms);
+        fleet.store.isDown = false;
+        fleet.runFor(4s);
+        CAPTURE(outage.count());
+        CHECK(storedHolder(fleet, "desk") == owner);
+    }
+}
+
+TEST_CASE("a pool that lies with a weak host goes to a strong one, and its jobs are completed")
+{
+    JobFleet fleet(0, 4);
+    fleet.addHost("weak", 120);
+    fleet.settle();
+    REQUIRE(storedHolder(fleet, "desk") == "weak");
+    for (unsigned n = 0; n < 10; ++n)
+        fleet.call("weak", Ports::JobVerb::Submit, jobId(n), oneStep(6));
+    fleet.addHost("strong", 1000);
+    fleet.runFor(1500ms);
+    for (unsigned n = 10; n < 20; ++n)
+        fleet.call("weak", Ports::JobVerb::Submit, jobId(n), oneStep(6));
+    fleet.runFor(3s);
+    CHECK(storedHolder(fleet, "desk") == "strong");
+    fleet.runFor(15s);
+    for (unsigned n = 0; n < 20; ++n)
+        CHECK(fleet.stateOf("weak", jobId(n)) == JobState::Completed);
+    CHECK(fleet.witness.twice == 0);
+}
