--- a/Source/Core/Adapters/Platform/KeepAliveClient.cpp
+++ b/Source/Core/Adapters/Platform/KeepAliveClient.cpp
@@ -2,6 +2,7 @@
 
 #include "Adapters/Platform/KeepAliveConnection.h"
 
+#include <algorithm>
 #include <deque>
 #include <set>
 #include <string_view>
@@ -65,8 +66,10 @@
         running.address = address;
         running.request = requestText(call, address, path);
         running.callback = std::move(callback);
-        if (call.timeout.count() > 0)
-            setDeadline(id, running, uv_now(m_loop.handle()) + static_cast<std::uint64_t>(call.timeout.count()));
+        const auto limit = static_cast<std::uint64_t>(std::max<std::int64_t>(0, call.timeout.count()));
+        running.silenceLimit = call.isTimeoutForSilence ? limit : 0;
+        if (limit > 0)
+            setDeadline(id, running, uv_now(m_loop.handle()) + limit);
         assign(id, running);
         return id;
     }
@@ -95,6 +98,7 @@
         KeepAliveConnection* connection = nullptr; ///< None while it waits, and once that has failed.
         bool hasSent = false; ///< On a connection that has failed.
         std::uint64_t deadline = 0; ///< On the loop's clock, in milliseconds; zero for none.
+        std::uint64_t silenceLimit = 0; ///< From each part of the answer to the next; zero for none.
     };
 
     struct Server {
@@ -139,6 +143,15 @@
         connection.send(std::exchange(m_calls.at(connection.call).request, {}));
     }
 
+    void progressed(KeepAliveConnection& connection) override
+    {
+        auto& running = m_calls.at(connection.call);
+        if (running.silenceLimit == 0)
+            return;
+        m_deadlines.erase({ running.deadline, connection.call });
+        setDeadline(connection.call, running, uv_now(m_loop.handle()) + running.silenceLimit);
+    }
+
     void answered(KeepAliveConnection& connection, bool isReusable) override
     {
         const auto id = std::exchange(connection.call, 0);
--- a/Source/Core/Adapters/Platform/KeepAliveConnection.cpp
+++ b/Source/Core/Adapters/Platform/KeepAliveConnection.cpp
@@ -179,6 +179,8 @@
     }
     if (n == 0 || HTTP_PARSER_ERRNO(&m_parser) != HPE_OK || m_parser.upgrade)
         fail();
+    else
+        m_owner.progressed(*this);
 }
 
 void KeepAliveConnection::fail()
--- a/Source/Core/Adapters/Platform/KeepAliveConnection.h
+++ b/Source/Core/Adapters/Platform/KeepAliveConnection.h
@@ -18,6 +18,8 @@
     class Owner {
     public:
         virtual void connected(KeepAliveConnection&) = 0;
+        /// A part of an answer came.
+        virtual void progressed(KeepAliveConnection&) = 0;
         /// A whole answer came; the connection may carry another call when `isReusable`.
         virtual void answered(KeepAliveConnection&, bool isReusable) = 0;
         /// It failed or the peer closed it; it's closed already.
--- a/Source/UnitTests/Adapters/KeepAliveClientTest.cpp
+++ b/Source/UnitTests/Adapters/KeepAliveClientTest.cpp
@@ -30,13 +30,14 @@
         m_loop->stop();
     }
 
-    std::future<HttpOutcome> post(const std::string& address, const std::string& body, std::chrono::milliseconds timeout = 0ms)
+    std::future<HttpOutcome> post(const std::string& address, const std::string& body, std::chrono::milliseconds timeout = 0ms, bool isTimeoutForSilence = false)
     {
         Adapters::HttpCall call;
         call.method = "POST";
         call.url = "http://" + address + "/run";
         call.body = body;
         call.timeout = timeout;
+        call.isTimeoutForSilence = isTimeoutForSilence;
         const auto promise = std::make_shared<std::promise<HttpOutcome>>();
         m_loop->post([this, promise, call] {
             m_last = m_client->start(call, [promise](HttpOutcome outcome) { promise->set_value(std::move(outcome)); });
@@ -202,6 +203,25 @@
     CHECK(first.get().end == HttpEnd::Broken);
 }
 
+TEST_CASE("an answer that takes longer than its time limit on a slow link is taken as long as parts of it come")
+{
+    constexpr auto limit = 1000ms;
+    for (const bool isForSilence : { true, false }) {
+        SilentListener server;
+        SilentListener clock;
+        Rig rig;
+        auto outcome = rig.post(server.address(), "x", limit, isForSilence);
+        auto socket = server.accept();
+        REQUIRE(socket.readsBytes());
+        const auto text = answer("whole");
+        for (std::size_t n = 0; n < text.size(); n += text.size() / 4) {
+            rig.post(clock.address(), "y", limit * 2 / 5).get(); // A part of the limit passes.
+            socket.send(text.substr(n, text.size() / 4));
+        }
+        CHECK(outcome.get().end == (isForSilence ? HttpEnd::Answered : HttpEnd::Broken));
+    }
+}
+
 TEST_CASE("nothing of a call that was given up reaches the server later")
 {
     SilentListener server;
