--- a/Source/Core/Jobs/Runtime/Ownership.cpp
+++ b/Source/Core/Jobs/Runtime/Ownership.cpp
@@ -1,11 +1,11 @@
 #include "Jobs/Runtime/Ownership.h"
 
-#include "Common/Rendezvous.h"
+#include "Jobs/Runtime/DutyRanking.h"
 #include "Jobs/Runtime/Events.h"
+#include "Jobs/Runtime/MemberText.h"
 #include "Jobs/Runtime/StoreKeys.h"
 
 #include <algorithm>
-#include <sstream>
 #include <string_view>
 #include <utility>
 
@@ -15,32 +15,13 @@
 
     using Ports::PlatformStatus;
 
-    constexpr unsigned loadScale = 1000000; ///< Of a duty on a thousandth of a core, to compare whole numbers.
     constexpr std::chrono::milliseconds reconsiderInterval { 500 }; ///< While a duty is without a holder.
+    constexpr std::chrono::milliseconds loadCheckInterval { 1000 }; ///< A returning host counts once it has been a member at two checks.
     constexpr std::chrono::milliseconds retryDelay { 400 }; ///< While the store doesn't answer or refuses.
 
-    /// At the end of a member's text that is about to go.
-    constexpr const char* leavingText = " leaving";
-
-    std::string memberText(const MemberInfo& member)
-    {
-        return member.address + ' ' + member.dataCentre + ' ' + std::to_string(member.strength) + (member.isLeaving ? leavingText : "");
-    }
-
     /// The holder's text in a term that was given up.
     constexpr const char* releasedText = "released";
 
-    MemberInfo readMember(const std::string& host, const std::string& text)
-    {
-        MemberInfo member;
-        member.host = host;
-        std::istringstream stream(text);
-        stream >> member.address >> member.dataCentre >> member.strength;
-        member.strength = std::max(1U, member.strength);
-        member.isLeaving = text.ends_with(leavingText);
-        return member;
-    }
-
 } // namespace
 
 struct Ownership::State : std::enable_shared_from_this<Ownership::State> {
@@ -54,7 +35,7 @@
 
     void start()
     {
-        startedAt = loop.now();
+        settledAt = loop.now() + settings.settleTime;
         PrefixFeed::Hooks feedHooks;
         feedHooks.changed = [this](const Ports::KeyValue& pair) { keyChanged(pair); };
         feedHooks.removed = [this](const std::string& key) { keyRemoved(key); };
@@ -62,10 +43,12 @@
         feed = std::make_unique<PrefixFeed>(loop, platform, StoreKeys::control, std::move(feedHooks));
         feed->start();
         grant();
+        checkLoadLater();
     }
 
     void later(std::chrono::milliseconds delay, void (State::*step)())
     {
+        loop.cancel(leaseTimer);
         leaseTimer = loop.after(delay, [self = shared_from_this(), step] {
             if (!self->isOver)
                 (self.get()->*step)();
@@ -85,6 +68,7 @@
             }
             self->lease = reply.lease;
             self->renewed(sentAt);
+            self->later(self->settings.renewInterval, &State::renew);
             self->enroll();
         });
     }
@@ -93,24 +77,31 @@
     {
         Ports::Transaction transaction;
         transaction.puts = { { StoreKeys::members + settings.self.host, memberText(settings.self), lease } };
-        platform.transact(std::move(transaction), [self = shared_from_this()](const Ports::PlatformReply& reply) {
-            if (self->isOver)
+        platform.transact(std::move(transaction), [self = shared_from_this(), given = lease](const Ports::PlatformReply& reply) {
+            if (self->isOver || self->lease != given)
                 return;
             if (reply.status == PlatformStatus::Ok) {
                 self->isRegistered = true;
-                writeEvent("ownership", { "registered", self->settings.self.host, { { "lease", std::to_string(self->lease) } } });
-                self->later(self->settings.renewInterval, &State::renew);
+                writeEvent("ownership", { "registered", self->settings.self.host, { { "lease", std::to_string(given) } } });
                 self->reclaim();
                 self->considerSoon();
             } else if (reply.status == PlatformStatus::ComparesFailed) {
                 self->leaseLapsed();
             } else {
                 self->logFailed("register", self->settings.self.host, reply.status);
-                self->later(retryDelay, &State::enroll);
+                self->enrollLater();
             }
         });
     }
 
+    void enrollLater()
+    {
+        loop.after(retryDelay, [self = shared_from_this(), given = lease] {
+            if (!self->isOver && self->lease == given)
+                self->enroll();
+        });
+    }
+
     /// Best effort: others also see that this host doesn't claim.
     void tellLeaving()
     {
@@ -132,8 +123,8 @@
     void renew()
     {
         const auto sentAt = loop.now();
-        platform.renewLease(lease, [self = shared_from_this(), sentAt](const Ports::PlatformReply& reply) {
-            if (self->isOver)
+        platform.renewLease(lease, [self = shared_from_this(), sentAt, given = lease](const Ports::PlatformReply& reply) {
+            if (self->isOver || self->lease != given)
                 return;
             if (reply.status == PlatformStatus::Ok && reply.timeToLive.count() == 0) {
                 self->leaseLapsed();
@@ -159,6 +150,8 @@
         lease = 0;
         isRegistered = false;
         leaseSureUntil = {};
+        // Other hosts' leases may have lapsed with it, and these come back one after the other.
+        settledAt = loop.now() + settings.lapseSettleTime;
         loseAll("lease-lapsed");
         grant();
     }
@@ -201,11 +194,11 @@
             lose(duty, lostFence, "taken");
         }
         const bool wasReleased = released.contains(duty) && fence <= released.at(duty);
-        if (wasReleased || isLeaving)
+        if (wasReleased)
             return;
         if (text == ownerText())
             gained(duty, fence); // A claim whose answer was lost.
-        else if (owners[duty].host == settings.self.host && duties.contains(duty) && isRegistered)
+        else if (!isLeaving && owners[duty].host == settings.self.host && duties.contains(duty) && isRegistered)
             claim(duty, fence); // Left by this host's earlier incarnation, which is surely gone.
     }
 
@@ -215,7 +208,11 @@
     {
         const std::string_view key = text;
         if (key.starts_with(StoreKeys::members)) {
-            members.erase(std::string(key.substr(std::string_view(StoreKeys::members).size())));
+            const std::string host(key.substr(std::string_view(StoreKeys::members).size()));
+            members.erase(host);
+            // The store may take keys away and leave their lease; the next renewal wouldn't tell.
+            if (host == settings.self.host && std::exchange(isRegistered, false))
+                enroll();
         } else if (key.starts_with(StoreKeys::owners)) {
             const std::string duty(key.substr(std::string_view(StoreKeys::owners).size()));
             owners.erase(duty);
@@ -230,18 +227,18 @@
         hooks.changed();
     }
 
-    /// Members in the order in which they should take a duty: those with the fewest duties for their processor share first.
-    std::vector<std::string> candidates(const std::string& duty, const std::map<std::string, unsigned>& dutyCounts) const
+    std::string lastHolder(const std::string& duty) const
     {
-        std::vector<std::string> names;
-        for (const auto& [host, info] : members) {
-            if (!info.isLeaving)
-                names.push_back(host);
-        }
-        auto ranked = Common::rendezvousTop(duty, names, names.size());
-        const auto loadWith = [&](const std::string& host) { return (dutyCounts.at(host) + 1) * loadScale / members.at(host).strength; };
-        std::ranges::stable_sort(ranked, [&loadWith](const auto& left, const auto& right) { return loadWith(left) < loadWith(right); });
-        return ranked;
+        const auto term = terms.find(duty);
+        return term == terms.end() ? std::string() : term->second.substr(0, term->second.find(' '));
+    }
+
+    DutyCounts dutyCounts() const
+    {
+        DutyCounts counts;
+        for (const auto& [duty, owner] : owners)
+            ++counts[owner.host];
+        return counts;
     }
 
     bool hasOpenDuty() const
@@ -253,9 +250,7 @@
     {
         if (isLeaving || considerTimer != 0 || !hasOpenDuty())
             return;
-        const auto settled = startedAt + settings.settleTime;
-        const auto delay = std::max(std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(settled - loop.now()));
-        considerTimer = loop.after(delay, [self = shared_from_this()] {
+        considerTimer = loop.after(std::chrono::milliseconds(1), [self = shared_from_this()] {
             self->considerTimer = 0;
             if (!self->isOver)
                 self->consider();
@@ -280,21 +275,48 @@
         considerAgain();
         if (isLeaving || !isRegistered || !feed->isSynced() || !members.contains(settings.self.host) || members.at(settings.self.host).isLeaving)
             return;
-        std::map<std::string, unsigned> dutyCounts;
-        for (const auto& [host, info] : members)
-            dutyCounts[host] = 0;
-        for (const auto& [duty, owner] : owners)
-            ++dutyCounts[owner.host];
+        auto counts = dutyCounts();
         for (const auto& duty : duties) {
             if (owners.contains(duty))
                 continue;
-            const auto ranked = candidates(duty, dutyCounts);
-            ++dutyCounts[ranked.front()];
+            const auto last = lastHolder(duty);
+            const auto ranked = rankCandidates(duty, members, counts, last);
+            ++counts[ranked.front()];
             const auto turn = std::ranges::find(ranked, settings.self.host) - ranked.begin();
-            claimAt(duty, settings.turnTime * turn);
+            if (last == settings.self.host || loop.now() >= settledAt)
+                claimAt(duty, settings.turnTime * turn);
+            else
+                considerOnceSettled();
         }
     }
 
+    void considerOnceSettled()
+    {
+        loop.cancel(settleTimer);
+        settleTimer = loop.after(std::chrono::ceil<std::chrono::milliseconds>(settledAt - loop.now()), [self = shared_from_this()] {
+            if (!self->isOver)
+                self->considerSoon();
+        });
+    }
+
+    void checkLoadLater()
+    {
+        loadTimer = loop.after(loadCheckInterval, [self = shared_from_this()] {
+            if (!self->isOver)
+                self->checkLoad();
+        });
+    }
+
+    /// After an outage duties may lie with the hosts that were back first, whatever their strength.
+    void checkLoad()
+    {
+        checkLoadLater();
+        const bool isSettled = isRegistered && !isLeaving && feed->isSynced() && !hasOpenDuty();
+        const bool wasOverloaded = std::exchange(isAtLimit, isSettled && isOverloaded(settings.self.host, members, dutyCounts()));
+        if (wasOverloaded && isAtLimit && hooks.overloaded)
+            hooks.overloaded();
+    }
+
     void claimAt(const std::string& duty, std::chrono::milliseconds delay)
     {
         if (!claims.insert(duty).second)
@@ -364,6 +386,10 @@
         if (own.contains(duty) || (known != owners.end() && known->second.fence > fence))
             return;
         owners[duty] = { settings.self.host, fence };
+        if (isLeaving) {
+            giveBack(duty, fence, false); // Claimed before.
+            return;
+        }
         own[duty] = fence;
         writeEvent("ownership", { "duty-acquired", duty, { { "fence", std::to_string(fence) } } });
         hooks.acquired(duty, fence, predecessors[duty]);
@@ -377,15 +403,30 @@
             return;
         const auto fence = it->second;
         own.erase(it);
+        giveBack(duty, fence, true);
+    }
+
+    /// The next holder may rely on the end of a term only where this host has served it: the holder before may go on.
+    void giveBack(const std::string& duty, Fence fence, bool hasServed)
+    {
         released[duty] = fence;
+        writeEvent("ownership", { "duty-released", duty, { { "fence", std::to_string(fence) } } });
         Ports::Transaction transaction;
         transaction.compares = { { keyOf(duty), static_cast<std::int64_t>(fence) } };
-        transaction.puts = { { StoreKeys::terms + duty, releasedText, 0 } };
         transaction.deletes = { keyOf(duty) };
-        writeEvent("ownership", { "duty-released", duty, { { "fence", std::to_string(fence) } } });
-        platform.transact(std::move(transaction), [self = shared_from_this(), duty](const Ports::PlatformReply& reply) {
-            if (reply.status != PlatformStatus::Ok)
-                self->logFailed("release", duty, reply.status);
+        if (hasServed)
+            transaction.puts = { { StoreKeys::terms + duty, releasedText, 0 } };
+        transactSurely(duty, transaction);
+    }
+
+    /// Tries until it is known to be done, or that it can't be any more.
+    void transactSurely(const std::string& duty, const Ports::Transaction& transaction)
+    {
+        platform.transact(transaction, [self = shared_from_this(), duty, transaction](const Ports::PlatformReply& reply) {
+            if (self->isOver || reply.status == PlatformStatus::Ok || reply.status == PlatformStatus::ComparesFailed)
+                return;
+            self->logFailed("release", duty, reply.status);
+            self->loop.after(retryDelay, [self, duty, transaction] { self->isOver ? void() : self->transactSurely(duty, transaction); });
         });
     }
 
@@ -403,14 +444,17 @@
     std::set<std::string> duties;
     std::set<std::string> claims; ///< Duties that a claim is waiting or under way for.
     Ports::LeaseId lease = 0;
-    Common::Instant startedAt {};
+    Common::Instant settledAt {}; ///< From then on the members that are known are taken for all that there are.
     Common::Instant leaseSureUntil {};
     Common::Instant lastContact {};
     Common::TaskLoop::TimerId leaseTimer = 0;
     Common::TaskLoop::TimerId considerTimer = 0;
     Common::TaskLoop::TimerId reconsiderTimer = 0;
+    Common::TaskLoop::TimerId settleTimer = 0;
+    Common::TaskLoop::TimerId loadTimer = 0;
     bool isRegistered = false;
     bool isLeaving = false;
+    bool isAtLimit = false; ///< Another host would be better at the last check.
     bool isOver = false;
 };
 
@@ -425,6 +469,8 @@
     m_state->loop.cancel(m_state->leaseTimer);
     m_state->loop.cancel(m_state->considerTimer);
     m_state->loop.cancel(m_state->reconsiderTimer);
+    m_state->loop.cancel(m_state->settleTimer);
+    m_state->loop.cancel(m_state->loadTimer);
     m_state->feed.reset();
     m_state->hooks = {};
 }
--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -19,7 +19,6 @@
     constexpr milliseconds longestRetry { 1000 }; ///< Each try of a look and each new connection is paid for.
     constexpr milliseconds storeWait { 300 }; ///< For ends to be stored before a look that takes none is sent.
     constexpr milliseconds unansweredLimit { 3000 }; ///< Of an order; twice the time of a try, and the pauses between the first ones.
-    constexpr unsigned orderTries = 40; ///< Of a start or stop; the worker is given up long before.
 
 } // namespace
 
@@ -248,13 +247,9 @@
         hooks.stopAnswered(run, answer);
     }
 
-    /// Tries again, unless the worker is given up meanwhile.
+    /// Tries again until the worker is given up: nothing but an answer or that frees what the order's run occupies.
     void retry(const OrderName& name, Attempt attempt, std::function<void(State&, const Attempt&)> again)
     {
-        if (attempt.tries >= orderTries) {
-            logOrder("order-given-up", name, attempt);
-            return;
-        }
         if (!attempt.isReported && loop.now() - attempt.since > unansweredLimit) {
             logOrder("order-unanswered", name, attempt);
             attempt.isReported = true;
