Write event lines to a pipe whole

Lines that gathered for 25 ms went out in one write of any size. On a pipe writes beyond PIPE_BUF aren't atomic: lines of several processes that share one get mixed, and a reader that takes a part of a write loses the rest.

Writes end with a line and hold up to PIPE_BUF bytes, a longer line alone.

--- a/Source/Core/Kernel/EventWriter.cpp
+++ b/Source/Core/Kernel/EventWriter.cpp
@@ -1,6 +1,7 @@
 #include "Kernel/EventWriter.h"
 
 #include <chrono>
+#include <climits>
 #include <condition_variable>
 #include <mutex>
 #include <string>
@@ -40,15 +41,29 @@
         }
     }
 
-    void writeAll(const std::string& text) const
+    /// Writes of up to PIPE_BUF bytes to a pipe are atomic: as these end with a line, no reader gets a part of one, and
+    /// lines of processes that share the pipe aren't mixed.
+    void writeAll(std::string_view text) const
     {
-        std::size_t done = 0;
-        while (done < text.size()) {
-            const auto n = ::write(descriptor, text.data() + done, text.size() - done);
-            if (n <= 0)
+        while (!text.empty()) {
+            const auto lastEnd = text.substr(0, PIPE_BUF).rfind('\n');
+            const auto lineEnd = lastEnd == std::string_view::npos ? text.find('\n') : lastEnd;
+            const auto length = lineEnd == std::string_view::npos ? text.size() : lineEnd + 1;
+            if (!writeWhole(text.substr(0, length)))
                 return; // Whoever reads the log has gone, and there is nowhere to say so.
-            done += static_cast<std::size_t>(n);
+            text.remove_prefix(length);
+        }
+    }
+
+    bool writeWhole(std::string_view text) const
+    {
+        while (!text.empty()) {
+            const auto n = ::write(descriptor, text.data(), text.size());
+            if (n <= 0)
+                return false;
+            text.remove_prefix(static_cast<std::size_t>(n));
         }
+        return true;
     }
 
     const int descriptor;
