--- a/Source/UnitTests/Jobs/EventLog.cpp
+++ b/Source/UnitTests/Jobs/EventLog.cpp
@@ -32,19 +32,17 @@
     std::filesystem::remove_all(m_directory);
 }
 
-std::vector<SeenEvent> EventLog::all(const std::string& event) const
+std::vector<SeenEvent> EventLog::read(const std::string& text) const
 {
     const std::string loggerPrefix = "marigoldstile.";
     std::vector<SeenEvent> found;
     std::ifstream stream(m_directory / "events.log");
     for (std::string line; std::getline(stream, line);) {
-        if (line.find('"' + event + '"') == std::string::npos)
+        if (line.find('"' + text + '"') == std::string::npos)
             continue;
         Json::Value value;
         REQUIRE(Json::Reader().parse(line, value));
-        if (value["message"].asString() != event)
-            continue;
-        SeenEvent seen { value["logger"].asString().substr(loggerPrefix.size()), event, {}, {} };
+        SeenEvent seen { value["logger"].asString().substr(loggerPrefix.size()), value["message"].asString(), {}, {} };
         for (const auto& name : value["context_map"].getMemberNames())
             seen.fields[name] = value["context_map"][name].asString();
         seen.id = seen.fields["requestId"];
@@ -53,6 +51,23 @@
     return found;
 }
 
+std::vector<SeenEvent> EventLog::all(const std::string& event) const
+{
+    auto events = read(event);
+    std::erase_if(events, [&event](const auto& it) { return it.event != event; });
+    return events;
+}
+
+std::vector<std::string> EventLog::about(const std::string& id) const
+{
+    std::vector<std::string> names;
+    for (const auto& it : read(id)) {
+        if (it.id == id)
+            names.push_back(it.event);
+    }
+    return names;
+}
+
 SeenEvent EventLog::last(const std::string& event) const
 {
     const auto events = all(event);
--- a/Source/UnitTests/Jobs/EventLog.h
+++ b/Source/UnitTests/Jobs/EventLog.h
@@ -36,8 +36,13 @@
     std::vector<SeenEvent> all(const std::string& event) const;
     /// The newest of these; there must be one.
     SeenEvent last(const std::string& event) const;
+    /// Names of the events about an id so far, in order.
+    std::vector<std::string> about(const std::string& id) const;
 
 private:
+    /// Events of lines that hold the text.
+    std::vector<SeenEvent> read(const std::string& text) const;
+
     std::filesystem::path m_directory;
     std::unique_ptr<Kernel::Logging> m_logging;
 };
--- a/Source/UnitTests/Jobs/JobEventsTest.cpp
+++ b/Source/UnitTests/Jobs/JobEventsTest.cpp
@@ -256,3 +256,30 @@
     CHECK(shows("marigoldstile_pool_waiting_cores{pool=\"desk\"} 0"));
     CHECK(fleet.hosts.at("host-0")->node->metrics().find("marigoldstile_pool_decision_duration_seconds_count{pool=\"desk\"}") != std::string::npos);
 }
+
+TEST_CASE("a job's id leads from its call to each of its runs, the worker of each, and its end")
+{
+    const EventLog log;
+    JobFleet fleet(1, 1);
+    fleet.settle();
+    submitJobs(fleet, 1, oneStep(1));
+    fleet.runFor(3s);
+    CHECK(log.about(jobId(0)) == std::vector<std::string> { "job-accepted", "run-placed", "answered", "run-ended", "job-finished" });
+    const auto answered = log.last("answered");
+    CHECK(answered.component == "door");
+    CHECK(answered.at("verb") == "submit");
+    CHECK(answered.at("outcome") == "accepted");
+    CHECK(answered.number("tookMs") < 100);
+    CHECK(answered.number("configuration") == 1);
+    const auto placed = log.last("run-placed");
+    CHECK(placed.at("task") == "0.0");
+    CHECK(placed.number("run") == 1);
+    CHECK(placed.at("worker") == "w0");
+    CHECK(placed.number("roomMilliCores") == 3000);
+    const auto ended = log.last("run-ended");
+    CHECK(ended.at("task") == "0.0");
+    CHECK(ended.number("run") == 1);
+    CHECK(ended.at("worker") == "w0");
+    CHECK(ended.at("how") == "done");
+    CHECK(ended.at("current") == "yes");
+}
