--- /dev/null
+++ b/Source/UnitTests/Platform/WireFaultTest.cpp
@@ -0,0 +1,22 @@
+/// What the platform says and the adapter can't read is logged, not taken for nothing.
+
+#include "Jobs/EventLog.h"
+#include "WireText.h"
+
+#include <doctest/doctest.h>
+
+using Adapters::HttpEnd;
+using Adapters::HttpOutcome;
+
+TEST_CASE("an answer whose body can't be read is logged; one without a body is not")
+{
+    const EventLog log;
+    PlatformAdapter::bodyOf(HttpOutcome { HttpEnd::Answered, 503, "", {} });
+    PlatformAdapter::bodyOf(HttpOutcome { HttpEnd::Broken, 0, "", {} });
+    CHECK(log.all("body-unreadable").empty());
+    PlatformAdapter::bodyOf(HttpOutcome { HttpEnd::Answered, 200, "<html>", {} });
+    const auto event = log.last("body-unreadable");
+    CHECK(event.component == "platform");
+    CHECK(event.number("bytes") == 6);
+    CHECK(event.at("begin") == "<html>");
+}
