--- a/Source/UnitTests/Kernel/EventWriterTest.cpp
+++ b/Source/UnitTests/Kernel/EventWriterTest.cpp
@@ -37,7 +37,7 @@
         Kernel::EventWriter writer(ends[0], 1 << 20);
         for (unsigned n = 0; n < lines; ++n)
             writer.write(text + std::to_string(n));
-        writer.write(std::string(3 * PIPE_BUF, 'y'));
+        writer.write(std::string(std::size_t { 3 } * PIPE_BUF, 'y'));
         writer.write("last");
     }
     std::string all;
@@ -51,7 +51,7 @@
     std::string expected;
     for (unsigned n = 0; n < lines; ++n)
         expected += text + std::to_string(n) + '\n';
-    expected += std::string(3 * PIPE_BUF, 'y') + "\nlast\n";
+    expected += std::string(std::size_t { 3 } * PIPE_BUF, 'y') + "\nlast\n";
     CHECK(all == expected);
     ::close(ends[0]);
     ::close(ends[1]);
