Don't take what a new holder finds, or one wide job, for a turn of peaks

Cause: the forecast of a new holder starts empty, with means of zero, so every pool with some load counted as one whose peak begins at its first samples; and 0.2 s after a real peak began, one job of 50 cores in another pool counted as the next. The median gap between turns became 0.2 s, so that at the next real peak another pool's was expected 0.2 s later, at full height. Class of fault: what is learned from the first samples of an estimator that has no history yet.

Change: a pool's means start at its first sample; a rise below a fifth of the highest peak is none; a pool that rises within two seconds (about a move) of another that still peaks takes no turn.

Test: "forecast: neither the load that a new holder finds nor one wide job beside a peak is a turn" failed before (expectations of other pools from 5 s on).

--- a/Source/Core/Jobs/Fleet/TurnForecast.cpp
+++ b/Source/Core/Jobs/Fleet/TurnForecast.cpp
@@ -15,6 +15,8 @@
     constexpr double risingRatio = 2.0; ///< Fast over slow mean.
     constexpr double fallingRatio = 0.6;
     constexpr double risingFloor = 24000; ///< Thousandths of cores: one job of the wider kind is no peak.
+    constexpr double risingShare = 0.2; ///< Of the highest peak of any pool; below it, a rise is a job or two.
+    constexpr milliseconds shortestTurn { 2000 }; ///< About a move: pools that peak closer together than that don't take turns.
     constexpr std::size_t gapsKept = 6;
     constexpr double regularSpread = 0.35; ///< Largest deviation of a gap from the median, as a part of it.
     constexpr double fading = 0.8; ///< Of a peak's height, from one peak to the next.
@@ -30,13 +32,18 @@
 void TurnForecast::observe(const std::string& name, double milliCores, Instant now)
 {
     auto& pool = m_pools[name];
-    if (pool.sampledAt != Instant()) {
+    if (pool.sampledAt == Instant()) {
+        // What is there at the first look isn't a rise.
+        pool.fast = milliCores;
+        pool.slow = milliCores;
+    } else {
         const auto elapsed = now - pool.sampledAt;
         pool.fast = blend(pool.fast, milliCores, elapsed, fastTime);
         pool.slow = blend(pool.slow, milliCores, elapsed, slowTime);
     }
     pool.sampledAt = now;
-    if (!pool.isPeaking && pool.fast > risingRatio * pool.slow + risingFloor) {
+    const double least = std::max(risingRatio * pool.slow + risingFloor, risingShare * highestPeak());
+    if (!pool.isPeaking && pool.fast > least) {
         pool.isPeaking = true;
         pool.highest *= fading;
         peakBegan(name, now);
@@ -47,8 +54,18 @@
         pool.highest = std::max(pool.highest, pool.fast);
 }
 
+double TurnForecast::highestPeak() const
+{
+    double highest = 0;
+    for (const auto& [name, pool] : m_pools)
+        highest = std::max(highest, pool.highest);
+    return highest;
+}
+
 void TurnForecast::peakBegan(const std::string& name, Instant now)
 {
+    if (isPeaking(m_lastPool) && m_lastPool != name && now - m_lastStart < shortestTurn)
+        return;
     auto& pool = m_pools[name];
     pool.hasPeaked = true;
     pool.peakedAt = now;
@@ -93,12 +110,7 @@
     }
     if (!found || unseen > 1 || m_lastStart + median * 2 < now)
         return std::nullopt;
-    double height = found->highest;
-    if (!found->hasPeaked) {
-        for (const auto& [it, pool] : m_pools)
-            height = std::max(height, pool.highest);
-    }
-    return ExpectedPeak { name, m_lastStart + median, height };
+    return ExpectedPeak { name, m_lastStart + median, found->hasPeaked ? found->highest : highestPeak() };
 }
 
 } // namespace Jobs
--- a/Source/Core/Jobs/Fleet/TurnForecast.h
+++ b/Source/Core/Jobs/Fleet/TurnForecast.h
@@ -41,6 +41,7 @@
         Instant peakedAt {}; ///< Start of the newest peak.
     };
 
+    double highestPeak() const;
     void peakBegan(const std::string& pool, Instant now);
 
     std::map<std::string, Pool> m_pools;
--- a/Source/UnitTests/Jobs/PolicyTest.cpp
+++ b/Source/UnitTests/Jobs/PolicyTest.cpp
@@ -171,6 +171,34 @@
     CHECK(!forecast.next(now));
 }
 
+// Day trouble-2 --seed 900163352 of nkt-ersatt: machines for the pool that peaked were moved to one that had no peak.
+TEST_CASE("forecast: neither the load that a new holder finds nor one wide job beside a peak is a turn")
+{
+    const std::array<std::string, 4> names { "a", "b", "c", "d" };
+    const auto begin = Instant(1h);
+    const std::array<std::pair<std::string, std::chrono::milliseconds>, 3> peaks { { { "a", 5s }, { "c", 14s }, { "b", 23s } } };
+    TurnForecast forecast;
+    for (auto time = 0ms; time < 27s; time += 200ms) {
+        for (const auto& name : names) {
+            double milliCores = 40000;
+            if (name == "c" && time >= 5200ms && time < 7s)
+                milliCores += 80000;
+            for (const auto& [pool, start] : peaks) {
+                if (pool == name && time >= start && time < start + 5s)
+                    milliCores = 1500000;
+            }
+            forecast.observe(name, milliCores, begin + time);
+        }
+        if (const auto expected = forecast.next(begin + time)) {
+            CHECK(expected->pool == "d");
+            CHECK(expected->startsAt > begin + 31s);
+            CHECK(expected->startsAt < begin + 33s);
+        } else {
+            CHECK(time < 24s);
+        }
+    }
+}
+
 TEST_CASE("queue: under more load than capacity, what can still be in time goes before what can't, and the late ones by age")
 {
     const Common::WallTime now(1000s);
