Keep answers to a host's earlier incarnation from its present callers

After a host was killed and had started again while an answer to one of its calls was held up, for example by a commit that the store answers late, the answer was taken for that to the new incarnation's call of the same number.

Cause: numbers of calls between hosts began at 1 in each process, answers name nothing but the number, and an owner sends them to whatever incarnation of the host is connected. Class of fault: an identifier that is unique within one life of a process is compared across two.

Change: numbers begin at the incarnation's own, which is random, in the upper half.

--- a/Source/Core/Jobs/Runtime/JobNode.cpp
+++ b/Source/Core/Jobs/Runtime/JobNode.cpp
@@ -26,7 +26,7 @@
     , loop(given.loop)
     , settings(std::move(nodeSettings))
     , metrics(JobMetrics::create())
-    , peerCalls(given.loop, given.peers)
+    , peerCalls(given.loop, given.peers, settings.ownership.incarnation)
     , ownership(given.loop, given.platform, settings.ownership, ownershipHooks())
 {
 }
--- a/Source/Core/Jobs/Runtime/PeerCalls.cpp
+++ b/Source/Core/Jobs/Runtime/PeerCalls.cpp
@@ -5,9 +5,16 @@
 
 namespace Jobs {
 
-PeerCalls::PeerCalls(Common::TaskLoop& loop, Ports::PeerPort& port)
+namespace {
+
+    constexpr unsigned callNumberBits = 32; ///< Of the calls of one incarnation.
+
+} // namespace
+
+PeerCalls::PeerCalls(Common::TaskLoop& loop, Ports::PeerPort& port, std::uint64_t incarnation)
     : m_loop(loop)
     , m_port(port)
+    , m_lastCall(incarnation << callNumberBits)
 {
 }
 
--- a/Source/Core/Jobs/Runtime/PeerCalls.h
+++ b/Source/Core/Jobs/Runtime/PeerCalls.h
@@ -7,6 +7,7 @@
 #include "Jobs/Runtime/NodeMessages.h"
 #include "Ports/PeerPort.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -25,7 +26,8 @@
 public:
     using Callback = std::function<void(PeerStatus, const NodeMessage&)>;
 
-    PeerCalls(Common::TaskLoop&, Ports::PeerPort&);
+    /// `incarnation` is this process's own: an answer may arrive after a restart, and mustn't meet a call of the same number.
+    PeerCalls(Common::TaskLoop&, Ports::PeerPort&, std::uint64_t incarnation);
 
     /// Sends a PoolCall or LoadCall; fills in its number. The callback runs once, at once when it can't be sent.
     void call(const std::string& host, NodeMessage, milliseconds timeout, Callback);
@@ -50,7 +52,7 @@
     Common::TaskLoop& m_loop;
     Ports::PeerPort& m_port;
     std::map<std::uint64_t, Pending> m_pending;
-    std::uint64_t m_lastCall = 0;
+    std::uint64_t m_lastCall; ///< Begins elsewhere in each incarnation.
     EventLimiter m_limiter { "peers" };
 };
 
