Ask for another step's advice when the service leaves one unanswered

Cause: the owner asked again for the first step in line until it was answered. Class of fault: a queue that is blocked by its head, whose only end is the peer's answer.

AdviceTest in virtual time: the service leaves the step of one job unanswered, and the job behind it is still queued after 10 s.

Change: a step without advice goes to the end of the line.

--- a/Source/Core/Jobs/Runtime/PoolOwnerState.h
+++ b/Source/Core/Jobs/Runtime/PoolOwnerState.h
@@ -67,7 +67,7 @@
     std::set<std::string> unlistings; ///< Workers whose entries went away a moment ago.
     std::set<std::string> cordoned; ///< Machines.
     std::map<std::string, std::unique_ptr<WorkerSession>> sessions;
-    std::vector<AskAdvice> advice; ///< The first is being asked for.
+    std::vector<AskAdvice> advice; ///< The first is being asked for, or is the next.
     OwnerActivity activity;
     EventLimiter limiter;
     Common::Instant decidedAt {};
--- a/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
@@ -3,6 +3,7 @@
 #include "Jobs/Runtime/PoolOwnerState.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Jobs {
@@ -236,6 +237,8 @@
 {
     if (status != Ports::AdviceStatus::Given) {
         limiter.write({ "advice-failed", order.step.job, { { "status", std::to_string(static_cast<int>(status)) }, { "waiting", std::to_string(advice.size()) } } }, loop.now());
+        // What the service doesn't answer waits behind the others.
+        std::rotate(advice.begin(), std::next(advice.begin()), advice.end());
         loop.after(adviceRetry, [self = weak_from_this()] {
             if (const auto state = self.lock()) {
                 state->isAsking = false;
--- /dev/null
+++ b/Source/UnitTests/Jobs/AdviceTest.cpp
@@ -0,0 +1,27 @@
+/// Steps that wait for the advice service.
+
+#include "JobFleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace std::chrono_literals;
+using Ports::JobOutcome;
+using Ports::JobVerb;
+
+TEST_CASE("a step that the advice service never answers doesn't keep the others of the pool from starting")
+{
+    JobFleet fleet(1, 2);
+    fleet.configuration.version = 2;
+    fleet.configuration.queues.front().advice = Jobs::AdviceRule { 20ms, 5ms, 3s };
+    fleet.publishConfiguration();
+    fleet.settle();
+    fleet.unadvised = { jobId(1) };
+    for (const unsigned n : { 1, 2 }) {
+        const auto answer = fleet.call("host-0", JobVerb::Submit, jobId(n), oneStep(1));
+        REQUIRE(answer);
+        CHECK(answer->outcome == JobOutcome::Accepted);
+    }
+    fleet.runFor(10s);
+    CHECK(fleet.stateOf("host-0", jobId(2)) == Jobs::JobState::Completed);
+    CHECK(fleet.stateOf("host-0", jobId(1)) == Jobs::JobState::Queued);
+}
--- a/Source/UnitTests/Jobs/JobFleet.cpp
+++ b/Source/UnitTests/Jobs/JobFleet.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr milliseconds peerDelay { 1 };
+constexpr milliseconds adviceTimeout { 4000 };
 
 } // namespace
 
@@ -44,8 +45,12 @@
     m_fleet.loop.after(peerDelay, [callback] { callback(Ports::MachineStatus::Done); });
 }
 
-void FakeMachinePort::advise(const Jobs::TaskKey&, const std::vector<std::string>& workers, Ports::AdviceCallback callback)
+void FakeMachinePort::advise(const Jobs::TaskKey& step, const std::vector<std::string>& workers, Ports::AdviceCallback callback)
 {
+    if (m_fleet.unadvised.contains(step.job)) {
+        m_fleet.loop.after(adviceTimeout, [callback] { callback(Ports::AdviceStatus::NoAnswer, {}, milliseconds(0)); });
+        return;
+    }
     std::vector<Ports::Ticket> tickets;
     for (std::size_t n = 0; n < workers.size(); n += 2)
         tickets.push_back({ workers[n], "ticket" });
--- a/Source/UnitTests/Jobs/JobFleet.h
+++ b/Source/UnitTests/Jobs/JobFleet.h
@@ -113,6 +113,7 @@
     std::map<std::string, std::unique_ptr<Host>> hosts;
     std::vector<std::unique_ptr<Host>> killed; ///< Kept, so that calls under way meet nothing freed.
     std::set<std::string> cutPeers; ///< Hosts that reach no other host.
+    std::set<Jobs::JobId> unadvised; ///< Jobs for whose steps the advice service gives no answer.
     Jobs::JobConfiguration configuration;
     std::map<std::string, Jobs::MaintenanceWave> waves;
     std::map<std::string, Jobs::Machine> machines;
