Ask for one lease after a lapse, also when the registration tells of it first

Cause: since renewals begin with the lease, before the host is registered. When a registration is refused because the lease has ended, the timer of the next renewal went on: it renewed no lease, took the answer for another lapse and asked for a second lease while the first was still being granted. The later answer replaces the lease that keys were put under, and a grant that then fails stops the renewals of the one that was obtained. Class of fault: a timer that outlives what it was set for.

LeaseTest: with a grant that takes longer than 0.6 s, as one whose answer is lost does, three leases were asked for in place of two.

Change: a lapse cancels the timer.

--- a/Source/Core/Jobs/Runtime/Ownership.cpp
+++ b/Source/Core/Jobs/Runtime/Ownership.cpp
@@ -131,6 +131,7 @@
 void Ownership::State::leaseLapsed()
 {
     writeEvent("ownership", { "lease-lapsed", settings.self.host, { { "lease", std::to_string(lease) }, { "duties", std::to_string(own.size()) } } });
+    loop.cancel(leaseTimer); // A refused registration may tell before the next renewal does.
     lease = 0;
     isRegistered = false;
     leaseSureUntil = {};
--- /dev/null
+++ b/Source/UnitTests/Jobs/LeaseTest.cpp
@@ -0,0 +1,54 @@
+/// A host's lease while the store answers some calls and leaves others waiting.
+
+#include "Jobs/Runtime/Ownership.h"
+#include "VirtualLoop.h"
+
+#include <doctest/doctest.h>
+#include <utility>
+#include <vector>
+
+using namespace std::chrono_literals;
+using Ports::PlatformCallback;
+using Ports::PlatformStatus;
+
+namespace {
+
+/// Grants one lease, which ends at once, and leaves what is asked for after it without an answer.
+class LapsingStore final : public Ports::PlatformPort {
+public:
+    void start() override { }
+    void read(const std::string&, bool, PlatformCallback callback) override { callback({ PlatformStatus::Ok, 1, {}, 0, {} }); }
+    void transact(Ports::Transaction, PlatformCallback callback) override { callback({ PlatformStatus::ComparesFailed, 0, {}, 0, {} }); }
+    void grantLease(std::chrono::seconds timeToLive, PlatformCallback callback) override
+    {
+        if (++grants == 1)
+            callback({ PlatformStatus::Ok, 0, {}, 1, timeToLive });
+        else
+            unanswered.push_back(std::move(callback));
+    }
+    void renewLease(Ports::LeaseId, PlatformCallback callback) override { callback({ PlatformStatus::Ok, 0, {}, 0, 0s }); }
+    void revokeLease(Ports::LeaseId, PlatformCallback) override { }
+    void watch(const std::string&, std::int64_t, Ports::WatchCallback) override { }
+    void readHostList(Ports::HostListCallback) override { }
+    void rebootHost(const std::string&, std::uint64_t, PlatformCallback) override { }
+    void stop() override { }
+
+    unsigned grants = 0;
+    std::vector<PlatformCallback> unanswered;
+};
+
+} // namespace
+
+TEST_CASE("a host whose lease has lapsed asks for one new lease, however long the store takes to grant it")
+{
+    VirtualLoop loop;
+    LapsingStore store;
+    Jobs::OwnershipSettings settings;
+    settings.self = { "host-0", "host-0:1", "dc", 1000 };
+    Jobs::Ownership::Hooks hooks;
+    hooks.changed = [] {};
+    Jobs::Ownership ownership(loop, store, settings, std::move(hooks));
+    ownership.start();
+    loop.runFor(settings.renewInterval * 3);
+    CHECK(store.grants == 2);
+}
