Count the rest of the step before a lasting task that is starting is vacated

Cause: a task that wasn't at work was free to stop, whatever else of its step was away. Two tasks of a step that had just been placed were so vacated together; by the time the stops reached them both were at work. Class of fault: a decision on a state that changes before the decision takes effect.

Ruled out: that nothing but the wait for the commit is to blame. A look is up to a second old, and a task that was starting then may be at work.

Change: a task may be stopped only while fewer others of its step are away than it may miss, at work or not.

The test of waves had lasting tasks that never came to work, so that they were free to stop too; its workers now have a startup, and it asks for all four machines in place of two.

--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -72,8 +72,9 @@
     return it != worker->runs.end() && it->second.phase == WorkerRun::Phase::Confirmed && it->second.percent >= 100;
 }
 
-/// True when stopping the task keeps the step within the number of tasks that may be away. Stops aren't in the journal: a new
-/// owner first waits until those of the owner before show.
+/// True when stopping the task keeps the step within the number of tasks that may be away. That holds for a task that is
+/// starting, too: by the time the stop reaches it, it may be at work. Stops aren't in the journal: a new owner first waits
+/// until those of the owner before show.
 bool PoolCore::mayInterrupt(const TaskKey& key, Instant now) const
 {
     if (now < m_settledAt)
@@ -82,12 +83,10 @@
     const auto* step = job ? job->stepOf(key) : nullptr;
     if (!step)
         return true;
-    if (!isAtWork(key, step->tasks[key.index]))
-        return true;
     unsigned away = 0;
     TaskKey other = key;
     for (other.index = 0; other.index < step->tasks.size(); ++other.index)
-        away += isAtWork(other, step->tasks[other.index]) ? 0 : 1;
+        away += other.index == key.index || isAtWork(other, step->tasks[other.index]) ? 0 : 1;
     return away < job->spec().steps[key.step].mayMiss;
 }
 
--- a/Source/Standins/JobWorker.cpp
+++ b/Source/Standins/JobWorker.cpp
@@ -130,9 +130,10 @@
 Ports::LookAnswer JobWorker::lookAnswer() const
 {
     Ports::LookAnswer answer { { WorkerStatus::Done, WorkerRefusal::None, clock() }, entry.incarnation, {}, m_ended };
+    const auto whole = std::max(startup.count() > 0 ? startup : runTime, milliseconds(1));
     for (const auto& [task, run] : m_runs) {
         const auto age = std::chrono::duration_cast<milliseconds>(m_loop.now() - run.startedAt);
-        const auto percent = hangs ? 0U : static_cast<unsigned>(std::min<std::int64_t>(100, age * 100 / std::max(runTime, milliseconds(1))));
+        const auto percent = hangs ? 0U : static_cast<unsigned>(std::min<std::int64_t>(100, age * 100 / whole));
         answer.running.push_back({ task, run.run, "", percent, 0 });
     }
     return answer;
--- a/Source/Standins/JobWorker.h
+++ b/Source/Standins/JobWorker.h
@@ -37,6 +37,7 @@
 
     Jobs::WorkerEntry entry;
     std::chrono::milliseconds runTime { 500 };
+    std::chrono::milliseconds startup { 0 }; ///< After which what runs is at work; zero: at its end.
     bool isSilent = false; ///< Cut off from the hosts, but running on.
     bool isCrashed = false;
     bool failsAll = false;
--- a/Source/UnitTests/Jobs/JobFleetTest.cpp
+++ b/Source/UnitTests/Jobs/JobFleetTest.cpp
@@ -388,6 +388,8 @@
     auto spec = lastingStep(2);
     spec.steps.front().mayMiss = 1;
     fleet.setRunTime(60s);
+    for (const auto& [id, worker] : fleet.workers)
+        worker->startup = 400ms;
     submit(fleet, "host-0", 1, spec);
     fleet.runFor(3s);
     Jobs::MaintenanceWave wave { 7, { "m0", "m1", "m2", "m3" }, 30s, 1 };
@@ -399,5 +401,5 @@
     std::set<std::string> reached;
     for (const auto& it : fleet.maintained)
         reached.insert(it.machine);
-    CHECK(reached.size() >= 2);
+    CHECK(reached.size() == fleet.machines.size());
 }
