Decide on a lasting task's stop again when the order leaves

Cause: what a step may miss was reckoned when a stop was decided. The order leaves when the records before it are stored, which takes seconds while the store is busy, and is sent again until the worker answers; by then other tasks of the step may have gone away.

Change: stops of lasting tasks for vacating or a stall are optional: the session asks before each try. One of which no try can have arrived is withdrawn, and the run goes on; one that may have arrived is kept back until the step may miss the task. Stops of cancelled or failed jobs, of gangs and of strays, and all on a draining worker, go out as before; such a stop also overrides an optional one of the same run.

--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -92,7 +92,11 @@
     std::uint64_t backlog(const std::string& queue) const;
 
     void startAnswered(const StartRun&, const Ports::WorkerAnswer&, Moment);
+    /// Asked when a stop leaves: the store or the worker may have kept it waiting for seconds.
+    bool mayStop(const StopRun&, Moment) const;
     void stopAnswered(const StopRun&, const Ports::WorkerAnswer&, Moment);
+    /// The stop never left, or surely did nothing: the run goes on.
+    void stopWithdrawn(const StopRun&, Moment);
     void looked(const std::string& worker, const Ports::LookAnswer&, Instant sentAt, Moment);
     void advised(const AskAdvice&, const std::vector<AdvisedWorker>&, milliseconds validity, Moment);
 
@@ -130,7 +134,7 @@
     void findVanished(Worker&, Instant sentAt, Moment);
     void findStalled(Worker&, Moment);
     void pace(Worker&);
-    void orderStop(Worker&, const TaskKey&, WorkerRun&);
+    void orderStop(Worker&, const TaskKey&, WorkerRun&, bool isOptional = false);
     void stopGang(const TaskKey& member);
     void stopJob(const JobId&);
 
--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -23,6 +23,13 @@
         return task && task->state == Task::State::Placed && task->lastRun == run && task->worker == worker.entry.id;
     }
 
+    bool isStalled(const WorkerRun& run, Instant now)
+    {
+        if ((run.isLasting && run.percent >= 100) || run.throttlePercent < 100)
+            return false;
+        return now - run.progressAt > (run.isLasting ? lastingStartLimit : stallFloor + run.estimate / 4);
+    }
+
 } // namespace
 
 void PoolCore::startAnswered(const StartRun& order, const Ports::WorkerAnswer& answer, Moment at)
@@ -64,6 +71,30 @@
         it->second.confirmedAt = at.now;
 }
 
+bool PoolCore::mayStop(const StopRun& order, Moment at) const
+{
+    const auto* worker = findWorker(order.worker);
+    if (!worker || worker->entry.state == WorkerEntry::State::Draining)
+        return true;
+    const auto it = worker->runs.find(order.task);
+    if (it == worker->runs.end() || it->second.run != order.run || !it->second.isStopOptional)
+        return true;
+    return isStalled(it->second, at.now) || mayInterrupt(order.task, at.now);
+}
+
+void PoolCore::stopWithdrawn(const StopRun& order, Moment at)
+{
+    const auto found = m_workers.find(order.worker);
+    if (found == m_workers.end())
+        return;
+    const auto it = found->second.runs.find(order.task);
+    if (it == found->second.runs.end() || it->second.run != order.run || it->second.phase != WorkerRun::Phase::Stopping)
+        return;
+    log("stop-withdrawn", order.task.job, { { "task", std::to_string(order.task.step) + "." + std::to_string(order.task.index) }, { "run", std::to_string(order.run) }, { "worker", order.worker } });
+    it->second.phase = WorkerRun::Phase::Confirmed;
+    it->second.confirmedAt = at.now;
+}
+
 void PoolCore::looked(const std::string& id, const Ports::LookAnswer& answer, Instant sentAt, Moment at)
 {
     const auto found = m_workers.find(id);
@@ -175,13 +206,10 @@
 void PoolCore::findStalled(Worker& worker, Moment at)
 {
     for (auto& [key, run] : worker.runs) {
-        if (run.phase != WorkerRun::Phase::Confirmed || (run.isLasting && run.percent >= 100) || run.throttlePercent < 100)
-            continue;
-        const auto limit = run.isLasting ? lastingStartLimit : stallFloor + run.estimate / 4;
-        if (at.now - run.progressAt <= limit)
+        if (run.phase != WorkerRun::Phase::Confirmed || !isStalled(run, at.now))
             continue;
         log("run-stalled", key.job, { { "task", std::to_string(key.step) + "." + std::to_string(key.index) }, { "run", std::to_string(run.run) }, { "worker", worker.entry.id }, { "percent", std::to_string(run.percent) } });
-        orderStop(worker, key, run);
+        orderStop(worker, key, run, run.isLasting);
         worker.avoidUntil = std::max(worker.avoidUntil, at.now + ejectionPause);
     }
 }
@@ -222,8 +250,9 @@
     return serves && fills;
 }
 
-void PoolCore::orderStop(Worker& worker, const TaskKey& key, WorkerRun& run)
+void PoolCore::orderStop(Worker& worker, const TaskKey& key, WorkerRun& run, bool isOptional)
 {
+    run.isStopOptional = isOptional && (run.phase != WorkerRun::Phase::Stopping || run.isStopOptional);
     if (run.phase == WorkerRun::Phase::Stopping)
         return;
     run.phase = WorkerRun::Phase::Stopping;
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -104,7 +104,7 @@
             if (std::ranges::none_of(m_workers, hasRoom) || !(isDraining || mayInterrupt(key, at.now)))
                 continue;
             log("run-vacated", key.job, { { "task", std::to_string(key.step) + "." + std::to_string(key.index) }, { "worker", id }, { "reason", isDraining ? "draining" : "cordoned" } });
-            orderStop(worker, key, run);
+            orderStop(worker, key, run, true);
         }
     }
 }
--- a/Source/Core/Jobs/Decision/Worker.h
+++ b/Source/Core/Jobs/Decision/Worker.h
@@ -19,6 +19,7 @@
     };
     RunNumber run = 0;
     Phase phase = Phase::Ordered;
+    bool isStopOptional = false; ///< While Stopping: withdrawn if the step would miss more tasks than it may.
     Resources reserved;
     bool isLasting = false;
     bool isFiller = false;
--- a/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
@@ -39,7 +39,12 @@
         if (answer.status != Ports::WorkerStatus::Done)
             changed();
     };
+    result.mayStop = [this](const StopRun& run) { return core.mayStop(run, moment()); };
     result.stopAnswered = [this](const StopRun& run, const Ports::WorkerAnswer& answer) { core.stopAnswered(run, answer, moment()); };
+    result.stopWithdrawn = [this](const StopRun& run) {
+        core.stopWithdrawn(run, moment());
+        changed();
+    };
     result.silent = [this, id] {
         core.workerSilent(id, moment());
         silent.insert(id);
--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -152,6 +152,7 @@
         std::uint64_t epoch = 0;
         Instant since {};
         bool isReported = false; ///< As waiting for long.
+        bool mayHaveArrived = false; ///< By an earlier try.
     };
 
     /// What an order is about, for the log.
@@ -222,19 +223,28 @@
         });
     }
 
-    void stop(const StopRun& run, const Attempt& attempt)
+    void stop(const StopRun& run, Attempt attempt)
     {
         if (isSettled(attempt))
             return;
-        port.stop({ target(), run.task, run.run, fence }, [self = shared_from_this(), run, attempt](const WorkerAnswer& answer) {
+        const auto again = [run](State& self, const Attempt& next) { self.stop(run, next); };
+        if (!hooks.mayStop(run)) {
+            if (attempt.mayHaveArrived)
+                retry({ "stop", run.task, run.run }, attempt, again);
+            else
+                hooks.stopWithdrawn(run);
+            return;
+        }
+        port.stop({ target(), run.task, run.run, fence }, [self = shared_from_this(), run, attempt, again](const WorkerAnswer& answer) mutable {
             if (self->isOver)
                 return;
             self->take(answer);
             if (self->isSettled(attempt))
                 return;
+            attempt.mayHaveArrived = attempt.mayHaveArrived || answer.status == WorkerStatus::NoAnswer;
             const bool isUnsure = answer.status != WorkerStatus::Done && answer.status != WorkerStatus::Refused;
             if (isUnsure)
-                self->retry({ "stop", run.task, run.run }, attempt, [run](State& it, const Attempt& next) { it.stop(run, next); });
+                self->retry({ "stop", run.task, run.run }, attempt, again);
             else if (answer.refusal != WorkerRefusal::Fence)
                 self->stopAnswered(run, attempt, answer);
         });
@@ -261,7 +271,7 @@
             if (self->isSettled(attempt))
                 self->logOrder("order-void", name, attempt);
             else
-                again(*self, { attempt.tries + 1, attempt.epoch, attempt.since, attempt.isReported });
+                again(*self, { attempt.tries + 1, attempt.epoch, attempt.since, attempt.isReported, attempt.mayHaveArrived });
         });
     }
 
--- a/Source/Core/Jobs/Runtime/WorkerSession.h
+++ b/Source/Core/Jobs/Runtime/WorkerSession.h
@@ -28,7 +28,9 @@
     struct Hooks {
         std::function<void(const Ports::LookAnswer&, Common::Instant sentAt)> looked;
         std::function<void(const StartRun&, const Ports::WorkerAnswer&)> startAnswered;
+        std::function<bool(const StopRun&)> mayStop;
         std::function<void(const StopRun&, const Ports::WorkerAnswer&)> stopAnswered;
+        std::function<void(const StopRun&)> stopWithdrawn; ///< It mayn't be stopped, and no try can have stopped it.
         std::function<void()> silent;
         std::function<void()> lapsed; ///< Nothing runs there any more.
         std::function<void()> fenced; ///< The worker has heard a newer owner.
--- a/Source/UnitTests/Jobs/VacatingTest.cpp
+++ b/Source/UnitTests/Jobs/VacatingTest.cpp
@@ -1,9 +1,14 @@
 /// Lasting tasks that leave workers which are to be empty.
 
+#include "EventLog.h"
+#include "JobFleet.h"
 #include "Jobs/Decision/PoolCore.h"
+#include "Jobs/Runtime/WorkerSession.h"
+#include "VirtualLoop.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <memory>
 
 using namespace Jobs;
 using namespace std::chrono_literals;
@@ -90,3 +95,179 @@
     pool.look({ 100, 100 });
     CHECK(pool.decideStops().size() == 1);
 }
+
+TEST_CASE("a stop that is withdrawn leaves its run as it was, for a new owner too")
+{
+    ServingPool pool(2);
+    pool.core.cordon({ pool.worker(0) }, pool.at());
+    pool.look({ 100, 100 });
+    const auto stops = pool.decideStops();
+    REQUIRE(stops.size() == 1);
+    CHECK(pool.core.mayStop(stops.front(), pool.at()));
+    pool.core.workerSilent(pool.worker(1), pool.at());
+    REQUIRE_FALSE(pool.core.mayStop(stops.front(), pool.at()));
+    pool.core.stopWithdrawn(stops.front(), pool.at());
+    CHECK(pool.decideStops().empty());
+
+    PoolCore next { PoolLimits {} };
+    next.load(pool.core.snapshot(pool.at()));
+    next.loaded(pool.at());
+    REQUIRE(next.findWorker(pool.worker(0)));
+    CHECK(next.findWorker(pool.worker(0))->runs.contains(pool.key(0)));
+
+    pool.look({ 100, 100 });
+    CHECK(pool.decideStops().size() == 1);
+}
+
+TEST_CASE("a cancelled job's task is stopped, though it was being vacated and its step misses others")
+{
+    ServingPool pool(2);
+    pool.core.cordon({ pool.worker(0) }, pool.at());
+    pool.look({ 100, 100 });
+    const auto stops = pool.decideStops();
+    REQUIRE(stops.size() == 1);
+    pool.core.workerSilent(pool.worker(1), pool.at());
+    pool.core.cancel(servingJob, pool.at());
+    CHECK(pool.core.mayStop(stops.front(), pool.at()));
+}
+
+TEST_CASE("a task that has just come to work isn't stopped for a stall")
+{
+    ServingPool pool(2);
+    pool.look({ 40, 40 });
+    pool.decideStops();
+    pool.now += 7s;
+    pool.look({ 40, 40 });
+    const auto stops = pool.decideStops();
+    REQUIRE(stops.size() == 2);
+    CHECK(pool.core.mayStop(stops.front(), pool.at()));
+    pool.look({ 100, 40 });
+    CHECK_FALSE(pool.core.mayStop(stops.front(), pool.at()));
+    CHECK(pool.core.mayStop(stops.back(), pool.at()));
+}
+
+namespace {
+
+/// Stops go to a worker that answers as the test says.
+class StopPort final : public Ports::WorkerPort {
+public:
+    void start(const Ports::StartOrder&, Ports::WorkerCallback) override { }
+    void stop(const Ports::StopOrder&, Ports::WorkerCallback callback) override
+    {
+        ++stops;
+        callback({ status, Ports::WorkerRefusal::None, {} });
+    }
+    void throttle(const Ports::ThrottleOrder&, Ports::WorkerCallback) override { }
+    void look(const Ports::LookOrder&, Ports::LookCallback) override { }
+
+    Ports::WorkerStatus status = Ports::WorkerStatus::NoAnswer;
+    unsigned stops = 0;
+};
+
+/// A session with such a worker.
+struct StopSession {
+    StopSession()
+    {
+        WorkerSession::Hooks hooks;
+        hooks.mayStop = [this](const StopRun&) { return mayStop; };
+        hooks.stopAnswered = [this](const StopRun&, const Ports::WorkerAnswer&) { ++answered; };
+        hooks.stopWithdrawn = [this](const StopRun&) { ++withdrawn; };
+        session = std::make_unique<WorkerSession>(loop, port, SessionLimits {}, 1, WorkerEntry {}, hooks);
+    }
+
+    VirtualLoop loop;
+    StopPort port;
+    bool mayStop = true;
+    unsigned answered = 0;
+    unsigned withdrawn = 0;
+    std::unique_ptr<WorkerSession> session;
+};
+
+} // namespace
+
+TEST_CASE("a stop that surely did nothing is withdrawn instead of sent again, once it isn't allowed any more")
+{
+    StopSession it;
+    it.port.status = Ports::WorkerStatus::NotSent;
+    it.session->stop({ ServingPool::key(0), 1, "w0" });
+    it.mayStop = false;
+    it.loop.runFor(5s);
+    CHECK(it.port.stops == 1);
+    CHECK(it.withdrawn == 1);
+}
+
+TEST_CASE("a stop that may have arrived is kept back, not withdrawn, while it isn't allowed any more")
+{
+    StopSession it;
+    it.session->stop({ ServingPool::key(0), 1, "w0" });
+    it.mayStop = false;
+    it.loop.runFor(5s);
+    CHECK(it.port.stops == 1);
+    CHECK(it.withdrawn == 0);
+    it.mayStop = true;
+    it.port.status = Ports::WorkerStatus::Done;
+    it.loop.runFor(2s);
+    CHECK(it.port.stops == 2);
+    CHECK(it.answered == 1);
+}
+
+namespace {
+
+/// A fleet in which a lasting job's tasks, each of most of a worker, run on the only two workers.
+struct ServingFleet : JobFleet {
+    ServingFleet()
+        : JobFleet(2, 2)
+    {
+        settle();
+        setRunTime(60s);
+        for (const auto& [id, worker] : workers)
+            worker->startup = startup;
+        // Its task ends by itself.
+        workers.at("w1")->runTime = 6s;
+        auto spec = lastingStep(2);
+        spec.steps.front().need.milliCores = 3000;
+        spec.steps.front().mayMiss = 1;
+        REQUIRE(call("host-0", Ports::JobVerb::Submit, jobId(1), spec).has_value());
+        runFor(4500ms);
+        REQUIRE(workers.at("w0")->isBusy());
+        REQUIRE(workers.at("w1")->isBusy());
+        auto& spare = *addWorker("w2", "m2", 4);
+        spare.runTime = 60s;
+        spare.startup = startup;
+        publishWorker("w2");
+        runFor(200ms);
+    }
+
+    static constexpr std::chrono::milliseconds startup { 400 };
+};
+
+} // namespace
+
+// Same day: what the step may miss was reckoned when the stop was decided, and it left seconds later.
+TEST_CASE("a stop that waited for the store isn't sent once another task of the step is away")
+{
+    ServingFleet fleet;
+    const EventLog log;
+    fleet.publishWave({ 7, { "m0" }, 60s, 1 });
+    while (fleet.store.state.read("status/7", false, fleet.loop.now()).values.empty())
+        fleet.runFor(1ms);
+    // Orders wait for the records before them.
+    fleet.store.isDown = true;
+    auto waiting = oneStep(1);
+    waiting.steps.front().requiredLabel = "none has it";
+    fleet.call("host-0", Ports::JobVerb::Submit, jobId(2), waiting, 1ms);
+    for (auto waited = 0ms; waited < 3s && fleet.workers.at("w1")->isBusy(); waited += 10ms)
+        fleet.runFor(10ms);
+    REQUIRE_FALSE(log.all("run-vacated").empty());
+    REQUIRE_FALSE(fleet.workers.at("w1")->isBusy());
+    REQUIRE(fleet.workers.at("w0")->isBusy());
+    fleet.store.isDown = false;
+    auto otherFor = 0ms;
+    for (auto waited = 0ms; waited < 10s && fleet.workers.at("w0")->isBusy(); waited += 10ms) {
+        fleet.runFor(10ms);
+        const bool isOtherThere = fleet.workers.at("w1")->isBusy() || fleet.workers.at("w2")->isBusy();
+        otherFor = isOtherThere ? otherFor + 10ms : 0ms;
+    }
+    CHECK(otherFor >= fleet.startup);
+    CHECK_FALSE(fleet.workers.at("w0")->isBusy());
+}
