Let a new holder of the fleet's duty order machines that the last one didn't announce

The store is away from 31.0 to 34.1 s, and the zone of the holder of the fleet's duty is cut off at 33.5 s. Another host has the duty from 36.15 s on. Its `fleet-load` lines show a short pool, 204 idle machines and 24 that are off, and `silenceLeftMs` 3259: its first order, for 145 machines at once, leaves at 39.4 s.

Cause: two holders mustn't take turns on one machine within 3 s. A new holder didn't know what the one before had ordered, so it ordered nothing at all for 3.3 s. The class of fault: what is forbidden for a few objects is withheld for all, since nobody wrote down which.

Change: a holder names machines in the store, under its fence, before orders for them leave (`OrderIntents`); a new holder reads that once it has the duty, from when on no announcement of the old one can succeed, and leaves only these machines alone for the 3.3 s. Its own earlier orders hold for 1.5 s, as before; that is now decided for each announcement rather than by the last holder only. While the announcements can't be read all machines are left alone, as before. Without the store nothing is ordered. One transaction a decision, each with a key of its own: a write that takes effect late adds names and never takes any away. A key is removed 3.3 s after the last of its orders is settled, and what an earlier holder announced only 3.3 s after the takeover, so that a third holder sees it as well. A wave orders nothing while one of its machines is left alone: it may be down, and would be missing in the count of those that are. `fleet-load` tells how many machines are left alone.

Tests: OrderIntentsTest.

Not covered: a holder of an earlier version announces nothing, so a rolling upgrade across this change has no silence after such a holder.

--- a/Source/Core/Jobs/Runtime/FleetDuty.cpp
+++ b/Source/Core/Jobs/Runtime/FleetDuty.cpp
@@ -1,11 +1,14 @@
 #include "Jobs/Runtime/FleetDuty.h"
 
+#include "Jobs/Fleet/FleetOrders.h"
 #include "Jobs/Fleet/MovePlanner.h"
 #include "Jobs/Fleet/WaveRun.h"
 #include "Jobs/Runtime/EventLimiter.h"
 #include "Jobs/Runtime/Events.h"
 #include "Jobs/Runtime/FleetReport.h"
 #include "Jobs/Runtime/JobNodeState.h"
+#include "Jobs/Runtime/NameText.h"
+#include "Jobs/Runtime/OrderIntents.h"
 #include "Jobs/Runtime/Ownership.h"
 #include "Jobs/Runtime/StoreKeys.h"
 
@@ -19,31 +22,9 @@
     constexpr milliseconds stepInterval { 200 }; ///< A fraction of a peak, and of a move.
     constexpr milliseconds cordonInterval { 10 }; ///< Between a cordon and the loads that confirm it.
     constexpr milliseconds orderRetry { 400 };
-    constexpr milliseconds ordersUnderWay { 1500 }; ///< After it, a call to the machine service is given up.
-    constexpr milliseconds silenceMargin { 300 }; ///< On top of the silence between two holders, for orders under way.
     constexpr milliseconds reportInterval { 1000 }; ///< Of lines about what keeps orders back.
     constexpr milliseconds listInterval { 2500 }; ///< Of machines; own orders are reckoned with before.
 
-    std::set<std::string> readNames(const std::string& text)
-    {
-        std::set<std::string> names;
-        for (std::size_t begin = 0; begin < text.size();) {
-            const auto end = std::min(text.find(' ', begin), text.size());
-            if (end > begin)
-                names.insert(text.substr(begin, end - begin));
-            begin = end + 1;
-        }
-        return names;
-    }
-
-    std::string joinNames(const std::set<std::string>& names)
-    {
-        std::string text;
-        for (const auto& it : names)
-            text += (text.empty() ? "" : " ") + it;
-        return text;
-    }
-
 } // namespace
 
 struct FleetDuty::State : std::enable_shared_from_this<FleetDuty::State> {
@@ -52,21 +33,8 @@
         , loop(given.loop)
         , fence(ownFence)
         , moves(given.limits.moveTime)
-        , firstOrderAt(given.loop.now() + silenceAfter(given.predecessor, given.limits))
-    {
-    }
-
-    /// Between the orders of two holders. Orders by this host itself need only be answered or given up.
-    static milliseconds silenceAfter(Predecessor predecessor, const FleetLimits& limits)
+        , intents({ given.loop, given.platform, given.holder, given.predecessor, given.limits.holderSilence }, ownFence)
     {
-        switch (predecessor) {
-        case Predecessor::None:
-            return milliseconds(0);
-        case Predecessor::Self:
-            return ordersUnderWay;
-        default:
-            return limits.holderSilence + silenceMargin;
-        }
     }
 
     static void log(const char* event, const std::string& id, std::vector<std::pair<const char*, std::string>> fields)
@@ -188,18 +156,17 @@
             if (isCompleted)
                 complete(number);
         }
-        const bool mayOrder = now >= firstOrderAt && context.mayOrder();
+        const bool mayOrder = now >= withdrawnUntil && !intents.isSilentForAll() && context.mayOrder();
+        FleetOrders orders;
         for (auto& [number, run] : waves) {
             cordon.merge(run.chooseCordon(seen, now));
-            if (!mayOrder)
-                continue;
-            for (const auto& machine : run.chooseOrders(seen, now)) {
-                if (!moves.cordon().contains(machine))
-                    order(number, machine);
-            }
+            if (mayOrder && !mayBeDown(run.wave()))
+                orderMaintenance(number, run.chooseOrders(seen, now), orders);
         }
         if (context.limits.movesMachines && mayOrder)
-            decideMoves(seen);
+            decideMoves(seen, orders);
+        cordon.merge(moves.cordon()); // Also while an order that is announced waits for its answer.
+        announce(std::move(orders));
         if (now >= nextReport)
             report(seen);
         const bool isNew = std::ranges::any_of(cordon, [&before](const auto& it) { return !before.contains(it); });
@@ -216,7 +183,8 @@
         picture.plannedMoves = moves.cordon().size();
         picture.movesMachines = context.limits.movesMachines;
         picture.isLeaseSure = context.mayOrder();
-        picture.silenceLeft = std::max(milliseconds(0), std::chrono::ceil<milliseconds>(firstOrderAt - now));
+        picture.silenceLeft = intents.silenceLeft();
+        picture.silentMachines = intents.isSilentForAll() ? machines.size() : intents.silentMachines().size();
         if (listedAt != Common::Instant())
             picture.listAge = std::chrono::duration_cast<milliseconds>(now - listedAt);
         if (auto event = describeFleet(picture, now)) {
@@ -225,20 +193,71 @@
         }
     }
 
-    void decideMoves(const std::map<std::string, MachineView>& seen)
+    /// True when an earlier holder may have taken one of the machines down, which this one's count would lack.
+    bool mayBeDown(const MaintenanceWave& wave) const
+    {
+        return std::ranges::any_of(wave.machines, [this](const auto& it) { return intents.isSilent(it); });
+    }
+
+    void decideMoves(const std::map<std::string, MachineView>& seen, FleetOrders& orders)
     {
         auto excluded = cordon;
+        excluded.merge(intents.silentMachines());
         for (const auto& [number, run] : waves)
             run.addBusy(excluded, loop.now());
         moves.plan(poolViews(), seen, excluded, loop.now());
-        for (const auto& it : moves.readyMoves(seen))
+        for (const auto& it : moves.readyMoves(seen)) {
+            if (intents.isSilent(it.machine))
+                continue;
+            moves.ordered(it.machine, loop.now());
+            orders.moves.push_back(it);
+        }
+    }
+
+    /// Has the machines named in the store before anything is sent to them.
+    void announce(FleetOrders orders)
+    {
+        auto names = orders.machines();
+        if (names.empty())
+            return;
+        intents.announce(names, [self = weak_from_this(), orders = std::move(orders)](bool isAnnounced) {
+            const auto state = self.lock();
+            if (!state || state->isOver)
+                return;
+            if (isAnnounced && state->context.mayOrder())
+                state->send(orders);
+            else
+                state->withdraw(orders, isAnnounced ? "lease-unsure" : "unannounced");
+        });
+    }
+
+    void send(const FleetOrders& orders)
+    {
+        for (const auto& it : orders.maintenance) {
+            if (const auto run = waves.find(it.wave); run != waves.end())
+                log("maintenance-ordered", it.machine, { { "wave", std::to_string(it.wave) }, { "fence", std::to_string(fence) }, { "down", std::to_string(run->second.downCount(loop.now())) }, { "maximum", std::to_string(run->second.wave().maximumDown) } });
+            send(it.wave, it.machine);
+        }
+        for (const auto& it : orders.moves)
             sendMove(it);
-        cordon.merge(moves.cordon());
+    }
+
+    void withdraw(const FleetOrders& orders, const char* reason)
+    {
+        limiter.write({ "orders-withdrawn", context.holder, { { "machines", std::to_string(orders.machines().size()) }, { "reason", reason } } }, loop.now());
+        for (const auto& it : orders.maintenance) {
+            if (const auto run = waves.find(it.wave); run != waves.end())
+                run->second.refused(it.machine, loop.now());
+        }
+        for (const auto& it : orders.moves)
+            moves.answered(it.machine, false, loop.now());
+        for (const auto& it : orders.machines())
+            intents.settled(it);
+        withdrawnUntil = loop.now() + orderRetry;
     }
 
     void sendMove(const MachineMove& move)
     {
-        moves.ordered(move.machine, loop.now());
         log("move-ordered", move.machine, { { "to", move.pool }, { "fence", std::to_string(fence) } });
         const Ports::MachineOrder order { move.machine, context.holder, fence, move.pool, 0 };
         context.machines.move(order, [self = weak_from_this(), move](Ports::MachineStatus status) {
@@ -266,6 +285,7 @@
             return;
         }
         const bool isDone = status == Ports::MachineStatus::Done;
+        intents.settled(move.machine);
         moves.answered(move.machine, isDone, loop.now());
         const auto it = machines.find(move.machine);
         if (!isDone)
@@ -283,12 +303,15 @@
         nextList = std::min(nextList, loop.now() + context.limits.moveTime);
     }
 
-    void order(std::uint64_t number, const std::string& machine)
+    void orderMaintenance(std::uint64_t number, const std::vector<std::string>& chosen, FleetOrders& orders)
     {
         auto& run = waves.at(number);
-        run.ordered(machine, loop.now());
-        log("maintenance-ordered", machine, { { "wave", std::to_string(number) }, { "fence", std::to_string(fence) }, { "down", std::to_string(run.downCount(loop.now())) }, { "maximum", std::to_string(run.wave().maximumDown) } });
-        send(number, machine);
+        for (const auto& machine : chosen) {
+            if (moves.cordon().contains(machine))
+                continue;
+            run.ordered(machine, loop.now());
+            orders.maintenance.push_back({ number, machine });
+        }
     }
 
     void send(std::uint64_t number, const std::string& machine)
@@ -316,6 +339,8 @@
     {
         using Ports::MachineStatus;
         const auto it = waves.find(number);
+        if (it == waves.end() || status != MachineStatus::NoAnswer)
+            intents.settled(machine);
         if (it == waves.end())
             return;
         log("maintenance-answered", machine, { { "wave", std::to_string(number) }, { "status", std::to_string(static_cast<int>(status)) } });
@@ -421,11 +446,12 @@
     Common::TaskLoop& loop;
     Fence fence;
     MovePlanner moves;
-    Common::Instant firstOrderAt;
+    OrderIntents intents;
     EventLimiter limiter { "fleet" };
     Common::Instant nextList {};
     Common::Instant listedAt {};
     Common::Instant nextReport {};
+    Common::Instant withdrawnUntil {}; ///< Until then, the store is given time to come back.
     JobConfiguration configuration;
     std::map<std::string, Machine> machines;
     std::map<std::string, PoolLoad> loads;
@@ -451,6 +477,7 @@
 
 void FleetDuty::begin()
 {
+    m_state->intents.begin();
     m_state->stepAfter(milliseconds(1));
 }
 
--- a/Source/Core/Jobs/Runtime/FleetReport.cpp
+++ b/Source/Core/Jobs/Runtime/FleetReport.cpp
@@ -106,6 +106,7 @@
         { "moves", picture.movesMachines ? "allowed" : "disabled" },
         { "lease", picture.isLeaseSure ? "sure" : "unsure" },
         { "silenceLeftMs", std::to_string(picture.silenceLeft.count()) },
+        { "silentMachines", std::to_string(picture.silentMachines) },
         { "waves", waveText(picture, now) },
         { "listAgeMs", picture.listAge ? std::to_string(picture.listAge->count()) : "none" },
     };
--- a/Source/Core/Jobs/Runtime/FleetReport.h
+++ b/Source/Core/Jobs/Runtime/FleetReport.h
@@ -21,7 +21,8 @@
     std::size_t plannedMoves = 0; ///< Machines being vacated or ordered for a move.
     bool movesMachines = true;
     bool isLeaseSure = true;
-    milliseconds silenceLeft { 0 }; ///< Until the first order that the holder may give.
+    milliseconds silenceLeft { 0 }; ///< Until the last of these may be ordered.
+    std::size_t silentMachines = 0; ///< Left alone, as an earlier holder may have ordered something for them.
     std::optional<milliseconds> listAge {}; ///< Of the list of machines; nothing before the first.
 };
 
--- a/Source/Core/Jobs/Runtime/StoreKeys.h
+++ b/Source/Core/Jobs/Runtime/StoreKeys.h
@@ -17,6 +17,7 @@
 constexpr const char* snapshots = "/marigold/snapshots/"; ///< <pool>/<segment>/<part>
 constexpr const char* heads = "/marigold/heads/"; ///< <pool>: which snapshot and segments make up the journal.
 constexpr const char* waves = "/marigold/waves/"; ///< <number>: machines of a maintenance wave that have begun theirs.
+constexpr const char* orders = "/marigold/orders/"; ///< <fence>/<number>: a holder of the fleet's duty, and machines that it may have given orders for.
 
 /// Length at which a value ends and the next one begins: well under the store's megabyte, base64 included.
 constexpr std::size_t valueBytes = std::size_t { 256 } << 10;
--- a/Source/UnitTests/Jobs/FakeStore.cpp
+++ b/Source/UnitTests/Jobs/FakeStore.cpp
@@ -26,23 +26,25 @@
     });
 }
 
+void FakeStorePort::leaveUnanswered(const PlatformCallback& callback)
+{
+    m_store.loop.after(callTimeout, [alive = m_isAlive, callback] {
+        if (*alive)
+            callback({ PlatformStatus::Uncertain, 0, {}, 0, {} });
+    });
+}
+
 void FakeStorePort::call(bool isWrite, const Call& act, const PlatformCallback& callback)
 {
-    const auto noAnswer = [this, callback] {
-        m_store.loop.after(callTimeout, [alive = m_isAlive, callback] {
-            if (*alive)
-                callback({ PlatformStatus::Uncertain, 0, {}, 0, {} });
-        });
-    };
     if (isCut()) {
-        noAnswer();
+        leaveUnanswered(callback);
         return;
     }
     m_store.writes += isWrite ? 1 : 0;
     if (isWrite && m_store.answersToLose > 0) {
         --m_store.answersToLose;
         m_store.loop.after(m_store.delay + m_store.lateEffect, [act] { act(); });
-        noAnswer();
+        leaveUnanswered(callback);
         return;
     }
     m_store.loop.after(m_store.delay, [this, act, callback] { answer(act(), callback); });
@@ -50,6 +52,10 @@
 
 void FakeStorePort::read(const std::string& key, bool prefix, PlatformCallback callback)
 {
+    if (!m_store.unreadable.empty() && key == m_store.unreadable) {
+        leaveUnanswered(callback);
+        return;
+    }
     call(
         false, [this, key, prefix] { return m_store.state.read(key, prefix, m_store.loop.now()); }, callback);
 }
--- a/Source/UnitTests/Jobs/FakeStore.h
+++ b/Source/UnitTests/Jobs/FakeStore.h
@@ -30,6 +30,7 @@
     unsigned answersToLose = 0; ///< Of the next writes; carried out, but not answered.
     bool isDown = false; ///< Swallows every call.
     std::set<std::string> cutHosts; ///< As if down, for these.
+    std::string unreadable; ///< Reads of this key or prefix aren't answered; none when empty.
     unsigned writes = 0;
 };
 
@@ -54,6 +55,7 @@
 
     bool isCut() const { return m_store.isDown || m_store.cutHosts.contains(m_host); }
     void call(bool isWrite, const Call&, const Ports::PlatformCallback&);
+    void leaveUnanswered(const Ports::PlatformCallback&);
     void answer(Ports::PlatformReply, const Ports::PlatformCallback&);
 
     FakeStore& m_store;
--- a/Source/UnitTests/Jobs/JobEventsTest.cpp
+++ b/Source/UnitTests/Jobs/JobEventsTest.cpp
@@ -165,6 +165,7 @@
     fleet.setRunTime(10s);
     fleet.settle();
     const auto first = fleet.ownerOf("~fleet");
+    fleet.store.put("/marigold/orders/1/1", first + " s0 s1");
     fleet.killHost(first);
     fleet.runFor(2500ms);
     const auto second = first == "host-0" ? "host-1" : "host-0";
@@ -184,10 +185,12 @@
     CHECK(silent.at("moves") == "allowed");
     CHECK(silent.at("lease") == "sure");
     CHECK(silent.number("silenceLeftMs") > 0);
+    CHECK(silent.number("silentMachines") == 2);
     CHECK(silent.number("listAgeMs") < 3000);
     CHECK(log.all("move-ordered").empty());
     fleet.runFor(4s);
     CHECK(log.last("fleet-load").number("silenceLeftMs") == 0);
+    CHECK(log.last("fleet-load").number("silentMachines") == 0);
     CHECK_FALSE(log.all("move-ordered").empty());
     CHECK(log.all("fleet-load").size() <= 8);
 }
--- /dev/null
+++ b/Source/UnitTests/Jobs/OrderIntentsTest.cpp
@@ -0,0 +1,201 @@
+/// Two holders of the fleet's duty that order something for one machine in turn, and machines that idle beside a short
+/// pool while a new holder waits.
+
+#include "Jobs/Runtime/OrderIntents.h"
+#include "JobFleet.h"
+#include "Jobs/Runtime/StoreKeys.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <utility>
+
+using namespace Jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string fleetDuty = "~fleet";
+
+/// A fleet with one machine in the pool and two that are off.
+struct ShortFleet : JobFleet {
+    explicit ShortFleet(unsigned hostCount)
+        : JobFleet(hostCount, 1)
+    {
+        configuration.pools.push_back({ "off", true, true });
+        for (const std::string name : { "s0", "s1" })
+            machines[name] = { name, "off", Machine::State::Up, "", "dc", {}, { 4000, 64000, 0 } };
+        setRunTime(30s);
+        settle();
+    }
+
+    void submit(const std::string& host, unsigned number, unsigned tasks)
+    {
+        const auto answer = call(host, Ports::JobVerb::Submit, jobId(number), oneStep(tasks, 30s));
+        REQUIRE(answer);
+        CHECK(answer->outcome == Ports::JobOutcome::Accepted);
+    }
+
+    /// Has the holder order one machine; gives its name.
+    std::string orderOne()
+    {
+        submit(hosts.begin()->first, 1, 6);
+        for (unsigned n = 0; n < 1000 && moved.empty(); ++n)
+            runFor(1ms);
+        REQUIRE(moved.size() == 1);
+        return moved.front().machine;
+    }
+
+    void killHolder() { killHost(ownerOf(fleetDuty)); }
+
+    bool hasOrdered(const std::string& holder, const std::string& machine) const
+    {
+        return std::ranges::any_of(moved, [&](const auto& it) { return it.holder == holder && it.machine == machine; });
+    }
+
+    std::vector<Ports::KeyValue> announced() { return store.state.read(StoreKeys::orders, true, loop.now()).values; }
+};
+
+std::string otherMachine(const std::string& machine) { return machine == "s0" ? "s1" : "s0"; }
+
+} // namespace
+
+TEST_CASE("a new holder of the fleet's duty orders a machine at once that the holder before hasn't announced")
+{
+    ShortFleet fleet(2);
+    fleet.killHolder();
+    fleet.runFor(2500ms);
+    const auto second = fleet.ownerOf(fleetDuty);
+    REQUIRE(!second.empty());
+    fleet.submit(second, 1, 16);
+    fleet.runFor(500ms);
+    CHECK(fleet.hasOrdered(second, "s0"));
+    CHECK(fleet.hasOrdered(second, "s1"));
+}
+
+TEST_CASE("a new holder of the fleet's duty keeps silent about a machine that the holder before announced, and about no other")
+{
+    ShortFleet fleet(2);
+    const auto machine = fleet.orderOne();
+    fleet.killHolder();
+    fleet.runFor(2500ms);
+    const auto second = fleet.ownerOf(fleetDuty);
+    REQUIRE(!second.empty());
+    fleet.submit(second, 2, 16);
+    fleet.runFor(500ms);
+    CHECK(fleet.hasOrdered(second, otherMachine(machine)));
+    CHECK(!fleet.hasOrdered(second, machine));
+    fleet.runFor(4s);
+    CHECK(fleet.hasOrdered(second, machine));
+}
+
+TEST_CASE("a machine that a holder announced is left alone by the one after the next, too")
+{
+    ShortFleet fleet(3);
+    const auto machine = fleet.orderOne();
+    fleet.killHolder();
+    for (unsigned n = 0; n < 4000 && fleet.ownerOf(fleetDuty).empty(); ++n)
+        fleet.runFor(1ms);
+    const auto second = fleet.ownerOf(fleetDuty);
+    REQUIRE(!second.empty());
+    fleet.hosts.at(second)->node->leave([] {});
+    fleet.runFor(700ms);
+    const auto third = fleet.ownerOf(fleetDuty);
+    REQUIRE(!third.empty());
+    REQUIRE(third != second);
+    fleet.submit(third, 2, 16);
+    fleet.runFor(500ms);
+    CHECK(fleet.hasOrdered(third, otherMachine(machine)));
+    CHECK(!fleet.hasOrdered(second, machine));
+    CHECK(!fleet.hasOrdered(third, machine));
+    fleet.runFor(4s);
+    CHECK(fleet.hasOrdered(third, machine));
+}
+
+TEST_CASE("an order isn't sent before it is announced")
+{
+    ShortFleet fleet(2);
+    fleet.store.delay = 50ms;
+    const auto machine = fleet.orderOne();
+    const auto announced = fleet.announced();
+    REQUIRE(announced.size() == 1);
+    CHECK(announced.front().value == fleet.ownerOf(fleetDuty) + ' ' + machine);
+}
+
+TEST_CASE("a holder that can't announce its orders gives none, and gives them once it can")
+{
+    ShortFleet fleet(2);
+    const auto holder = fleet.ownerOf(fleetDuty);
+    REQUIRE(fleet.ownerOf("desk") != holder);
+    fleet.submit(fleet.ownerOf("desk"), 1, 6);
+    fleet.store.cutHosts = { holder };
+    fleet.runFor(1300ms);
+    REQUIRE(fleet.hosts.at(holder)->node->ownership().isLeaseSure());
+    CHECK(fleet.moved.empty());
+    fleet.store.cutHosts.clear();
+    fleet.runFor(1500ms);
+    CHECK(fleet.ownerOf(fleetDuty) == holder);
+    CHECK(fleet.moved.size() == 1);
+}
+
+TEST_CASE("announcements that can't be read silence a new holder for all machines")
+{
+    ShortFleet fleet(2);
+    fleet.killHolder();
+    fleet.store.unreadable = StoreKeys::orders;
+    fleet.runFor(2500ms);
+    const auto second = fleet.ownerOf(fleetDuty);
+    REQUIRE(!second.empty());
+    fleet.submit(second, 1, 16);
+    fleet.runFor(2s);
+    CHECK(fleet.moved.empty());
+    fleet.runFor(2500ms);
+    CHECK(fleet.moved.size() == 2);
+}
+
+TEST_CASE("a new holder takes no machine of a wave down while one that the holder before announced may be down")
+{
+    JobFleet fleet(2, 4);
+    fleet.settle();
+    fleet.publishWave({ 7, { "m0", "m1", "m2", "m3" }, 30s, 1 });
+    for (unsigned n = 0; n < 2000 && fleet.maintained.empty(); ++n)
+        fleet.runFor(1ms);
+    REQUIRE(fleet.maintained.size() == 1);
+    const auto first = fleet.ownerOf(fleetDuty);
+    fleet.killHost(first);
+    fleet.runFor(3500ms);
+    REQUIRE(!fleet.ownerOf(fleetDuty).empty());
+    CHECK(fleet.maintained.size() == 1);
+    fleet.runFor(4s);
+    CHECK(fleet.maintained.size() >= 2);
+}
+
+TEST_CASE("announcements of orders that are settled don't stay in the store")
+{
+    ShortFleet fleet(2);
+    auto& machine = fleet.machines.at(fleet.orderOne());
+    machine.pool = "desk";
+    machine.state = Machine::State::Moving;
+    fleet.runFor(3s);
+    CHECK(fleet.announced().size() == 1); // Not before another holder may order the machine.
+    fleet.runFor(3s);
+    CHECK(fleet.announced().empty());
+}
+
+TEST_CASE("a holder that has lost the duty announces nothing any more")
+{
+    VirtualLoop loop;
+    FakeStore store { loop };
+    FakeStorePort port(store, "host-0");
+    store.put(Ownership::keyOf(fleetDuty), "host-0 1");
+    const auto fence = static_cast<Fence>(store.state.revision());
+    OrderIntents intents({ loop, port, "host-0", Predecessor::None, 3s }, fence);
+    intents.begin();
+    std::vector<bool> answers;
+    intents.announce({ "m0" }, [&answers](bool isAnnounced) { answers.push_back(isAnnounced); });
+    loop.runFor(20ms);
+    store.put(Ownership::keyOf(fleetDuty), "host-1 2");
+    intents.announce({ "m1" }, [&answers](bool isAnnounced) { answers.push_back(isAnnounced); });
+    loop.runFor(20ms);
+    CHECK(answers == std::vector<bool> { true, false });
+    CHECK(store.state.read(StoreKeys::orders, true, loop.now()).values.size() == 1);
+}
