Vacate a wave's machines only as far as their lasting tasks have room elsewhere

Cause: a wave cordoned machines of a pool together, whatever room that left for their lasting tasks. A pool that moves had left with three machines had two of them cordoned and the third full of lasting tasks: none could leave. After 4 s both were given up together, 3 s later cordoned together again.

Change: the owner of a pool reports what lasting tasks occupy of a worker; a machine is cordoned beside others of its pool only if the pool's other machines could hold all lasting tasks that leave. One machine of a pool may be vacated in any case.

--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -36,6 +36,7 @@
     unsigned runs = 0;
     unsigned lastingRuns = 0;
     bool isCordoned = false;
+    Resources lasting {}; ///< Occupied by lasting runs.
 };
 
 /// Load of a pool, as moves and maintenance weigh it.
--- a/Source/Core/Jobs/Decision/PoolCoreReport.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreReport.cpp
@@ -3,6 +3,7 @@
 #include "Jobs/Decision/PoolCore.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Jobs {
 
@@ -29,14 +30,18 @@
 {
     PoolLoad load;
     for (const auto& [id, worker] : m_workers) {
-        const auto isLasting = [](const auto& it) { return it.second.isLasting; };
+        WorkerLoad report { id, worker.entry.machine, static_cast<unsigned>(worker.runs.size()), 0, worker.isCordoned };
         if (worker.mayTake(at.now))
             load.capacityMilliCores += worker.entry.capacity.milliCores;
         for (const auto& [key, run] : worker.runs) {
             load.busyMilliCores += run.reserved.milliCores;
-            load.lastingMilliCores += run.isLasting ? run.reserved.milliCores : 0;
+            if (!run.isLasting)
+                continue;
+            load.lastingMilliCores += run.reserved.milliCores;
+            ++report.lastingRuns;
+            report.lasting += run.reserved;
         }
-        load.workers.push_back({ id, worker.entry.machine, static_cast<unsigned>(worker.runs.size()), static_cast<unsigned>(std::ranges::count_if(worker.runs, isLasting)), worker.isCordoned });
+        load.workers.push_back(std::move(report));
     }
     forEachWaitingStep(m_jobs, [&](const Job& job, unsigned occurrence, unsigned step, unsigned waiting) {
         const auto& spec = job.spec().steps[step];
--- a/Source/Core/Jobs/Fleet/WaveRun.cpp
+++ b/Source/Core/Jobs/Fleet/WaveRun.cpp
@@ -13,6 +13,37 @@
     constexpr milliseconds downMargin { 400 }; ///< A new worker takes a moment to register.
     constexpr unsigned lookahead = 2; ///< Machines being vacated beyond those that may go down at once.
 
+    /// Room for lasting tasks on a pool's machines. Vacated together, machines whose lasting tasks have room only on each other
+    /// would never be empty.
+    class LastingRoom {
+    public:
+        void add(const MachineView& view) { m_room += roomOn(view); }
+        /// False when what leaves would have no room then. What leaves first may wait for other machines.
+        bool vacate(const MachineView& view)
+        {
+            auto room = m_room;
+            room -= roomOn(view);
+            auto leaving = m_leaving;
+            leaving += view.load->lasting;
+            if (m_leaving != Resources() && !leaving.fitsInto(room))
+                return false;
+            m_room = room;
+            m_leaving = leaving;
+            return true;
+        }
+
+    private:
+        static Resources roomOn(const MachineView& view)
+        {
+            auto room = view.machine.capacity;
+            room -= view.load->lasting;
+            return room;
+        }
+
+        Resources m_room;
+        Resources m_leaving;
+    };
+
 } // namespace
 
 void MachineView::add(const WorkerLoad& it)
@@ -24,6 +55,7 @@
     load->runs += it.runs;
     load->lastingRuns += it.lastingRuns;
     load->isCordoned = load->isCordoned && it.isCordoned;
+    load->lasting += it.lasting;
 }
 
 WaveRun::WaveRun(MaintenanceWave wave, std::set<std::string> done)
@@ -43,6 +75,12 @@
     return static_cast<unsigned>(m_underWay.size() + static_cast<std::size_t>(std::ranges::count_if(m_downUntil, isDown)));
 }
 
+bool WaveRun::isOpen(const std::string& machine, const MachineView& view) const
+{
+    const bool isCordonedElsewhere = view.load && view.load->isCordoned && !m_cordon.contains(machine); // For a move, or another wave.
+    return view.machine.state == Machine::State::Up && view.load && !m_underWay.contains(machine) && !isCordonedElsewhere;
+}
+
 std::set<std::string> WaveRun::chooseCordon(const std::map<std::string, MachineView>& views, Instant now)
 {
     using Rank = std::tuple<bool, unsigned, unsigned, std::string>;
@@ -64,11 +102,19 @@
     std::ranges::sort(ranked);
     const auto down = downCount(now);
     const std::size_t room = (m_wave.maximumDown > down ? m_wave.maximumDown - down : 0) + lookahead;
+    std::map<std::string, LastingRoom> pools;
+    for (const auto& [name, view] : views) {
+        if (isOpen(name, view))
+            pools[view.machine.pool].add(view);
+    }
     std::set<std::string> chosen;
     for (const auto& it : ranked) {
         if (chosen.size() >= room)
             break;
         const auto& name = std::get<std::string>(it);
+        const auto& view = views.at(name);
+        if (!pools[view.machine.pool].vacate(view))
+            continue;
         if (!m_cordon.contains(name))
             m_attempts[name].cordonedAt = now;
         chosen.insert(name);
--- a/Source/Core/Jobs/Fleet/WaveRun.h
+++ b/Source/Core/Jobs/Fleet/WaveRun.h
@@ -56,6 +56,8 @@
     };
 
     bool isDue(const std::string& machine, const MachineView&) const;
+    /// True when lasting tasks could go to the machine, unless it is cordoned by this wave.
+    bool isOpen(const std::string& machine, const MachineView&) const;
 
     MaintenanceWave m_wave;
     std::set<std::string> m_done;
--- a/Source/Core/Jobs/Runtime/NodeMessages.cpp
+++ b/Source/Core/Jobs/Runtime/NodeMessages.cpp
@@ -34,7 +34,7 @@
 template<typename V, MaybeConst<WorkerLoad> M>
 void visitFields(V& v, M& m)
 {
-    v(m.worker, m.machine, m.runs, m.lastingRuns, m.isCordoned);
+    v(m.worker, m.machine, m.runs, m.lastingRuns, m.isCordoned, m.lasting);
 }
 
 template<typename V, MaybeConst<PoolLoad> M>
--- a/Source/UnitTests/Jobs/PolicyTest.cpp
+++ b/Source/UnitTests/Jobs/PolicyTest.cpp
@@ -156,6 +156,35 @@
     CHECK(!run.chooseCordon(views, Instant(1h) + 400ms).contains(orders.front()));
 }
 
+// Recorded day inc-8208 of norrvik: of a pool's three machines two were cordoned, and the third was full of lasting tasks.
+TEST_CASE("waves: machines whose lasting tasks have room only on each other aren't vacated at the same time")
+{
+    const MaintenanceWave wave { 1, { "m0", "m1" }, 30s, 2 };
+    WaveRun run(wave, {});
+    std::map<std::string, MachineView> views;
+    const auto add = [&views](const std::string& name, unsigned lastingRuns) {
+        views[name].machine = { name, "a", Machine::State::Up, "w", "dc", {}, { 8000, 0, 0 } };
+        views[name].load = WorkerLoad { "w", name, lastingRuns, lastingRuns, false, { lastingRuns * 1000ULL, 0, 0 } };
+    };
+    add("m0", 3);
+    add("m1", 2);
+    add("m2", 7);
+    CHECK(run.chooseCordon(views, Instant(1h)) == std::set<std::string> { "m1" });
+    // With room on a fourth machine for them all, they leave together.
+    add("m3", 0);
+    CHECK(run.chooseCordon(views, Instant(1h) + 200ms).size() == 2);
+}
+
+TEST_CASE("waves: the only machine of a pool is vacated, wherever its lasting tasks may go")
+{
+    const MaintenanceWave wave { 1, { "m0" }, 30s, 1 };
+    WaveRun run(wave, {});
+    std::map<std::string, MachineView> views;
+    views["m0"].machine = { "m0", "a", Machine::State::Up, "w", "dc", {}, { 8000, 0, 0 } };
+    views["m0"].load = WorkerLoad { "w", "m0", 1, 1, false, { 1000, 0, 0 } };
+    CHECK(run.chooseCordon(views, Instant(1h)).size() == 1);
+}
+
 TEST_CASE("forecast: nothing is expected of pools whose turns aren't regular")
 {
     TurnForecast forecast;
