Give no machine of a wave up while its lasting tasks leave one after the other

Cause: a machine that isn't empty 4 s after it was cordoned gives way to another. Lasting tasks of one step leave one after the other, as each has to be at work elsewhere before the next may go; with several on a machine that takes longer. It was given up while its last one was being stopped, took that one back, and was cordoned again 3 s later.

Change: the limit counts from the latest lasting task that left. A cordoned machine takes no new ones, so that it ends.

Test: "waves: a machine isn't given up while its lasting tasks leave one after the other" failed before (given up at 6 s). jobs_tests: 78 passed.

--- a/Source/Core/Jobs/Fleet/WaveRun.cpp
+++ b/Source/Core/Jobs/Fleet/WaveRun.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    constexpr milliseconds vacateLimit { 4000 }; ///< A machine that isn't empty by then gives way to another for a while.
+    constexpr milliseconds vacateLimit { 4000 }; ///< A machine that isn't empty by then, with no lasting task leaving, gives way to another for a while.
     constexpr milliseconds vacatePause { 3000 };
     constexpr milliseconds downMargin { 400 }; ///< A new worker takes a moment to register.
     constexpr unsigned lookahead = 2; ///< Machines being vacated beyond those that may go down at once.
@@ -91,7 +91,10 @@
             continue;
         auto& attempt = m_attempts[name];
         const bool isCordoned = m_cordon.contains(name);
-        if (isCordoned && it->second.load->runs > 0 && now - attempt.cordonedAt > vacateLimit) {
+        if (!isCordoned || it->second.load->lastingRuns < attempt.lastingRuns)
+            attempt.since = now;
+        attempt.lastingRuns = it->second.load->lastingRuns;
+        if (isCordoned && it->second.load->runs > 0 && now - attempt.since > vacateLimit) {
             attempt.pauseUntil = now + vacatePause;
             continue;
         }
@@ -115,8 +118,6 @@
         const auto& view = views.at(name);
         if (!pools[view.machine.pool].vacate(view))
             continue;
-        if (!m_cordon.contains(name))
-            m_attempts[name].cordonedAt = now;
         chosen.insert(name);
     }
     m_cordon = chosen;
--- a/Source/Core/Jobs/Fleet/WaveRun.h
+++ b/Source/Core/Jobs/Fleet/WaveRun.h
@@ -51,7 +51,8 @@
 
 private:
     struct Attempt {
-        Instant cordonedAt {};
+        Instant since {}; ///< The machine was cordoned, or its latest lasting task left.
+        unsigned lastingRuns = 0;
         Instant pauseUntil {};
     };
 
--- a/Source/UnitTests/Jobs/PolicyTest.cpp
+++ b/Source/UnitTests/Jobs/PolicyTest.cpp
@@ -175,6 +175,23 @@
     CHECK(run.chooseCordon(views, Instant(1h) + 200ms).size() == 2);
 }
 
+// Same day: a machine was given up 4 s after it was cordoned, when its last lasting task was stopped, which came back to it.
+TEST_CASE("waves: a machine isn't given up while its lasting tasks leave one after the other")
+{
+    const MaintenanceWave wave { 1, { "m0" }, 30s, 1 };
+    WaveRun run(wave, {});
+    std::map<std::string, MachineView> views;
+    views["m0"].machine = { "m0", "a", Machine::State::Up, "w", "dc", {}, { 8000, 0, 0 } };
+    auto now = Instant(1h);
+    for (unsigned left = 3; left > 0; --left) {
+        views["m0"].load = WorkerLoad { "w", "m0", left, left, true, { left * 1000ULL, 0, 0 } };
+        CHECK(run.chooseCordon(views, now).size() == 1);
+        now += 3s;
+    }
+    now += 1200ms;
+    CHECK(run.chooseCordon(views, now).empty());
+}
+
 TEST_CASE("waves: the only machine of a pool is vacated, wherever its lasting tasks may go")
 {
     const MaintenanceWave wave { 1, { "m0" }, 30s, 1 };
