Keep idle machines on as a peak begins

Cause: at 36.7 s, the first decision after the store was silent, 13 of 35 idle machines were ordered to the pool whose peak began, as its first samples showed no more, and the 22 others to the standby pool: the peak made the turns regular, and with a forecast machines that have idled are switched off. They were ordered back at 39.4 s; all hosts lose power at 41.5 s. Class of fault: what isn't seen yet is taken for what isn't there.

--- a/Source/Core/Jobs/Fleet/MovePlanner.cpp
+++ b/Source/Core/Jobs/Fleet/MovePlanner.cpp
@@ -128,7 +128,8 @@
 void MovePlanner::switchOff(std::map<std::string, Need>& needs, const std::map<std::string, PoolView>& pools, Instant now)
 {
     const auto standby = std::ranges::find_if(pools, [](const auto& it) { return it.second.isStandby; });
-    if (standby == pools.end() || !m_forecast.next(now))
+    // The first samples of a peak show a part of it; idle machines are its reserve until the rest is known.
+    if (standby == pools.end() || !m_forecast.next(now) || now - m_forecast.newestStart() < idleBeforeOff)
         return;
     for (auto& [name, need] : needs) {
         const auto pool = pools.find(name);
--- a/Source/Core/Jobs/Fleet/TurnForecast.h
+++ b/Source/Core/Jobs/Fleet/TurnForecast.h
@@ -29,6 +29,8 @@
     /// The next peak of a pool that isn't peaking, if the pools' turns are regular enough to tell.
     std::optional<ExpectedPeak> next(Instant now) const;
     bool isPeaking(const std::string& pool) const;
+    /// Start of the newest peak of any pool; the epoch before the first.
+    Instant newestStart() const { return m_lastStart; }
 
 private:
     struct Pool {
--- a/Source/UnitTests/Jobs/PolicyTest.cpp
+++ b/Source/UnitTests/Jobs/PolicyTest.cpp
@@ -136,6 +136,35 @@
     CHECK(all - first < first);
 }
 
+// Day trouble-2 --seed 900163352 of nkt-ersatt: 22 idle machines were switched off as a peak began that needed them all.
+TEST_CASE("moves: idle machines aren't switched off as a peak begins whose first samples need few of them")
+{
+    MovePlanner planner(1500ms);
+    std::map<std::string, MachineView> machines;
+    for (unsigned n = 0; n < 20; ++n) {
+        const auto name = "m" + std::to_string(n);
+        machines[name].machine = { name, "a", Machine::State::Up, "w", "dc", {}, { coresEach, 0, 0 } };
+        machines[name].load = WorkerLoad { "w", name, 0, 0, true };
+    }
+    std::map<std::string, PoolView> views;
+    views["off"].isStandby = true;
+    for (const std::string name : { "a", "b", "c" })
+        views[name].isHeard = true;
+    const auto secondPeak = 14s;
+    unsigned switchedOff = 0;
+    for (auto time = 0ms; time < secondPeak + 2s; time += 200ms) {
+        const bool isFirstPeak = time >= 5s && time < 8s;
+        views["b"].load.busyMilliCores = isFirstPeak ? 100000 : 3000;
+        views["c"].load.waitingMilliCores = time >= secondPeak ? 60000 : 0;
+        planner.plan(views, machines, {}, Instant(1h) + time);
+        for (const auto& it : planner.readyMoves(machines)) {
+            if (time >= secondPeak)
+                switchedOff += it.pool == "off" ? 1 : 0;
+        }
+    }
+    CHECK(switchedOff == 0);
+}
+
 TEST_CASE("waves: a machine stays cordoned while its order is under way, so that nothing is placed there to be ended")
 {
     const MaintenanceWave wave { 1, { "m0", "m1" }, 30s, 1 };
