Give up planned moves while none may be ordered

Machines that are planned to move are cordoned, idle ones of pools that could use them. Since a plan whose order is being announced has to stay cordoned whatever the lease, plans that aren't ordered did so as well for as long as the holder's lease was unsure, or an announcement had failed. They are given up now and planned again once orders may be given; those under way stay cordoned.

Tried and left out: waves that choose no more machines to vacate while none may be ordered, or only in its last second.

--- a/Source/Core/Jobs/Fleet/MovePlanner.cpp
+++ b/Source/Core/Jobs/Fleet/MovePlanner.cpp
@@ -175,6 +175,11 @@
     m_plans[machine].isOrdered = true;
 }
 
+void MovePlanner::withdraw()
+{
+    std::erase_if(m_plans, [](const auto& it) { return !it.second.isOrdered; });
+}
+
 void MovePlanner::answered(const std::string& machine, bool isDone, Instant now)
 {
     const auto it = m_plans.find(machine);
--- a/Source/Core/Jobs/Fleet/MovePlanner.h
+++ b/Source/Core/Jobs/Fleet/MovePlanner.h
@@ -40,6 +40,8 @@
     /// Moves whose machine is empty and cordoned, or off.
     std::vector<MachineMove> readyMoves(const std::map<std::string, MachineView>&) const;
     void ordered(const std::string& machine, Instant now);
+    /// Gives the plans up that aren't ordered: none may be.
+    void withdraw();
     /// How the order ended; `isDone` when it was carried out.
     void answered(const std::string& machine, bool isDone, Instant now);
 
--- a/Source/Core/Jobs/Runtime/FleetDuty.cpp
+++ b/Source/Core/Jobs/Runtime/FleetDuty.cpp
@@ -163,7 +163,9 @@
             if (mayOrder && !mayBeDown(run.wave()))
                 orderMaintenance(number, run.chooseOrders(seen, now), orders);
         }
-        if (context.limits.movesMachines && mayOrder)
+        if (!mayOrder)
+            moves.withdraw(); // What can't move is of use where it is.
+        else if (context.limits.movesMachines)
             decideMoves(seen, orders);
         cordon.merge(moves.cordon()); // Also while an order that is announced waits for its answer.
         announce(std::move(orders));
--- a/Source/UnitTests/Jobs/PolicyTest.cpp
+++ b/Source/UnitTests/Jobs/PolicyTest.cpp
@@ -231,6 +231,25 @@
     CHECK(run.chooseCordon(views, Instant(1h)).size() == 1);
 }
 
+TEST_CASE("moves: plans are given up while none may be ordered, but for those under way")
+{
+    MovePlanner planner(1500ms);
+    std::map<std::string, PoolView> pools;
+    pools["a"].isHeard = true;
+    pools["a"].load.waitingMilliCores = 10 * coresEach;
+    pools["off"].isStandby = true;
+    std::map<std::string, MachineView> views;
+    for (const std::string name : { "s0", "s1" }) {
+        views[name].machine = { name, "off", Machine::State::Up, "", "dc", {}, { coresEach, 0, 0 } };
+        views[name].isOff = true;
+    }
+    planner.plan(pools, views, {}, Instant(1h));
+    REQUIRE(planner.cordon() == std::set<std::string> { "s0", "s1" });
+    planner.ordered("s0", Instant(1h));
+    planner.withdraw();
+    CHECK(planner.cordon() == std::set<std::string> { "s0" });
+}
+
 TEST_CASE("forecast: nothing is expected of pools whose turns aren't regular")
 {
     TurnForecast forecast;
