Don't let a host that has lost the fleet's duty lift the holder's cordon

An owner of a pool took over the cordon of whichever host asked it for its load last. A host that was cut off from the store goes on asking until it hears that it has lost the duty, and its cordon took the place of the holder's: work is then placed on a machine whose order is on its way, which ends it. The call carries the fence of the fleet's duty now, and an owner takes no note of the cordon of an older one.

--- a/Source/Core/Jobs/Runtime/FleetDuty.cpp
+++ b/Source/Core/Jobs/Runtime/FleetDuty.cpp
@@ -93,7 +93,7 @@
         if (pools.empty())
             stepAfter(stepInterval);
         for (const auto& pool : pools) {
-            LoadCall call { 0, pool, {} };
+            LoadCall call { 0, pool, {}, fence };
             for (const auto& machine : cordon) {
                 if (const auto it = machines.find(machine); it != machines.end() && it->second.pool == pool)
                     call.cordonedMachines.push_back(machine);
--- a/Source/Core/Jobs/Runtime/JobNode.cpp
+++ b/Source/Core/Jobs/Runtime/JobNode.cpp
@@ -264,7 +264,10 @@
     if (it == owners.end() || !it->second->isServing())
         return answer;
     auto& owner = *it->second;
-    owner.cordon({ call.cordonedMachines.begin(), call.cordonedMachines.end() });
+    if (call.fence >= cordonFence) { // Otherwise from a holder that hasn't heard yet that it lost the duty.
+        cordonFence = call.fence;
+        owner.cordon({ call.cordonedMachines.begin(), call.cordonedMachines.end() });
+    }
     answer.isOwner = true;
     answer.fence = owner.fence();
     answer.load = owner.load();
--- a/Source/Core/Jobs/Runtime/JobNodeState.h
+++ b/Source/Core/Jobs/Runtime/JobNodeState.h
@@ -80,6 +80,7 @@
     std::map<std::string, WorkerEntry> workers;
     std::map<std::string, std::unique_ptr<PoolOwner>> owners;
     std::unique_ptr<FleetDuty> fleet;
+    Fence cordonFence = 0; ///< Highest of the holders of the fleet's duty that called.
     std::map<std::string, KnownPeer> knownPeers;
     std::vector<Ports::PeerAddress> dialledPeers;
     bool isShedding = false; ///< A pool is being handed over.
--- a/Source/Core/Jobs/Runtime/NodeMessages.cpp
+++ b/Source/Core/Jobs/Runtime/NodeMessages.cpp
@@ -28,7 +28,7 @@
 template<typename V, MaybeConst<LoadCall> M>
 void visitFields(V& v, M& m)
 {
-    v(m.call, m.pool, m.cordonedMachines);
+    v(m.call, m.pool, m.cordonedMachines, m.fence);
 }
 
 template<typename V, MaybeConst<WorkerLoad> M>
--- a/Source/Core/Jobs/Runtime/NodeMessages.h
+++ b/Source/Core/Jobs/Runtime/NodeMessages.h
@@ -42,6 +42,7 @@
     std::uint64_t call = 0;
     std::string pool;
     std::vector<std::string> cordonedMachines; ///< The only ones.
+    Fence fence = 0; ///< Of the fleet's duty.
 };
 
 /// The owner's load, after it took note of the cordon.
--- a/Source/UnitTests/Jobs/OrderIntentsTest.cpp
+++ b/Source/UnitTests/Jobs/OrderIntentsTest.cpp
@@ -3,6 +3,7 @@
 
 #include "Jobs/Runtime/OrderIntents.h"
 #include "JobFleet.h"
+#include "Jobs/Runtime/NodeMessages.h"
 #include "Jobs/Runtime/StoreKeys.h"
 
 #include <algorithm>
@@ -199,3 +200,24 @@
     CHECK(answers == std::vector<bool> { true, false });
     CHECK(store.state.read(StoreKeys::orders, true, loop.now()).values.size() == 1);
 }
+
+TEST_CASE("a cordon by a host that has lost the fleet's duty doesn't take the place of the holder's")
+{
+    JobFleet fleet(2, 3);
+    fleet.settle();
+    const auto owner = fleet.ownerOf("desk");
+    const auto fence = fleet.hosts.at(owner)->node->ownership().ownerOf(fleetDuty)->fence;
+    const auto cordonAll = [&](Fence under) { fleet.hosts.at(owner)->node->frameArrived("host-9", encodeNodeMessage(LoadCall { 1, "desk", { "m0", "m1", "m2" }, under })); };
+    for (auto delay = 0ms; delay < 100ms; delay += 1ms)
+        fleet.loop.after(delay, [&] { cordonAll(fence - 1); });
+    fleet.runFor(10ms);
+    fleet.call(owner, Ports::JobVerb::Submit, jobId(1), oneStep(6));
+    fleet.runFor(50ms);
+    CHECK(fleet.witness.starts == 6);
+    fleet.runFor(100ms);
+    cordonAll(fence + 1);
+    fleet.runFor(10ms);
+    fleet.call(owner, Ports::JobVerb::Submit, jobId(2), oneStep(6));
+    fleet.runFor(50ms);
+    CHECK(fleet.witness.starts == 6);
+}
