Let the holder between two others stay a while in the test of a third holder

The second holder left the moment it had the duty, so that the case passed also when announcements of the first one are removed at the takeover. It stays 300 ms now; with that fault put in, the third holder orders the machine and the case fails.

--- a/Source/UnitTests/Jobs/OrderIntentsTest.cpp
+++ b/Source/UnitTests/Jobs/OrderIntentsTest.cpp
@@ -98,6 +98,7 @@
         fleet.runFor(1ms);
     const auto second = fleet.ownerOf(fleetDuty);
     REQUIRE(!second.empty());
+    fleet.runFor(300ms);
     fleet.hosts.at(second)->node->leave([] {});
     fleet.runFor(700ms);
     const auto third = fleet.ownerOf(fleetDuty);
@@ -105,7 +106,7 @@
     REQUIRE(third != second);
     fleet.submit(third, 2, 16);
     fleet.runFor(500ms);
-    CHECK(fleet.hasOrdered(third, otherMachine(machine)));
+    CHECK(fleet.hasOrdered(second, otherMachine(machine)) != fleet.hasOrdered(third, otherMachine(machine)));
     CHECK(!fleet.hasOrdered(second, machine));
     CHECK(!fleet.hasOrdered(third, machine));
     fleet.runFor(4s);
