--- a/Source/UnitTests/Jobs/JobFleetTest.cpp
+++ b/Source/UnitTests/Jobs/JobFleetTest.cpp
@@ -380,26 +380,3 @@
     CHECK(fleet.stateOf(owner, jobId(2)) == Jobs::JobState::Completed);
     CHECK(fleet.witness.twice == 0);
 }
-
-TEST_CASE("a wave of maintenance reaches every machine within its limit, and lasting tasks move away first")
-{
-    JobFleet fleet(2, 4);
-    fleet.settle();
-    auto spec = lastingStep(2);
-    spec.steps.front().mayMiss = 1;
-    fleet.setRunTime(60s);
-    for (const auto& [id, worker] : fleet.workers)
-        worker->startup = 400ms;
-    submit(fleet, "host-0", 1, spec);
-    fleet.runFor(3s);
-    Jobs::MaintenanceWave wave { 7, { "m0", "m1", "m2", "m3" }, 30s, 1 };
-    fleet.publishWave(wave);
-    fleet.runFor(2s);
-    const auto before = fleet.maintained.size();
-    CHECK(before <= 1);
-    fleet.runFor(25s);
-    std::set<std::string> reached;
-    for (const auto& it : fleet.maintained)
-        reached.insert(it.machine);
-    CHECK(reached.size() == fleet.machines.size());
-}
--- a/Source/UnitTests/Jobs/VacatingTest.cpp
+++ b/Source/UnitTests/Jobs/VacatingTest.cpp
@@ -9,6 +9,8 @@
 #include <algorithm>
 #include <doctest/doctest.h>
 #include <memory>
+#include <set>
+#include <string>
 
 using namespace Jobs;
 using namespace std::chrono_literals;
@@ -271,3 +273,28 @@
     CHECK(otherFor >= fleet.startup);
     CHECK_FALSE(fleet.workers.at("w0")->isBusy());
 }
+
+TEST_CASE("a wave of maintenance reaches every machine within its limit, and lasting tasks move away first")
+{
+    JobFleet fleet(2, 4);
+    fleet.settle();
+    auto spec = lastingStep(2);
+    spec.steps.front().mayMiss = 1;
+    fleet.setRunTime(60s);
+    for (const auto& [id, worker] : fleet.workers)
+        worker->startup = 400ms;
+    const auto answer = fleet.call("host-0", Ports::JobVerb::Submit, jobId(1), spec);
+    REQUIRE(answer);
+    CHECK(answer->outcome == Ports::JobOutcome::Accepted);
+    fleet.runFor(3s);
+    MaintenanceWave wave { 7, { "m0", "m1", "m2", "m3" }, 30s, 1 };
+    fleet.publishWave(wave);
+    fleet.runFor(2s);
+    const auto before = fleet.maintained.size();
+    CHECK(before <= 1);
+    fleet.runFor(25s);
+    std::set<std::string> reached;
+    for (const auto& it : fleet.maintained)
+        reached.insert(it.machine);
+    CHECK(reached.size() == fleet.machines.size());
+}
