Remove announcements of orders as many at a time as a transaction takes

Cause: since all announcements that nobody needs any more are deleted in one transaction. The store takes 32 entries a transaction; with more the call is refused, tried again with a growing list, and each later holder inherits all of them.

The store of the tests refuses such transactions now. "a holder that inherits more announcements than a transaction takes removes them all" failed before: none of 70 were removed in 10 s.

--- a/Source/Core/Jobs/Runtime/OrderIntents.cpp
+++ b/Source/Core/Jobs/Runtime/OrderIntents.cpp
@@ -154,7 +154,7 @@
         std::erase_if(inherited, [now](const auto& it) { return it.second <= now; });
         auto transaction = underFence();
         for (const auto& it : batches) {
-            if (it.open.empty() && it.removableAt <= now)
+            if (it.open.empty() && it.removableAt <= now && transaction.deletes.size() < StoreKeys::deletesPerCall)
                 transaction.deletes.push_back(it.key);
         }
         if (transaction.deletes.empty()) {
--- a/Source/Core/Jobs/Runtime/SnapshotWriter.cpp
+++ b/Source/Core/Jobs/Runtime/SnapshotWriter.cpp
@@ -10,12 +10,6 @@
 
 namespace Jobs {
 
-namespace {
-
-    constexpr std::size_t deletesPerCall = 30; ///< The store takes 32 entries a call; two are the compare and a reserve.
-
-} // namespace
-
 struct SnapshotWriter::State : std::enable_shared_from_this<SnapshotWriter::State> {
     explicit State(Ports::PlatformPort& platformPort)
         : platform(platformPort)
@@ -50,9 +44,9 @@
 
     void addDeletes(const std::vector<std::string>& keys)
     {
-        for (std::size_t n = 0; n < keys.size(); n += deletesPerCall) {
+        for (std::size_t n = 0; n < keys.size(); n += StoreKeys::deletesPerCall) {
             auto transaction = fenced();
-            const auto end = std::min(keys.size(), n + deletesPerCall);
+            const auto end = std::min(keys.size(), n + StoreKeys::deletesPerCall);
             transaction.deletes.assign(keys.begin() + static_cast<std::ptrdiff_t>(n), keys.begin() + static_cast<std::ptrdiff_t>(end));
             steps.push_back(std::move(transaction));
         }
--- a/Source/Core/Jobs/Runtime/StoreKeys.h
+++ b/Source/Core/Jobs/Runtime/StoreKeys.h
@@ -22,6 +22,9 @@
 /// Length at which a value ends and the next one begins: well under the store's megabyte, base64 included.
 constexpr std::size_t valueBytes = std::size_t { 256 } << 10;
 
+/// Deletions in one transaction. The store takes 32 entries; two are the compare and a reserve.
+constexpr std::size_t deletesPerCall = 30;
+
 /// Digits of a number in a key, so that keys sort by it.
 constexpr int numberDigits = 10;
 
--- a/Source/UnitTests/Jobs/FakeStore.cpp
+++ b/Source/UnitTests/Jobs/FakeStore.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr std::size_t entriesAtMost = 32; ///< Of a transaction.
 constexpr std::chrono::milliseconds callTimeout { 900 };
 
 } // namespace
@@ -62,6 +63,10 @@
 
 void FakeStorePort::transact(Ports::Transaction transaction, PlatformCallback callback)
 {
+    if (transaction.compares.size() + transaction.puts.size() + transaction.deletes.size() > entriesAtMost) {
+        answer({ PlatformStatus::NotSent, 0, {}, 0, {} }, callback);
+        return;
+    }
     call(
         true, [this, transaction = std::move(transaction)] { return m_store.state.transact(transaction, m_store.loop.now()); }, callback);
 }
--- a/Source/UnitTests/Jobs/OrderIntentsTest.cpp
+++ b/Source/UnitTests/Jobs/OrderIntentsTest.cpp
@@ -183,6 +183,22 @@
     CHECK(fleet.announced().empty());
 }
 
+TEST_CASE("a holder that inherits more announcements than a transaction takes removes them all")
+{
+    VirtualLoop loop;
+    FakeStore store { loop };
+    FakeStorePort port(store, "host-0");
+    for (unsigned n = 0; n < 70; ++n)
+        store.put(std::string(StoreKeys::orders) + "1/" + std::to_string(n), "host-1 m" + std::to_string(n));
+    store.put(Ownership::keyOf(fleetDuty), "host-0 1");
+    OrderIntents intents({ loop, port, "host-0", Predecessor::Lapsed, 3s }, static_cast<Fence>(store.state.revision()));
+    intents.begin();
+    loop.runFor(20ms);
+    CHECK(intents.silentMachines().size() == 70);
+    loop.runFor(10s);
+    CHECK(store.state.read(StoreKeys::orders, true, loop.now()).values.empty());
+}
+
 TEST_CASE("a holder that has lost the duty announces nothing any more")
 {
     VirtualLoop loop;
