Order a move again that got no answer, however long the lease is unsure

What callers could see (SHORT): a machine takes no work, and counts for a pool that it never reaches, for as long as its holder has the fleet's duty.

Cause: a move without an answer is ordered again after 0.4 s. Where the holder's lease was unsure at that moment, as during an outage of the store, the move was given up, but its plan stayed ordered: the machine stayed cordoned and was left out of waves and other moves.

"a move without an answer is ordered again after the holder's lease was unsure for a while" failed before (3 orders, no fourth).

--- a/Source/Core/Jobs/Runtime/FleetDuty.cpp
+++ b/Source/Core/Jobs/Runtime/FleetDuty.cpp
@@ -271,19 +271,24 @@
         });
     }
 
+    /// It may have been carried out, and is answered alike when it was.
+    void moveAgain(const MachineMove& move)
+    {
+        loop.after(orderRetry, [self = weak_from_this(), move] {
+            const auto state = self.lock();
+            if (!state || state->isOver)
+                return;
+            if (state->context.mayOrder())
+                state->sendMove(move);
+            else
+                state->moveAgain(move);
+        });
+    }
+
     void moved(const MachineMove& move, Ports::MachineStatus status)
     {
         if (status == Ports::MachineStatus::NoAnswer) {
-            // It may have been carried out, and is answered alike when it was.
-            loop.after(orderRetry, [self = weak_from_this(), move] {
-                const auto state = self.lock();
-                if (!state || state->isOver)
-                    return;
-                if (state->context.mayOrder())
-                    state->sendMove(move);
-                else
-                    log("move-given-up", move.machine, { { "to", move.pool }, { "reason", "lease-unsure" } });
-            });
+            moveAgain(move);
             return;
         }
         const bool isDone = status == Ports::MachineStatus::Done;
--- a/Source/UnitTests/Jobs/JobFleet.cpp
+++ b/Source/UnitTests/Jobs/JobFleet.cpp
@@ -36,7 +36,8 @@
 void FakeMachinePort::move(const Ports::MachineOrder& order, Ports::MachineCallback callback)
 {
     m_fleet.moved.push_back(order);
-    m_fleet.loop.after(peerDelay, [callback] { callback(Ports::MachineStatus::Done); });
+    const auto status = m_fleet.losesMoveAnswers ? Ports::MachineStatus::NoAnswer : Ports::MachineStatus::Done;
+    m_fleet.loop.after(peerDelay, [callback, status] { callback(status); });
 }
 
 void FakeMachinePort::maintain(const Ports::MachineOrder& order, Ports::MachineCallback callback)
--- a/Source/UnitTests/Jobs/JobFleet.h
+++ b/Source/UnitTests/Jobs/JobFleet.h
@@ -119,6 +119,7 @@
     std::map<std::string, Jobs::Machine> machines;
     std::vector<Ports::MachineOrder> maintained;
     std::vector<Ports::MachineOrder> moved;
+    bool losesMoveAnswers = false;
     FakeMachinePort machinePort { *this };
     FakePublishedPort published { *this };
 
--- a/Source/UnitTests/Jobs/OrderIntentsTest.cpp
+++ b/Source/UnitTests/Jobs/OrderIntentsTest.cpp
@@ -3,11 +3,13 @@
 
 #include "Jobs/Runtime/OrderIntents.h"
 #include "JobFleet.h"
+#include "Jobs/Runtime/FleetDuty.h"
 #include "Jobs/Runtime/NodeMessages.h"
 #include "Jobs/Runtime/StoreKeys.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <functional>
 #include <utility>
 
 using namespace Jobs;
@@ -199,6 +201,37 @@
     CHECK(store.state.read(StoreKeys::orders, true, loop.now()).values.empty());
 }
 
+TEST_CASE("a move without an answer is ordered again after the holder's lease was unsure for a while")
+{
+    JobFleet fleet(0, 0);
+    fleet.configuration.pools.push_back({ "off", true, true });
+    fleet.machines["s0"] = { "s0", "off", Machine::State::Up, "", "dc", {}, { 4000, 64000, 0 } };
+    FakeStorePort store(fleet.store, "host-0");
+    fleet.store.put(Ownership::keyOf(fleetDuty), "host-0 1");
+    const auto fence = static_cast<Fence>(fleet.store.state.revision());
+    bool isLeaseSure = true;
+    const auto askLoad = [](const LoadCall& call, const std::function<void(const LoadCallAnswer&)>& callback) {
+        LoadCallAnswer answer;
+        answer.isOwner = call.pool == "desk";
+        answer.load.waitingMilliCores = 8000;
+        callback(answer);
+    };
+    FleetDuty duty({ fleet.loop, store, fleet.machinePort, fleet.published, "host-0", {}, Predecessor::None, askLoad, [&isLeaseSure] { return isLeaseSure; } }, fence);
+    duty.configure(fleet.configuration);
+    fleet.losesMoveAnswers = true;
+    duty.begin();
+    fleet.runFor(1s);
+    const auto tries = fleet.moved.size();
+    REQUIRE(tries > 0);
+    isLeaseSure = false;
+    fleet.runFor(1s);
+    CHECK(fleet.moved.size() == tries);
+    isLeaseSure = true;
+    fleet.losesMoveAnswers = false;
+    fleet.runFor(1s);
+    CHECK(fleet.moved.size() == tries + 1);
+}
+
 TEST_CASE("a holder that has lost the duty announces nothing any more")
 {
     VirtualLoop loop;
