Visit waiting steps by one loop for the schedule and the reports

The owner's load report had a copy of the loop by which the schedule finds the steps that wait for a place. Both use one now, beside the table that it goes over.

--- a/Source/Core/Jobs/Decision/JobTable.h
+++ b/Source/Core/Jobs/Decision/JobTable.h
@@ -122,4 +122,20 @@
     std::unordered_map<JobId, Finished> m_finished;
 };
 
+/// Visits the steps of which tasks wait for nothing but a place, with the job, the occurrence, the step and the number of
+/// these tasks. The table may be const, and the jobs are then.
+template<typename Table, typename Visit>
+void forEachWaitingStep(Table& jobs, const Visit& visit)
+{
+    for (auto& [id, job] : jobs.active()) {
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (unsigned step = 0; step < occurrence.steps.size(); ++step) {
+                const auto waiting = occurrence.steps[step].waitingCount();
+                if (waiting > 0 && job.isReleased(number, step))
+                    visit(job, number, step, waiting);
+            }
+        }
+    }
+}
+
 } // namespace Jobs
--- a/Source/Core/Jobs/Decision/PoolCoreReport.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreReport.cpp
@@ -7,25 +7,6 @@
 
 namespace Jobs {
 
-namespace {
-
-    /// Visits the steps of which tasks wait for nothing but a place.
-    template<typename Visit>
-    void forEachWaitingStep(const JobTable& jobs, const Visit& visit)
-    {
-        for (const auto& [id, job] : jobs.active()) {
-            for (const auto& [number, occurrence] : job.occurrences) {
-                for (unsigned step = 0; step < occurrence.steps.size(); ++step) {
-                    const auto waiting = occurrence.steps[step].waitingCount();
-                    if (waiting > 0 && job.isReleased(number, step))
-                        visit(job, number, step, waiting);
-                }
-            }
-        }
-    }
-
-} // namespace
-
 PoolLoad PoolCore::loadReport(Moment at) const
 {
     PoolLoad load;
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -112,14 +112,9 @@
 std::vector<PoolCore::WaitingStep> PoolCore::waitingSteps(Moment at)
 {
     std::vector<WaitingStep> waiting;
-    for (auto& [id, job] : m_jobs.active()) {
-        for (const auto& [number, occurrence] : job.occurrences) {
-            for (unsigned step = 0; step < occurrence.steps.size(); ++step) {
-                if (occurrence.steps[step].waitingCount() > 0 && job.isReleased(number, step))
-                    waiting.push_back({ queueKeyOf(job, number, step, at.wall), &job, number, step });
-            }
-        }
-    }
+    forEachWaitingStep(m_jobs, [&](Job& job, unsigned occurrence, unsigned step, unsigned) {
+        waiting.push_back({ queueKeyOf(job, occurrence, step, at.wall), &job, occurrence, step });
+    });
     std::ranges::sort(waiting, [](const auto& left, const auto& right) {
         if (left.key != right.key)
             return left.key < right.key;
