Close the idle connection to a worker that was used longest ago

Callers on the large installation saw jobs finished late at each peak: the owner of the peaking pool was busy with opening connections.

Cause: at most 512 idle connections to workers were kept, and beyond that the connection that had just been used was closed. A pool that takes in 600 to 1,000 workers at a peak is over that limit all the time, and the connections that were kept were those of workers that had left or were idle.

Test, seen failing before (10 connections instead of 1): "a server in use keeps its connection although connections to former servers fill the idle limit".

--- a/Source/Core/Adapters/Platform/KeepAliveClient.cpp
+++ b/Source/Core/Adapters/Platform/KeepAliveClient.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <list>
 #include <set>
 #include <string_view>
 #include <unordered_map>
@@ -82,10 +83,9 @@
             return;
         while (!m_calls.empty())
             abort(m_calls.begin()->first);
-        for (auto& [address, server] : m_servers) {
-            for (auto* it : server.idle)
-                it->close();
-        }
+        for (auto* it : m_idleByAge)
+            it->close();
+        m_idleByAge.clear();
         m_servers.clear();
         uv_close(reinterpret_cast<uv_handle_t*>(std::exchange(m_timer, nullptr)), [](uv_handle_t* it) { delete reinterpret_cast<uv_timer_t*>(it); });
     }
@@ -114,7 +114,7 @@
         if (!server.idle.empty()) {
             auto* connection = server.idle.back();
             server.idle.pop_back();
-            --m_idleConnections;
+            m_idleByAge.erase(connection->idlePosition);
             attach(id, running, *connection);
             connection->send(std::exchange(running.request, {}));
             return;
@@ -171,12 +171,10 @@
         const auto id = std::exchange(connection.call, 0);
         const bool mayHaveBeenSent = connection.mayHaveBeenSent();
         if (id == 0) {
-            auto& idle = m_servers[connection.address()].idle;
-            m_idleConnections -= std::erase(idle, &connection);
+            removeIdle(connection);
+            return;
         }
         onConnectionClosed(connection.address());
-        if (id == 0)
-            return;
         // The connection is freed before the task below runs, and the call may be aborted in between.
         auto& running = m_calls.at(id);
         running.connection = nullptr;
@@ -197,13 +195,22 @@
             connection.send(std::exchange(running.request, {}));
             return;
         }
-        if (m_idleConnections >= m_limits.idleConnections) {
-            connection.close();
-            onConnectionClosed(connection.address());
-            return;
-        }
-        ++m_idleConnections;
         server.idle.push_back(&connection);
+        connection.idlePosition = m_idleByAge.insert(m_idleByAge.end(), &connection);
+        // The connection that was just used is the most likely one to be used again.
+        if (m_idleByAge.size() > m_limits.idleConnections) {
+            auto& oldest = *m_idleByAge.front();
+            oldest.close();
+            removeIdle(oldest);
+        }
+    }
+
+    /// After an idle connection has closed.
+    void removeIdle(KeepAliveConnection& connection)
+    {
+        m_idleByAge.erase(connection.idlePosition);
+        std::erase(m_servers.at(connection.address()).idle, &connection);
+        onConnectionClosed(connection.address());
     }
 
     /// After a connection has closed: lets the next waiting call open another.
@@ -298,7 +305,7 @@
     std::unordered_map<CallId, RunningCall> m_calls;
     std::set<std::pair<std::uint64_t, CallId>> m_deadlines;
     std::unordered_map<std::string, Server> m_servers;
-    std::size_t m_idleConnections = 0;
+    std::list<KeepAliveConnection*> m_idleByAge; ///< Idle connections to all servers, the one that was used longest ago first.
 };
 
 KeepAliveClient::KeepAliveClient(EventLoop& loop, const ConnectionLimits& limits)
--- a/Source/Core/Adapters/Platform/KeepAliveClient.h
+++ b/Source/Core/Adapters/Platform/KeepAliveClient.h
@@ -13,7 +13,7 @@
 
 /// Limits of a client's connections.
 struct ConnectionLimits {
-    std::size_t idleConnections = 64; ///< For all servers together; further connections are closed after their call.
+    std::size_t idleConnections = 64; ///< For all servers together; beyond it, the one that was used longest ago is closed.
     std::size_t connectionsPerServer = 4; ///< Further calls wait for a connection, in order.
     std::chrono::milliseconds peerTimeout { 15000 }; ///< A connection fails after this time without an acknowledgement from the peer.
 };
--- a/Source/Core/Adapters/Platform/KeepAliveConnection.h
+++ b/Source/Core/Adapters/Platform/KeepAliveConnection.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <http_parser.h>
+#include <list>
 #include <string>
 #include <string_view>
 #include <uv.h>
@@ -43,6 +44,7 @@
     bool mayHaveBeenSent() const { return m_mayHaveBeenSent; } ///< True if bytes of the current request may have been sent.
 
     std::uint64_t call = 0; ///< Owner's id of the current call; zero while idle.
+    std::list<KeepAliveConnection*>::iterator idlePosition {}; ///< Place in the owner's list of idle connections; valid while idle.
     int status = 0; ///< HTTP status of the current answer.
     std::string body; ///< Of the current answer.
 
--- a/Source/UnitTests/Adapters/KeepAliveClientTest.cpp
+++ b/Source/UnitTests/Adapters/KeepAliveClientTest.cpp
@@ -125,6 +125,19 @@
     CHECK(server.connections() <= 2);
 }
 
+TEST_CASE("a server in use keeps its connection although connections to former servers fill the idle limit")
+{
+    ScriptedServer formerA(25178, echo);
+    ScriptedServer formerB(25179, echo);
+    ScriptedServer inUse(25180, echo);
+    Rig rig({ 2, 2, 3000ms });
+    for (auto* it : { &formerA, &formerB })
+        CHECK(rig.post(it->address(), "x").get().end == HttpEnd::Answered);
+    for (int n = 0; n < 10; ++n)
+        CHECK(rig.post(inUse.address(), "x").get().end == HttpEnd::Answered);
+    CHECK(inUse.connections() == 1);
+}
+
 TEST_CASE("a call to a port without a listener ends as not sent")
 {
     Rig rig;
