Stop polling workers that their machines have ended

Callers saw jobs finished late while machines moved between pools: owners spent processor time on workers that were gone.

Cause: a move or maintenance ends the worker of the machine at once, but its entry stays in the store for some seconds. The owner took it for unreachable and polled it every second, each attempt a new connection.

Found beside it: the machine list that shows a silent worker as gone may have been requested before the worker became silent, and show its machine as it was before the worker started. The worker's tasks then run again elsewhere while it is only cut off.

The list counts only for workers that were silent when it was requested.

--- a/Source/Core/Jobs/Runtime/PoolOwnerState.h
+++ b/Source/Core/Jobs/Runtime/PoolOwnerState.h
@@ -34,11 +34,10 @@
     // Workers and orders to them; in PoolOwnerWorkers.cpp.
     void openSession(const WorkerEntry&);
     WorkerSession::Hooks sessionHooks(const std::string& id);
-    /// Lists the machines as long as workers are silent. The lease of a worker whose machine is down or now runs
-    /// another worker needn't be waited for.
+    /// Lists the machines as long as workers are silent. The lease of a worker that its machine has ended needn't be waited for.
     void requestMachineList();
-    void checkSilentWorkers(const std::vector<Machine>& machines);
-    void checkSilentWorker(const std::string& id, const std::vector<Machine>& machines);
+    void checkSilentWorkers(const std::set<std::string>& silentBefore, const std::vector<Machine>& machines);
+    void checkSilentWorker(const std::string& id, const Machine*);
     void onPollAnswered(const std::string& id, const Ports::PollAnswer&, Common::Instant sentAt);
     void onWorkerListed(const WorkerEntry&);
     void onWorkerUnlisted(const std::string& id);
--- a/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <iterator>
+#include <string_view>
+#include <unordered_map>
 #include <utility>
 
 namespace Jobs {
@@ -62,6 +64,10 @@
     result.mayExtendLease = hooks.mayExtendLease;
     result.mayOrder = hooks.mayOrder;
     result.needsLatencyPoll = [this, id] { return core.needsFrequentPolls(id); };
+    result.hasRuns = [this, id] {
+        const auto* worker = core.findWorker(id);
+        return worker && !worker->runs.empty();
+    };
     return result;
 }
 
@@ -70,12 +76,13 @@
     if (isClosed || isMachineListScheduled || silentWorkers.empty())
         return;
     isMachineListScheduled = true;
-    context.machines.list([self = weak_from_this()](bool isComplete, const std::vector<Machine>& machines) {
+    // The list proves nothing about a worker that has become silent since it was requested.
+    context.machines.list([self = weak_from_this(), silentBefore = silentWorkers](bool isComplete, const std::vector<Machine>& machines) {
         const auto state = self.lock();
         if (!state || state->isClosed)
             return;
         if (isComplete)
-            state->checkSilentWorkers(machines);
+            state->checkSilentWorkers(silentBefore, machines);
         else
             state->limiter.write({ "machine-list-incomplete", state->pool, { { "silent", std::to_string(state->silentWorkers.size()) } } }, state->loop.now());
         state->loop.after(machineListInterval, [self] {
@@ -87,29 +94,38 @@
     });
 }
 
-void PoolOwner::State::checkSilentWorkers(const std::vector<Machine>& machines)
+void PoolOwner::State::checkSilentWorkers(const std::set<std::string>& silentBefore, const std::vector<Machine>& machines)
 {
-    // Copied, as a worker that is given up is removed from the set.
-    for (const auto& id : std::set<std::string>(silentWorkers))
-        checkSilentWorker(id, machines);
+    std::unordered_map<std::string_view, const Machine*> byName;
+    std::unordered_map<std::string_view, const Machine*> byWorker;
+    for (const auto& it : machines) {
+        byName.emplace(it.name, &it);
+        byWorker.emplace(it.worker, &it);
+    }
+    for (const auto& id : silentBefore) {
+        if (!silentWorkers.contains(id))
+            continue;
+        // For a worker known from the journal only, look for a machine that still runs it.
+        const auto known = knownMachines.find(id);
+        const bool isKnown = known != knownMachines.end();
+        const auto& index = isKnown ? byName : byWorker;
+        const auto machine = index.find(isKnown ? known->second : id);
+        if (isKnown && machine == index.end())
+            continue;
+        checkSilentWorker(id, machine == index.end() ? nullptr : machine->second);
+    }
 }
 
-void PoolOwner::State::checkSilentWorker(const std::string& id, const std::vector<Machine>& machines)
+/// The machine that the worker ran on, or null if none runs it. A machine that is moved or maintained ends its worker at once.
+void PoolOwner::State::checkSilentWorker(const std::string& id, const Machine* machine)
 {
     const auto session = sessions.find(id);
     if (session == sessions.end())
         return;
-    // For a worker known from the journal only, look for a machine that still runs it.
-    const auto known = knownMachines.find(id);
-    const bool isKnown = known != knownMachines.end();
-    const auto machine = isKnown ? std::ranges::find(machines, known->second, &Machine::name) : std::ranges::find(machines, id, &Machine::worker);
-    const bool isListed = machine != machines.end();
-    if (isKnown && !isListed)
+    if (machine && machine->state == Machine::State::Up && (machine->worker.empty() || machine->worker == id))
         return;
-    const bool isReplaced = isListed && machine->state == Machine::State::Up && !machine->worker.empty() && machine->worker != id;
-    if (isListed && machine->state != Machine::State::Down && !isReplaced)
-        return;
-    log({ "worker-gone", id, { { "machine", isListed ? machine->name : "" }, { "listed", isListed ? machine->worker : "" } } });
+    silentWorkers.erase(id);
+    log({ "worker-gone", id, { { "machine", machine ? machine->name : "" }, { "listed", machine ? machine->worker : "" } } });
     session->second->confirmGone();
 }
 
--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -1,5 +1,6 @@
 #include "Jobs/Runtime/WorkerSession.h"
 
+#include "Jobs/Decision/PollRetry.h"
 #include "Jobs/Runtime/Events.h"
 #include "Jobs/Runtime/WorkerClock.h"
 
@@ -83,6 +84,7 @@
             return;
         }
         failedPolls = 0;
+        isGone = false;
         loop.cancel(silentTimer);
         loop.cancel(lapseTimer);
         std::uint64_t newest = acknowledgedEnds;
@@ -107,7 +109,8 @@
             silentTimer = loop.after(limits.silentAfter, [self = shared_from_this()] { self->isClosed ? void() : self->hooks.onSilent(); });
             scheduleLapse();
         }
-        schedulePoll(std::min(maximumRetryDelay, initialRetryDelay * (1 << std::min(failedPolls, 5U))));
+        schedulePoll(pollRetryDelay(failedPolls, isGone ? WorkerUse::Gone : hooks.hasRuns() ? WorkerUse::Busy
+                                                                                            : WorkerUse::Idle));
     }
 
     void scheduleLapse()
@@ -287,6 +290,7 @@
     std::uint64_t acknowledgedEnds = 0; ///< Number of the newest end that is committed.
     unsigned failedPolls = 0; ///< Consecutive polls that failed.
     bool isPolling = false;
+    bool isGone = false; ///< Confirmed by the machine list since the last answer.
     bool isClosed = false;
     Common::TaskLoop::TimerId pollTimer = 0;
     Common::TaskLoop::TimerId silentTimer = 0;
@@ -320,8 +324,10 @@
     auto& state = *m_state;
     const bool isNew = state.entry.address != entry.address || state.entry.incarnation != entry.incarnation;
     state.entry = entry;
-    if (isNew)
-        state.schedulePoll(milliseconds(0));
+    if (!isNew)
+        return;
+    state.isGone = false;
+    state.schedulePoll(milliseconds(0));
 }
 
 void WorkerSession::start(const StartRun& run) { m_state->start(run, m_state->firstAttempt()); }
@@ -353,9 +359,13 @@
 
 void WorkerSession::confirmGone()
 {
-    if (m_state->failedPolls > 0)
-        m_state->loop.cancel(m_state->lapseTimer);
-    m_state->onLapse();
+    auto& state = *m_state;
+    if (state.failedPolls > 0)
+        state.loop.cancel(state.lapseTimer);
+    state.isGone = true;
+    if (!state.isPolling)
+        state.schedulePoll(pollRetryDelay(state.failedPolls, WorkerUse::Gone));
+    state.onLapse();
 }
 
 } // namespace Jobs
--- a/Source/Core/Jobs/Runtime/WorkerSession.h
+++ b/Source/Core/Jobs/Runtime/WorkerSession.h
@@ -25,7 +25,7 @@
 /// Used on the loop's thread only.
 class WorkerSession {
 public:
-    /// Callbacks to the owner, which decides. All but `mayStop`, `mayExtendLease`, `mayOrder` and `needsLatencyPoll` report events.
+    /// Callbacks to the owner, which decides. All but `mayStop`, `mayExtendLease`, `mayOrder`, `needsLatencyPoll` and `hasRuns` report events.
     struct Hooks {
         std::function<void(const Ports::PollAnswer&, Common::Instant sentAt)> onPollAnswered;
         std::function<void(const StartRun&, const Ports::WorkerAnswer&)> onStartAnswered;
@@ -38,6 +38,7 @@
         std::function<bool()> mayExtendLease; ///< False for an owner that has had no contact with the store for long.
         std::function<bool()> mayOrder; ///< False while the owner's own lease may have lapsed; starts wait.
         std::function<bool()> needsLatencyPoll; ///< True for polls of `latencyPollWait`.
+        std::function<bool()> hasRuns; ///< True while runs are placed on the worker.
     };
 
     WorkerSession(Common::TaskLoop&, Ports::WorkerPort&, const SessionLimits&, Fence, const WorkerEntry&, Hooks);
@@ -56,7 +57,7 @@
     void throttle(const ThrottleRun&);
     /// Ends up to this number are committed: acknowledges them with the next poll, at once if none is pending.
     void acknowledgeEnds(std::uint64_t number);
-    /// The worker's machine is down or runs another worker: treats the lease as lapsed at once.
+    /// The worker has ended: treats the lease as lapsed at once, and polls rarely until its entry changes.
     void confirmGone();
 
 private:
--- a/Source/UnitTests/Jobs/FakeWorkers.cpp
+++ b/Source/UnitTests/Jobs/FakeWorkers.cpp
@@ -84,6 +84,7 @@
 
 void FakeWorkerPort::poll(const Ports::PollOrder& order, Ports::PollCallback callback)
 {
+    ++polls[order.target.worker];
     m_loop.after(networkDelay, [this, alive = m_isAlive, order, callback] {
         const auto answered = std::make_shared<bool>(false);
         if (auto* worker = findReachable(order.target.worker)) {
--- a/Source/UnitTests/Jobs/FakeWorkers.h
+++ b/Source/UnitTests/Jobs/FakeWorkers.h
@@ -29,6 +29,7 @@
     /// The host is killed: it gets none of the pending answers.
     void kill() { *m_isAlive = false; }
 
+    std::map<std::string, unsigned> polls; ///< Number of polls sent to each worker.
     /// Number of next starts that are carried out late and not answered.
     unsigned startsToDelay = 0;
     std::string delayedWorker; ///< Target of the latest delayed start.
--- a/Source/UnitTests/Jobs/JobFleet.cpp
+++ b/Source/UnitTests/Jobs/JobFleet.cpp
@@ -30,7 +30,7 @@
     std::vector<Jobs::Machine> machines;
     for (const auto& [name, machine] : m_fleet.machines)
         machines.push_back(machine);
-    m_fleet.loop.after(peerDelay, [callback, machines] { callback(true, machines); });
+    m_fleet.loop.after(m_fleet.machineListDelay, [callback, machines] { callback(true, machines); });
 }
 
 void FakeMachinePort::move(const Ports::MachineOrder& order, Ports::MachineCallback callback)
--- a/Source/UnitTests/Jobs/JobFleet.h
+++ b/Source/UnitTests/Jobs/JobFleet.h
@@ -121,6 +121,7 @@
     std::vector<Ports::MachineOrder> maintained;
     std::vector<Ports::MachineOrder> moved;
     bool losesMoveAnswers = false;
+    std::chrono::milliseconds machineListDelay { 1 }; ///< From the call to the answer, which shows the machines at the time of the call.
     FakeMachinePort machinePort { *this };
     FakePublishedPort published { *this };
 
