View the machines of the fleet in time that grows with their number

Cause: the holder of the fleet duty, five times a second and more while machines are vacated, compared every machine with every worker of its pool: 240,000 comparisons a step with 1,100 machines, growing with the square. Found by reading.

Change: load reports are looked up by machine. viewMachines() is a function of its inputs now, with a test of what it counts.

--- a/Source/Core/Jobs/Fleet/WaveRun.cpp
+++ b/Source/Core/Jobs/Fleet/WaveRun.cpp
@@ -59,6 +59,26 @@
     load->lasting += it.lasting;
 }
 
+std::map<std::string, MachineView> viewMachines(const std::map<std::string, Machine>& machines, const std::map<std::string, PoolLoad>& loads, const JobConfiguration& configuration)
+{
+    std::map<std::string, MachineView> views;
+    for (const auto& [name, machine] : machines) {
+        auto& view = views.emplace_hint(views.end(), name, MachineView())->second;
+        view.machine = machine;
+        const auto* pool = configuration.findPool(machine.pool);
+        view.isOff = pool && pool->isStandby;
+        view.hasOwnerReported = loads.contains(machine.pool);
+    }
+    for (const auto& [pool, load] : loads) {
+        for (const auto& it : load.workers) {
+            const auto view = views.find(it.machine);
+            if (view != views.end() && view->second.machine.pool == pool)
+                view->second.add(it);
+        }
+    }
+    return views;
+}
+
 WaveRun::WaveRun(MaintenanceWave wave, std::set<std::string> done)
     : m_wave(std::move(wave))
     , m_done(std::move(done))
--- a/Source/Core/Jobs/Fleet/WaveRun.h
+++ b/Source/Core/Jobs/Fleet/WaveRun.h
@@ -25,6 +25,10 @@
     void add(const WorkerLoad&);
 };
 
+/// Views of all machines, from the machine list (by name) and the load reports (by pool). The time grows with the number of machines, as
+/// the fleet duty does this several times a second. Workers that a pool's owner still reports on a machine of another pool don't count.
+std::map<std::string, MachineView> viewMachines(const std::map<std::string, Machine>&, const std::map<std::string, PoolLoad>&, const JobConfiguration&);
+
 /// Chooses machines for maintenance with little disturbance: machines that are off or idle first, then those whose short tasks
 /// have ended, and those with lasting tasks once these have moved to other machines.
 class WaveRun {
--- a/Source/Core/Jobs/Runtime/FleetDuty.cpp
+++ b/Source/Core/Jobs/Runtime/FleetDuty.cpp
@@ -110,26 +110,6 @@
         }
     }
 
-    std::map<std::string, MachineView> machineViews() const
-    {
-        std::map<std::string, MachineView> result;
-        for (const auto& [name, machine] : machines) {
-            auto& view = result[name];
-            view.machine = machine;
-            const auto* pool = configuration.findPool(machine.pool);
-            view.isOff = pool && pool->isStandby;
-            const auto load = loads.find(machine.pool);
-            view.hasOwnerReported = load != loads.end();
-            if (!view.hasOwnerReported)
-                continue;
-            for (const auto& it : load->second.workers) {
-                if (it.machine == name)
-                    view.add(it);
-            }
-        }
-        return result;
-    }
-
     std::map<std::string, PoolView> poolViews() const
     {
         std::map<std::string, PoolView> result;
@@ -147,7 +127,7 @@
     void decide()
     {
         const auto now = loop.now();
-        const auto seen = machineViews();
+        const auto seen = viewMachines(machines, loads, configuration);
         const auto before = std::exchange(cordon, {});
         for (auto it = waves.begin(); it != waves.end();) {
             const auto number = it->first;
--- a/Source/UnitTests/Jobs/PolicyTest.cpp
+++ b/Source/UnitTests/Jobs/PolicyTest.cpp
@@ -185,6 +185,28 @@
     CHECK(!run.chooseCordon(views, Instant(1h) + 400ms).contains(orders.front()));
 }
 
+TEST_CASE("machine views: reports of a former pool don't count, several workers of a machine add up, and unreported pools show")
+{
+    const JobConfiguration configuration { 1, {}, { { "a", false, true }, { "b", false, true }, { "off", true, true } } };
+    std::map<std::string, Machine> machines;
+    for (const auto& [name, pool] : { std::pair("m0", "a"), std::pair("m1", "b"), std::pair("m2", "off"), std::pair("m3", "a") })
+        machines[name] = { name, pool, Machine::State::Up, "w", "dc", {}, { milliCoresEach, 0, 0 } };
+    std::map<std::string, PoolLoad> loads;
+    loads["a"].workers = { { "w0", "m0", 2, 1, true }, { "w1", "m0", 3, 0, false }, { "w2", "m1", 7, 0, false }, { "w3", "unlisted", 1, 0, false } };
+    const auto views = viewMachines(machines, loads, configuration);
+    REQUIRE(views.size() == 4);
+    REQUIRE(views.at("m0").load);
+    CHECK(views.at("m0").load->runs == 5);
+    CHECK(views.at("m0").load->lastingRuns == 1);
+    CHECK(!views.at("m0").load->isCordoned);
+    CHECK(views.at("m0").hasOwnerReported);
+    CHECK(!views.at("m1").load);
+    CHECK(!views.at("m1").hasOwnerReported);
+    CHECK(views.at("m2").isOff);
+    CHECK(!views.at("m3").load);
+    CHECK(views.at("m3").hasOwnerReported);
+}
+
 // Seen in the recorded day inc-8208 of norrvik: two of a pool's three machines were cordoned while the third was full of lasting
 // tasks.
 TEST_CASE("waves: machines whose lasting tasks have room only on each other aren't vacated at the same time")
