Refuse calls to an owner that is cut off instead of sending them into the cut

The outcome of such a job is unknown to them, and they may not submit it again.

Cause: a cut that drops packets is noticed when the connection fails, after 3 s. Until then each submission was sent into it and ended as unknown after 1.5 s.

Change: a peer from which nothing was received for 0.3 s after a call was sent is silent (Decision/PeerSilence). Calls to it wait for the answer to a probe, at most 0.2 s, and are refused as not run without one; they haven't been sent. The probe is a request for the load of no pool, which hosts of the version before answer too. An owner that only waits for the store answers the probe, so that calls reach it and get its own refusal.

--- a/Source/Core/Jobs/Runtime/JobNode.cpp
+++ b/Source/Core/Jobs/Runtime/JobNode.cpp
@@ -243,6 +243,7 @@
 
 void JobNode::State::onFrame(const std::string& from, const std::string& text)
 {
+    peerCalls.handleFrame(from);
     auto message = decodeNodeMessage(text);
     if (!message) {
         reportUnreadable("frame", from);
--- a/Source/Core/Jobs/Runtime/PeerCalls.cpp
+++ b/Source/Core/Jobs/Runtime/PeerCalls.cpp
@@ -8,6 +8,7 @@
 namespace {
 
     constexpr unsigned callNumberBits = 32; ///< Low bits that count the calls of one incarnation; the incarnation's own bits are above.
+    constexpr milliseconds probeTimeout { 200 }; ///< The longest that a busy peer takes to answer.
 
 } // namespace
 
@@ -19,6 +20,38 @@
 }
 
 void PeerCalls::call(const std::string& host, NodeMessage message, milliseconds timeout, Callback callback)
+{
+    const auto now = m_loop.now();
+    if (!m_silence.isSilent(host, now)) {
+        send(host, std::move(message), timeout, std::move(callback));
+        return;
+    }
+    m_limiter.write({ "peer-silent", host, { { "waitingMs", std::to_string(m_silence.waitingFor(host, now).count()) } } }, now);
+    auto& held = m_held[host];
+    held.push_back({ std::move(message), timeout, std::move(callback) });
+    if (held.size() == 1)
+        probe(host);
+}
+
+/// Asks for the load of no pool, which has no effect at the peer.
+void PeerCalls::probe(const std::string& host)
+{
+    send(host, LoadCall {}, probeTimeout, [this, host](PeerStatus status, const NodeMessage&) { releaseHeld(host, status == PeerStatus::Answered); });
+}
+
+void PeerCalls::releaseHeld(const std::string& host, bool isAnswered)
+{
+    auto held = std::move(m_held[host]);
+    m_held.erase(host);
+    for (auto& it : held) {
+        if (isAnswered)
+            send(host, std::move(it.message), it.timeout, std::move(it.callback));
+        else
+            it.callback(PeerStatus::NotSent, {});
+    }
+}
+
+void PeerCalls::send(const std::string& host, NodeMessage message, milliseconds timeout, Callback callback)
 {
     const auto number = ++m_lastCall;
     std::visit([number](auto& it) { it.call = number; }, message);
@@ -26,6 +59,7 @@
         callback(PeerStatus::NotSent, {});
         return;
     }
+    m_silence.onSent(host, m_loop.now());
     const auto timer = m_loop.after(timeout, [this, number] { end(number, PeerStatus::NoAnswer, {}); });
     m_pending[number] = { host, std::move(callback), timer };
 }
@@ -38,6 +72,7 @@
 
 void PeerCalls::handleDisconnect(const std::string& host)
 {
+    m_silence.onDisconnected(host);
     std::vector<std::uint64_t> lost;
     for (const auto& [number, pending] : m_pending) {
         if (pending.host == host)
