Decide without searching all routes, all rooms and all entries each time

Found by reading, on paths whose time grows with the product of two sizes of the installation: - each placement searched the queues of the configuration, 1,700 after big_config, twice; the core keeps the names of the queues with advice instead of the whole configuration; - each lasting task on a cordoned worker summed up the rooms of all workers in each decision; they are summed up once a decision, and only if a task may be interrupted; - each entry of a worker that was written again set the cordon of all workers and asked for a decision, also if nothing had changed.

--- a/Source/Core/Jobs/Decision/PoolCore.cpp
+++ b/Source/Core/Jobs/Decision/PoolCore.cpp
@@ -49,7 +49,11 @@
 
 void PoolCore::configure(const JobConfiguration& configuration)
 {
-    m_configuration = configuration;
+    m_advisedQueues.clear();
+    for (const auto& it : configuration.queues) {
+        if (it.advice)
+            m_advisedQueues.insert(it.name);
+    }
 }
 
 void PoolCore::onWorkerListed(const WorkerEntry& entry, Moment at)
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -171,11 +171,12 @@
     void placeGang(const WaitingStep&, std::vector<Candidate>&, const PlacementRequest&, Moment);
     void placeTask(Job&, const TaskKey&, RunNumber, Candidate&, Moment);
     bool mayRunRemote(const WaitingStep&, Moment) const;
+    bool needsAdvice(const Job& job) const { return m_advisedQueues.contains(job.accepted.queue); }
     bool isAdvised(const WaitingStep&, const Worker&, Instant now) const;
     void requestAdvice(const WaitingStep&, const std::vector<Candidate>&, Moment);
 
     PoolLimits m_limits;
-    JobConfiguration m_configuration;
+    std::set<std::string> m_advisedQueues; ///< Queues whose steps need tickets of the advice service; of the newest configuration.
     JobTable m_jobs;
     AdviceCache m_advice;
     std::map<std::string, Worker> m_workers;
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -94,6 +94,18 @@
 /// to be unavailable. The latter isn't required on draining workers.
 void PoolCore::evictLastingTasks(Moment at)
 {
+    // A wave may cordon a third of the workers at once; their rooms don't change here.
+    std::optional<std::vector<Resources>> rooms;
+    const auto hasRoomFor = [&](const Resources& need) {
+        if (!rooms) {
+            rooms.emplace();
+            for (const auto& [id, worker] : m_workers) {
+                if (worker.isSchedulable(at.now))
+                    rooms->push_back(worker.room());
+            }
+        }
+        return std::ranges::any_of(*rooms, [&need](const auto& it) { return need.fitsInto(it); });
+    };
     for (auto& [id, worker] : m_workers) {
         const bool isDraining = worker.entry.state == WorkerEntry::State::Draining;
         if (!worker.isResponsive || (!worker.isCordoned && !isDraining))
@@ -101,8 +113,7 @@
         for (auto& [key, run] : worker.runs) {
             if (!run.isLasting || run.phase != WorkerRun::Phase::Confirmed)
                 continue;
-            const auto hasRoom = [&, reserved = run.reserved](const auto& it) { return it.second.isSchedulable(at.now) && reserved.fitsInto(it.second.room()); };
-            if (std::ranges::none_of(m_workers, hasRoom) || !(isDraining || mayInterrupt(key, at.now)))
+            if (!(isDraining || mayInterrupt(key, at.now)) || !hasRoomFor(run.reserved))
                 continue;
             log("run-evicted", key.job, { { "task", std::to_string(key.step) + "." + std::to_string(key.index) }, { "worker", id }, { "reason", isDraining ? "draining" : "cordoned" } });
             orderStop(worker, key, run, true);
@@ -138,15 +149,13 @@
 
 bool PoolCore::isAdvised(const WaitingStep& it, const Worker& worker, Instant now) const
 {
-    const auto* queue = m_configuration.findQueue(it.job->accepted.queue);
-    return !queue || !queue->advice || m_advice.ticketOf({ it.job->accepted.job, it.occurrence, it.step, 0 }, worker.entry.id, now);
+    return !needsAdvice(*it.job) || m_advice.ticketOf({ it.job->accepted.job, it.occurrence, it.step, 0 }, worker.entry.id, now);
 }
 
 void PoolCore::requestAdvice(const WaitingStep& it, const std::vector<Candidate>& candidates, Moment at)
 {
     const TaskKey key { it.job->accepted.job, it.occurrence, it.step, 0 };
-    const auto* queue = m_configuration.findQueue(it.job->accepted.queue);
-    if (!queue || !queue->advice || m_advice.isRequested(key))
+    if (!needsAdvice(*it.job) || m_advice.isRequested(key))
         return;
     AdviceRequest order { key, {} };
     for (const auto& candidate : candidates) {
@@ -181,8 +190,7 @@
     }
     PlacementRequest request { &spec, &placed };
     request.mayRunRemote = mayRunRemote(it, at);
-    const auto* queue = m_configuration.findQueue(job.accepted.queue);
-    if (queue && queue->advice)
+    if (needsAdvice(job))
         request.isAllowed = [&](const Worker& worker) { return isAdvised(it, worker, at.now); };
     if (spec.sameRack && !placed.empty()) {
         if (const auto* worker = findWorker(placed.begin()->first))
--- a/Source/Core/Jobs/Model/FleetTypes.h
+++ b/Source/Core/Jobs/Model/FleetTypes.h
@@ -71,6 +71,7 @@
     milliseconds drainRemaining { 0 }; ///< While draining: time until the worker stops.
 
     bool hasLabel(const std::string& label) const;
+    bool operator==(const WorkerEntry&) const = default;
 };
 
 /// A machine as the platform's machine service lists it.
--- a/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
@@ -157,13 +157,17 @@
             onWorkerUnlisted(entry.id);
         return;
     }
+    const bool isBack = pendingRemovals.erase(entry.id) > 0;
+    const auto known = entries.find(entry.id);
+    if (!isBack && known != entries.end() && known->second == entry && sessions.contains(entry.id))
+        return; // A heartbeat.
     entries[entry.id] = entry;
     knownMachines[entry.id] = entry.machine;
-    pendingRemovals.erase(entry.id);
     if (!isServing)
         return;
     core.onWorkerListed(entry, moment());
-    cordonWorkers();
+    if (cordonedMachines.contains(entry.machine))
+        cordonWorkers();
     openSession(entry);
     scheduleDecision();
 }
