--- a/Source/Core/Jobs/Runtime/JobNodeCalls.cpp
+++ b/Source/Core/Jobs/Runtime/JobNodeCalls.cpp
@@ -1,6 +1,5 @@
 /// Routes a caller's call to the owner of its queue's pool, on this host or on a peer, and returns the answer.
 
-#include "Jobs/Decision/ReturnTime.h"
 #include "Jobs/Runtime/Events.h"
 #include "Jobs/Runtime/JobNodeState.h"
 
@@ -135,7 +134,6 @@
 {
     const auto ownPool = owners.find(queue.pool);
     if (ownPool != owners.end() && ownership.owns(queue.pool)) {
-        unreachableSince.erase(queue.pool);
         PoolRequest request { call.verb, id, queue, {} };
         if (call.spec)
             request.spec = std::move(*call.spec);
@@ -144,18 +142,11 @@
     }
     const auto* owner = ownership.ownerOf(queue.pool);
     if (!owner || owner->host == settings.ownership.self.host)
-        reply(refusal("no-owner", returnTimeOf(unreachableFor(queue.pool), noOwnerRetryAfter, id)));
+        reply(refusal("no-owner", noOwnerRetryAfter));
     else
         forwardToPeer(owner->host, queue, id, std::move(call), std::move(reply));
 }
 
-/// Time since the first call in a row that couldn't reach the pool's owner.
-milliseconds JobNode::State::unreachableFor(const std::string& pool)
-{
-    const auto since = unreachableSince.try_emplace(pool, loop.now()).first->second;
-    return std::chrono::duration_cast<milliseconds>(loop.now() - since);
-}
-
 void JobNode::State::forwardToPeer(const std::string& host, const QueueRule& queue, const JobId& id, JobCall call, JobReply reply)
 {
     PoolCall message { 0, queue.pool, call.verb, id, queue.name, queue.priority, queue.maximumAttempts, queue.stretchPermille, queue.targetDuration, {} };
@@ -163,16 +154,12 @@
         message.spec = std::move(*call.spec);
     const auto callerTimeout = call.callerTimeout > milliseconds(0) ? call.callerTimeout : defaultPatience;
     const auto timeout = std::min(maximumPeerTimeout, callerTimeout * 3 / 4);
-    peerCalls.call(host, std::move(message), timeout, [this, pool = queue.pool, id, verb = call.verb, reply = std::move(reply)](PeerStatus status, const NodeMessage& frame) {
+    peerCalls.call(host, std::move(message), timeout, [verb = call.verb, reply = std::move(reply)](PeerStatus status, const NodeMessage& frame) {
         const auto* answer = std::get_if<PoolCallAnswer>(&frame);
-        if (status == PeerStatus::Answered && answer) {
-            unreachableSince.erase(pool);
+        if (status == PeerStatus::Answered && answer)
             reply({ answer->outcome, answer->state, answer->backlog, answer->retryAfter, answer->reason });
-            return;
-        }
-        const auto retryAfter = returnTimeOf(unreachableFor(pool), peerRetryAfter, id);
-        if (status == PeerStatus::NotSent || verb == JobVerb::Show)
-            reply(refusal("owner-unreachable", retryAfter));
+        else if (status == PeerStatus::NotSent || verb == JobVerb::Show)
+            reply(refusal("owner-unreachable", peerRetryAfter));
         else
             reply(makeAnswer(JobOutcome::Unknown, "owner-silent"));
     });
--- a/Source/Core/Jobs/Runtime/JobNodeState.h
+++ b/Source/Core/Jobs/Runtime/JobNodeState.h
@@ -64,7 +64,6 @@
     void logUnanswered() const;
     void handleCall(Ports::JobCall, Ports::JobReply);
     void routeCall(const QueueRule&, const JobId&, Ports::JobCall, Ports::JobReply);
-    milliseconds unreachableFor(const std::string& pool);
     void forwardToPeer(const std::string& host, const QueueRule&, const JobId&, Ports::JobCall, Ports::JobReply);
 
     JobNodePorts ports;
@@ -73,7 +72,6 @@
     std::unique_ptr<JobMetrics> metrics;
     std::map<std::uint64_t, UnansweredCall> unansweredCalls; ///< In order of arrival. Outlives the owners, which answer calls on destruction.
     std::uint64_t lastCall = 0;
-    std::map<std::string, Common::Instant> unreachableSince; ///< By pool; without an entry while its owner answers.
     PeerCalls peerCalls;
     std::unique_ptr<PrefixFeed> operatorFeed;
     std::unique_ptr<PrefixFeed> workerFeed; ///< Null until the first pool is acquired.
--- a/Source/Core/Jobs/Runtime/PoolOwner.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwner.cpp
@@ -1,6 +1,5 @@
 #include "Jobs/Runtime/PoolOwner.h"
 
-#include "Jobs/Decision/ReturnTime.h"
 #include "Jobs/Runtime/Events.h"
 #include "Jobs/Runtime/Ownership.h"
 #include "Jobs/Runtime/PoolOwnerState.h"
@@ -170,7 +169,7 @@
         JobAnswer answer;
         answer.outcome = JobOutcome::Refused;
         answer.reason = isServing ? "store-stalled" : "recovering";
-        answer.retryAfter = isServing ? returnTimeOf(journal.stalledFor(), storeRetryAfter, request.job) : recoveryRetryAfter;
+        answer.retryAfter = isServing ? storeRetryAfter : recoveryRetryAfter;
         reply(answer);
         return;
     }
