--- a/Source/Core/Jobs/Decision/PollRetry.cpp
+++ b/Source/Core/Jobs/Decision/PollRetry.cpp
@@ -11,7 +11,7 @@
     constexpr milliseconds initialBusyDelay { 60 }; ///< A lost answer costs little; the worker answers in a few milliseconds.
     constexpr milliseconds maximumBusyDelay { 1000 };
     constexpr milliseconds initialIdleDelay { 500 };
-    constexpr milliseconds maximumIdleDelay { 2000 }; ///< A worker that was cut off is of use again within this time.
+    constexpr milliseconds maximumIdleDelay { 2000 }; ///< Plus the timeout of a poll in flight: when a worker that was cut off is used again.
     constexpr milliseconds goneDelay { 10000 }; ///< Longer than an entry outlives its worker.
     constexpr unsigned maximumDoublings = 5;
 
--- a/Source/UnitTests/Jobs/SilentWorkersTest.cpp
+++ b/Source/UnitTests/Jobs/SilentWorkersTest.cpp
@@ -35,7 +35,7 @@
     CHECK(polls[nameOf('w', movedWorkers)] >= 7);
 }
 
-TEST_CASE("a worker without runs that was cut off is used again within two seconds of its return")
+TEST_CASE("a worker without runs that was cut off is used again within three seconds of its return")
 {
     JobFleet fleet(1, 1);
     fleet.settle();
