--- a/Source/Core/Jobs/Decision/PoolCore.cpp
+++ b/Source/Core/Jobs/Decision/PoolCore.cpp
@@ -1,6 +1,7 @@
 #include "Jobs/Decision/PoolCore.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace Jobs {
@@ -15,6 +16,12 @@
 
 } // namespace
 
+const char* nameOf(WorkerLoss loss)
+{
+    constexpr std::array names { "lapsed", "crashed", "ordered", "restarted" };
+    return names.at(static_cast<std::size_t>(loss));
+}
+
 PoolCore::PoolCore(const PoolLimits& limits)
     : m_limits(limits)
 {
@@ -64,7 +71,7 @@
     if (isOlder)
         return;
     if (isNewIncarnation)
-        onWorkerLost(entry.id, "new-incarnation", at);
+        onWorkerLost(entry.id, WorkerLoss::Restarted, at);
     if (worker.entry.state != entry.state || !worker.isListed || worker.entry.address.empty())
         log("worker-listed", entry.id, { { "state", entry.state == WorkerEntry::State::Ready ? "ready" : "draining" }, { "address", entry.address }, { "incarnation", std::to_string(entry.incarnation) } });
     worker.entry = entry;
@@ -92,18 +99,19 @@
     it->second.isResponsive = false;
 }
 
-void PoolCore::onWorkerLost(const std::string& id, const char* reason, Moment at)
+void PoolCore::onWorkerLost(const std::string& id, WorkerLoss loss, Moment at)
 {
     const auto it = m_workers.find(id);
     if (it == m_workers.end())
         return;
     auto& worker = it->second;
-    log("worker-lost", id, { { "reason", reason }, { "runs", std::to_string(worker.runs.size()) } });
+    log("worker-lost", id, { { "reason", nameOf(loss) }, { "machine", worker.entry.machine }, { "runs", std::to_string(worker.runs.size()) } });
     worker.isResponsive = false;
     worker.lastEndNumber = 0;
     m_advice.voidTickets(id);
     const auto runs = std::exchange(worker.runs, {});
     for (const auto& [key, run] : runs) {
+        log("run-lost", key.job, { { "task", std::to_string(key.step) + "." + std::to_string(key.index) }, { "run", std::to_string(run.run) }, { "worker", id }, { "reason", nameOf(loss) }, { "ageMs", std::to_string(std::chrono::duration_cast<milliseconds>(at.now - run.orderedAt).count()) }, { "confirmed", run.phase == WorkerRun::Phase::Ordered ? "no" : "yes" }, { "percent", std::to_string(run.percent) } });
         const auto* task = m_jobs.findTask(key);
         if (task && task->state == Task::State::Placed && task->lastRun == run.run && task->worker == id)
             recordEnd({ key, run.run, RunEnd::Lost, run.checkpoint, at.wall });
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -88,8 +88,8 @@
     void onWorkerUnlisted(const std::string& worker, Moment);
     /// The worker doesn't answer: it gets no new runs until it answers a poll.
     void onWorkerUnresponsive(const std::string& worker, Moment);
-    /// None of the worker's runs can still be running; their tasks wait to be placed again. `reason` is for the log.
-    void onWorkerLost(const std::string& worker, const char* reason, Moment);
+    /// None of the worker's runs can still be running; their tasks wait to be placed again.
+    void onWorkerLost(const std::string& worker, WorkerLoss, Moment);
     /// Replaces the set of workers to be vacated for maintenance or moves. They get no new runs.
     void cordon(const std::set<std::string>& workers, Moment);
 
--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -104,7 +104,7 @@
     if (answer.incarnation != 0 && known != 0 && answer.incarnation != known) {
         if (answer.incarnation < known)
             return; // Delayed answer of an earlier incarnation.
-        onWorkerLost(id, "new-incarnation", at);
+        onWorkerLost(id, WorkerLoss::Restarted, at);
     }
     auto& worker = m_workers[id];
     if (answer.incarnation != 0)
--- a/Source/Core/Jobs/Decision/Worker.h
+++ b/Source/Core/Jobs/Decision/Worker.h
@@ -9,6 +9,17 @@
 
 namespace Jobs {
 
+/// Why a worker's runs can't be running any more.
+enum class WorkerLoss {
+    Lapsed, ///< Its lease ran out while it didn't answer: it was cut off, or has crashed.
+    Crashed, ///< Its machine no longer runs it.
+    Ordered, ///< Its machine was moved or maintained.
+    Restarted, ///< A new incarnation answers or is listed.
+};
+
+/// Lower-case name for logs, for example "crashed".
+const char* nameOf(WorkerLoss);
+
 /// A run that occupies capacity of a worker.
 struct WorkerRun {
     /// What is known of the run's progress.
--- a/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
@@ -53,9 +53,9 @@
         requestMachineList();
         scheduleDecision();
     };
-    result.onLapsed = [this, id] {
+    result.onLapsed = [this, id](WorkerLoss loss) {
         silentWorkers.erase(id);
-        core.onWorkerLost(id, "lapsed", moment());
+        core.onWorkerLost(id, loss, moment());
         if (!entries.contains(id))
             scheduleSessionRemoval(id);
         scheduleDecision();
@@ -125,8 +125,10 @@
     if (machine && machine->state == Machine::State::Up && (machine->worker.empty() || machine->worker == id))
         return;
     silentWorkers.erase(id);
-    log({ "worker-gone", id, { { "machine", machine ? machine->name : "" }, { "listed", machine ? machine->worker : "" } } });
-    session->second->confirmGone();
+    const bool isOrdered = machine && (machine->pool != pool || machine->state == Machine::State::Moving || machine->state == Machine::State::Maintenance);
+    const auto loss = isOrdered ? WorkerLoss::Ordered : WorkerLoss::Crashed;
+    log({ "worker-gone", id, { { "machine", machine ? machine->name : "" }, { "listed", machine ? machine->worker : "" }, { "reason", nameOf(loss) } } });
+    session->second->confirmGone(loss);
 }
 
 void PoolOwner::State::onPollAnswered(const std::string& id, const Ports::PollAnswer& answer, Common::Instant sentAt)
--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -123,16 +123,16 @@
             if (self->clock.lapsedAt() > self->loop.now())
                 self->scheduleLapse();
             else
-                self->onLapse();
+                self->onLapse(WorkerLoss::Lapsed);
         });
     }
 
-    void onLapse()
+    void onLapse(WorkerLoss loss)
     {
         const auto lastAnswerAge = std::chrono::duration_cast<milliseconds>(loop.now() - clock.lastAnswerAt());
         writeEvent("session", { "lease-lapsed", entry.id, { { "known", clock.isKnown() ? "yes" : "no" }, { "latestLeaseMs", std::to_string(clock.latestLeaseEnd().count()) }, { "lastAnswerAgeMs", std::to_string(lastAnswerAge.count()) }, { "failedPolls", std::to_string(failedPolls) } } });
         clock.reset(loop.now());
-        hooks.onLapsed();
+        hooks.onLapsed(loss);
     }
 
     /// Handles what every answer contains: the worker's clock and a refusal by fence. True if the call was carried out.
@@ -357,7 +357,7 @@
         state.schedulePoll(milliseconds(0));
 }
 
-void WorkerSession::confirmGone()
+void WorkerSession::confirmGone(WorkerLoss loss)
 {
     auto& state = *m_state;
     if (state.failedPolls > 0)
@@ -365,7 +365,7 @@
     state.isGone = true;
     if (!state.isPolling)
         state.schedulePoll(pollRetryDelay(state.failedPolls, WorkerUse::Gone));
-    state.onLapse();
+    state.onLapse(loss);
 }
 
 } // namespace Jobs
--- a/Source/Core/Jobs/Runtime/WorkerSession.h
+++ b/Source/Core/Jobs/Runtime/WorkerSession.h
@@ -5,6 +5,7 @@
 
 #include "Common/TaskLoop.h"
 #include "Jobs/Decision/PoolOutput.h"
+#include "Jobs/Decision/Worker.h"
 #include "Jobs/Model/FleetTypes.h"
 #include "Ports/WorkerPort.h"
 
@@ -33,7 +34,7 @@
         std::function<void(const StopRun&, const Ports::WorkerAnswer&)> onStopAnswer;
         std::function<void(const StopRun&)> onStopCancelled; ///< The stop is no longer allowed, and no attempt can have reached the worker.
         std::function<void()> onSilent; ///< Polls have failed for `silentAfter`.
-        std::function<void()> onLapsed; ///< The lease has lapsed: the worker runs nothing.
+        std::function<void(WorkerLoss)> onLapsed; ///< The lease has lapsed: the worker runs nothing.
         std::function<void()> onFenced; ///< The worker has seen a higher fencing token.
         std::function<bool()> mayExtendLease; ///< False for an owner that has had no contact with the store for long.
         std::function<bool()> mayOrder; ///< False while the owner's own lease may have lapsed; starts wait.
@@ -57,8 +58,8 @@
     void throttle(const ThrottleRun&);
     /// Ends up to this number are committed: acknowledges them with the next poll, at once if none is pending.
     void acknowledgeEnds(std::uint64_t number);
-    /// The worker has ended: treats the lease as lapsed at once, and polls rarely until its entry changes.
-    void confirmGone();
+    /// The worker has ended: treats the lease as lapsed at once, and polls rarely until its entry changes. `loss` is passed to onLapsed.
+    void confirmGone(WorkerLoss loss);
 
 private:
     struct State;
--- a/Source/Standins/JobWorker.cpp
+++ b/Source/Standins/JobWorker.cpp
@@ -70,7 +70,14 @@
     run.run = order.run;
     run.startedAt = m_loop.now();
     const auto runEnd = failsAll ? Jobs::RunEnd::Failed : Jobs::RunEnd::Done;
-    if (!hangs)
+    if (m_runMonitor.crashing.contains(order.task)) {
+        run.timer = m_loop.after(crashDelay, [this, task = order.task] {
+            ++m_runMonitor.crashes[task];
+            crash();
+            if (onCrashed)
+                onCrashed();
+        });
+    } else if (!hangs)
         run.timer = m_loop.after(runTime, [this, task = order.task, runEnd] { end(task, runEnd); });
     callback({ WorkerStatus::Done, WorkerRefusal::None, clock() });
 }
--- a/Source/Standins/JobWorker.h
+++ b/Source/Standins/JobWorker.h
@@ -7,6 +7,7 @@
 #include "Jobs/Model/FleetTypes.h"
 #include "Ports/WorkerPort.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -21,6 +22,8 @@
     unsigned overCapacity = 0;
     std::map<Jobs::TaskKey, unsigned> running; ///< Current runs of each task that was ever started.
     std::set<Jobs::TaskKey> done; ///< Tasks whose end as done a host has acknowledged.
+    std::set<Jobs::TaskKey> crashing; ///< Tasks that crash each worker that starts them.
+    std::map<Jobs::TaskKey, unsigned> crashes; ///< Workers that each of these has crashed.
 };
 
 /// One worker. Used on the loop's thread only; the callbacks run there. A start, stop or poll with a lower fencing token than the
@@ -48,6 +51,8 @@
     bool isCrashed = false;
     bool failsAll = false; ///< Every run ends as failed.
     unsigned startsToRefuse = 0; ///< The number of next starts to refuse for lack of capacity.
+    std::chrono::milliseconds crashDelay { 10 }; ///< From the start of a crashing task to the crash.
+    std::function<void()> onCrashed; ///< Called after a task has crashed the worker; the worker must not be destroyed in it.
     bool hangs = false; ///< While set, new runs never end and all runs report no progress.
 
 private:
--- a/Source/UnitTests/Jobs/JobEventsTest.cpp
+++ b/Source/UnitTests/Jobs/JobEventsTest.cpp
@@ -286,3 +286,22 @@
     CHECK(ended.at("how") == "done");
     CHECK(ended.at("current") == "yes");
 }
+
+TEST_CASE("the log tells a crashed worker from one whose machine is in maintenance, and how long its runs had run")
+{
+    const EventLog log;
+    JobFleet fleet(1, 2);
+    fleet.setRunTime(20s);
+    fleet.settle();
+    submitJobs(fleet, 1, oneStep(1, 20s));
+    fleet.runFor(500ms);
+    fleet.crashWorker(fleet.busyWorker().entry.id);
+    fleet.runFor(3s);
+    CHECK(log.last("worker-lost").at("reason") == "crashed");
+    CHECK(log.last("run-lost").number("ageMs") > 500);
+    auto& worker = fleet.busyWorker();
+    worker.crash();
+    fleet.machines.at(worker.entry.machine).state = Jobs::Machine::State::Maintenance;
+    fleet.runFor(3s);
+    CHECK(log.last("worker-lost").at("reason") == "ordered");
+}
--- a/Source/UnitTests/Jobs/JobFleet.cpp
+++ b/Source/UnitTests/Jobs/JobFleet.cpp
@@ -132,7 +132,31 @@
     entry.capacity = { cores * 1000ULL, 64000, 0 };
     entry.rack = "r0";
     machines[machine] = { machine, "desk", Jobs::Machine::State::Up, id, "dc", {}, entry.capacity };
-    return workers[id] = std::make_shared<FakeWorker>(loop, runMonitor, entry);
+    auto worker = std::make_shared<FakeWorker>(loop, runMonitor, entry);
+    worker->runTime = m_runTime;
+    worker->onCrashed = [this, id] { onWorkerCrashed(id); };
+    return workers[id] = std::move(worker);
+}
+
+void JobFleet::crashWorker(const std::string& id)
+{
+    workers.at(id)->crash();
+    onWorkerCrashed(id);
+}
+
+void JobFleet::onWorkerCrashed(const std::string& id)
+{
+    ++workerCrashes;
+    const auto name = workers.at(id)->entry.machine;
+    machines.at(name).state = Jobs::Machine::State::Down;
+    machines.at(name).worker.clear();
+    loop.after(downTime, [this, id, name] {
+        const auto next = keepsWorkerIds ? id : id.substr(0, id.find('-')) + "-" + std::to_string(workerCrashes);
+        if (!keepsWorkerIds)
+            unpublishWorker(id);
+        addWorker(next, name, static_cast<unsigned>(machines.at(name).capacity.milliCores / 1000));
+        publishWorker(next);
+    });
 }
 
 void JobFleet::publishWorker(const std::string& id) { store.put("workers/" + id, "entry"); }
@@ -185,6 +209,7 @@
 
 void JobFleet::setRunTime(milliseconds time)
 {
+    m_runTime = time;
     for (const auto& [id, worker] : workers)
         worker->runTime = time;
 }
--- a/Source/UnitTests/Jobs/JobFleet.h
+++ b/Source/UnitTests/Jobs/JobFleet.h
@@ -89,6 +89,8 @@
     void killHost(const std::string& name);
     std::shared_ptr<FakeWorker> addWorker(const std::string& id, const std::string& machine, unsigned cores);
     void publishWorker(const std::string& id);
+    /// The worker crashes; its machine is listed as down until a worker with another id, or a new incarnation, runs there.
+    void crashWorker(const std::string& id);
     void unpublishWorker(const std::string& id);
     void publishConfiguration();
     void publishWave(const Jobs::MaintenanceWave&);
@@ -121,12 +123,19 @@
     std::vector<Ports::MachineOrder> maintained;
     std::vector<Ports::MachineOrder> moved;
     bool losesMoveAnswers = false;
+    std::chrono::milliseconds downTime { 3000 }; ///< From a worker's crash to its return.
+    bool keepsWorkerIds = false; ///< Crashed workers return under their old ids.
+    unsigned workerCrashes = 0; ///< Of any cause.
     std::chrono::milliseconds machineListDelay { 1 }; ///< From the call to the answer, which shows the machines at the time of the call.
     FakeMachinePort machinePort { *this };
     FakePublishedPort published { *this };
 
 private:
+    /// The worker has crashed: takes its machine down and schedules its return.
+    void onWorkerCrashed(const std::string& id);
+
     std::uint64_t m_incarnations = 0;
+    std::chrono::milliseconds m_runTime { 500 };
 };
 
 /// A job of one step.
