--- /dev/null
+++ b/Source/Core/Jobs/Decision/CrashEvidence.cpp
@@ -0,0 +1,117 @@
+#include "Jobs/Decision/CrashEvidence.h"
+
+#include <algorithm>
+#include <chrono>
+#include <tuple>
+#include <utility>
+
+namespace Jobs {
+
+namespace {
+
+    constexpr unsigned guiltyAlone = 2; ///< Suspected, the latest time as the only one.
+    constexpr unsigned guiltySuspected = 3; ///< Suspected, whoever else was.
+    constexpr unsigned guiltySinceProven = 4; ///< The platform allows two starts after the third crash.
+    constexpr unsigned guiltyUnexplained = 5; ///< The same, for tasks that crash workers later than just after their start.
+    constexpr std::chrono::minutes historyLength { 10 };
+    constexpr std::size_t maximumCrashes = 1000;
+
+    bool isSameSuspect(const CrashWitness& left, const CrashWitness& right)
+    {
+        const auto stepOf = [](const CrashWitness& it) { return std::tie(it.task.job, it.task.occurrence, it.task.step); };
+        return left.task == right.task || (left.isGang && right.isGang && stepOf(left) == stepOf(right));
+    }
+
+} // namespace
+
+std::vector<CrashVerdict> judgeCrash(const std::vector<CrashWitness>& witnesses, bool crashesByItself)
+{
+    const auto isSuspect = [](const CrashWitness& it) { return !it.isProven; };
+    const auto first = std::ranges::find_if(witnesses, isSuspect);
+    const bool isAlone = std::ranges::all_of(witnesses, [&](const auto& it) { return !isSuspect(it) || isSameSuspect(it, *first); });
+    const bool blamesBystanders = first == witnesses.end() && !crashesByItself;
+    const auto enough = isAlone && !crashesByItself ? guiltyAlone : guiltySuspected;
+    std::vector<CrashVerdict> verdicts;
+    verdicts.reserve(witnesses.size());
+    for (const auto& it : witnesses) {
+        CrashVerdict verdict { it.tally, isSuspect(it), false };
+        auto& tally = verdict.tally;
+        tally.unexplained += verdict.isSuspect || blamesBystanders ? 1 : 0;
+        if (verdict.isSuspect) {
+            ++tally.sinceProven;
+            tally.suspected = it.isDoubtful ? std::max(tally.suspected, 1U) : tally.suspected + 1;
+            verdict.isGuilty = (!it.isDoubtful && tally.suspected >= enough) || tally.sinceProven >= guiltySinceProven;
+        }
+        verdict.isGuilty = verdict.isGuilty || isTooOften(tally);
+        verdicts.push_back(verdict);
+    }
+    return verdicts;
+}
+
+bool isTooOften(const CrashTally& tally) { return tally.unexplained >= guiltyUnexplained; }
+
+void CrashHistory::add(const std::string& machine, Witnesses witnesses, Common::Instant now)
+{
+    if (m_crashes.size() >= maximumCrashes)
+        m_crashes.pop_front();
+    m_crashes.push_back({ machine, std::move(witnesses), now });
+}
+
+std::set<TaskKey> CrashHistory::acquit(const TaskKey& task)
+{
+    std::set<TaskKey> bystanders;
+    for (auto& it : m_crashes) {
+        if (it.witnesses.erase(task) == 0 || it.hasSuspects())
+            continue;
+        for (auto& [other, growth] : it.witnesses) {
+            if (growth.unexplained++ == 0)
+                bystanders.insert(other);
+        }
+    }
+    return bystanders;
+}
+
+bool CrashHistory::Crash::hasSuspects() const
+{
+    return std::ranges::any_of(witnesses, [](const auto& it) { return it.second.suspected > 0; });
+}
+
+CrashHistory::Witnesses CrashHistory::convict(const TaskKey& task)
+{
+    Witnesses exonerated;
+    std::erase_if(m_crashes, [&](const Crash& crash) {
+        const auto found = crash.witnesses.find(task);
+        if (found == crash.witnesses.end() || found->second.suspected == 0)
+            return false;
+        for (const auto& [other, growth] : crash.witnesses) {
+            exonerated[other].unexplained += growth.unexplained;
+            exonerated[other].suspected += growth.suspected;
+        }
+        return true;
+    });
+    exonerated.erase(task);
+    return exonerated;
+}
+
+bool CrashHistory::crashedByItself(const std::string& machine) const
+{
+    return !machine.empty() && std::ranges::any_of(m_crashes, [&](const auto& it) { return it.machine == machine && !it.hasSuspects(); });
+}
+
+std::size_t CrashHistory::countOf(const std::string& machine) const
+{
+    return static_cast<std::size_t>(std::ranges::count(m_crashes, machine, &Crash::machine));
+}
+
+bool CrashHistory::isWitness(const std::string& machine, const TaskKey& task) const
+{
+    return !machine.empty() && std::ranges::any_of(m_crashes, [&](const auto& it) { return it.machine == machine && it.witnesses.contains(task); });
+}
+
+void CrashHistory::forget(Common::Instant now)
+{
+    while (!m_crashes.empty() && now - m_crashes.front().at > historyLength)
+        m_crashes.pop_front();
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/Source/Core/Jobs/Decision/CrashEvidence.h
@@ -0,0 +1,73 @@
+#pragma once
+
+/// Finds the tasks that crash their workers. Designed for a few tasks that crash each worker within moments of their start, in a
+/// pool where many others share these workers, and where some workers crash by themselves: a crash counts against tasks that had
+/// only just started, and those are then started apart from each other and from tasks that aren't suspected.
+
+#include "Common/Time.h"
+#include "Jobs/Model/JobRecords.h"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Jobs {
+
+/// A task that may have been running on a worker when it crashed.
+struct CrashWitness {
+    TaskKey task;
+    CrashTally tally; ///< Before the crash.
+    bool isDoubtful = false; ///< See LostRun; or it was lost in an earlier crash of the same machine.
+    bool isProven = false; ///< Had outlived its start there.
+    bool isGang = false; ///< Members of a gang start together and are suspected as one.
+};
+
+/// What follows from a crash for one witness.
+struct CrashVerdict {
+    CrashTally tally;
+    bool isSuspect = false;
+    bool isGuilty = false; ///< The task must not be started again.
+};
+
+/// One verdict for each witness, in their order. Suspects are those that hadn't outlived their starts. On a worker that is known to
+/// crash by itself more evidence is needed.
+std::vector<CrashVerdict> judgeCrash(const std::vector<CrashWitness>&, bool crashesByItself);
+
+/// True when so many crashes are left unexplained that the task must not be started again.
+bool isTooOften(const CrashTally&);
+
+/// Remembers recent crashes by machine, and whether a task explains them. Bounded; forgets crashes after ten minutes.
+class CrashHistory {
+public:
+    /// By witness, how much its tally grew by the crash. A witness whose `suspected` grew may explain it.
+    using Witnesses = std::map<TaskKey, CrashTally>;
+
+    void add(const std::string& machine, Witnesses, Common::Instant now);
+    /// The task has outlived its start: it explains no crash. Returns the other tasks of crashes that are left without a suspect.
+    std::set<TaskKey> acquit(const TaskKey&);
+    /// The task has crashed the workers on which it was suspected. Returns what doesn't count against the other tasks any more.
+    Witnesses convict(const TaskKey&);
+    /// Crashes of the machine's workers that no task explains so far.
+    std::size_t countOf(const std::string& machine) const;
+    /// True when the task is a witness of an earlier crash of the machine's worker.
+    bool isWitness(const std::string& machine, const TaskKey&) const;
+    /// True when a crash of the machine's worker is left without a suspect.
+    bool crashedByItself(const std::string& machine) const;
+    /// Drops crashes that are too long ago.
+    void forget(Common::Instant now);
+
+private:
+    struct Crash {
+        std::string machine;
+        Witnesses witnesses;
+        Common::Instant at;
+
+        bool hasSuspects() const;
+    };
+
+    std::deque<Crash> m_crashes;
+};
+
+} // namespace Jobs
--- a/Source/Core/Jobs/Decision/JobTable.cpp
+++ b/Source/Core/Jobs/Decision/JobTable.cpp
@@ -82,14 +82,10 @@
 
 void JobTable::applyRecord(const RunStarted& record)
 {
-    auto* job = find(record.task.job);
-    if (!job)
-        return;
-    while (job->occurrencesBegun <= record.task.occurrence && job->occurrencesBegun < job->occurrenceCount())
-        beginOccurrence(*job);
-    auto* task = findTask(record.task);
+    auto* task = reachTask(record.task);
     if (!task || task->state == Task::State::Done)
         return;
+    auto* job = find(record.task.job);
     if (task->state == Task::State::Waiting)
         ++job->stepOf(record.task)->placedCount;
     task->state = Task::State::Placed;
@@ -101,16 +97,11 @@
 
 void JobTable::applyRecord(const RunEnded& record)
 {
-    auto* job = find(record.task.job);
-    if (!job)
-        return;
-    while (job->occurrencesBegun <= record.task.occurrence && job->occurrencesBegun < job->occurrenceCount())
-        beginOccurrence(*job);
-    auto* step = job->stepOf(record.task);
-    if (!step || record.task.index >= step->tasks.size())
+    if (!reachTask(record.task))
         return;
+    auto* job = find(record.task.job);
     job->state = JobState::Running;
-    endTask(*job, *step, record);
+    endTask(*job, *job->stepOf(record.task), record);
 }
 
 void JobTable::endTask(Job& job, StepRun& step, const RunEnded& record)
@@ -178,6 +169,21 @@
     m_finished[record.job] = { record.queue, record.state, record.at };
 }
 
+Task* JobTable::reachTask(const TaskKey& key)
+{
+    if (auto* job = find(key.job)) {
+        while (job->occurrencesBegun <= key.occurrence && job->occurrencesBegun < job->occurrenceCount())
+            beginOccurrence(*job);
+    }
+    return findTask(key);
+}
+
+void JobTable::applyRecord(const TaskSuspected& record)
+{
+    if (auto* task = reachTask(record.task))
+        task->crashTally = record.tally;
+}
+
 void JobTable::forEachTask(const std::function<void(const Job&, const TaskKey&, const Task&)>& visit) const
 {
     for (const auto& [id, job] : m_active) {
@@ -209,6 +215,8 @@
             records.emplace_back(RunEnded { key, task.lastRun, RunEnd::Lost, task.checkpoint, {} });
         if (task.state == Task::State::Placed)
             records.emplace_back(RunStarted { key, task.lastRun, task.worker });
+        if (task.state != Task::State::Done && task.crashTally != CrashTally())
+            records.emplace_back(TaskSuspected { key, task.crashTally });
     }
 
     void appendStep(std::vector<JobRecord>& records, TaskKey key, const StepSpec& spec, const StepRun* run)
--- a/Source/Core/Jobs/Decision/JobTable.h
+++ b/Source/Core/Jobs/Decision/JobTable.h
@@ -24,6 +24,7 @@
     RunNumber lastRun = 0; ///< Number of the newest run; zero before the first.
     std::string worker; ///< While placed.
     std::string checkpoint; ///< Newest one known; empty for none.
+    CrashTally crashTally;
 };
 
 /// Progress of a step in one occurrence.
@@ -110,6 +111,9 @@
     void applyRecord(const RunStarted&);
     void applyRecord(const RunEnded&);
     void applyRecord(const JobFinished&);
+    void applyRecord(const TaskSuspected&);
+    /// Like findTask(), but begins the occurrences up to the task's if they haven't begun.
+    Task* reachTask(const TaskKey&);
     void endTask(Job&, StepRun&, const RunEnded&);
     void failTask(Job&, StepRun&, Task&, const RunEnded&);
     void finishStep(Job&, const RunEnded&);
--- a/Source/Core/Jobs/Decision/Placement.cpp
+++ b/Source/Core/Jobs/Decision/Placement.cpp
@@ -14,12 +14,9 @@
         return it == counts.end() ? 0 : it->second;
     }
 
-    bool isSuitable(const Candidate& candidate, const PlacementRequest& request)
+    bool meetsConstraints(const Worker& worker, const PlacementRequest& request)
     {
         const auto& step = *request.step;
-        const auto& worker = *candidate.worker;
-        if (!reservedBy(step).fitsInto(candidate.room))
-            return false;
         if (!step.requiredLabel.empty() && !worker.entry.hasLabel(step.requiredLabel))
             return false;
         if (step.maximumPerWorker > 0 && countOf(*request.placedByWorker, worker.entry.id) >= step.maximumPerWorker)
@@ -29,6 +26,18 @@
         return !request.isAllowed || request.isAllowed(worker);
     }
 
+    bool passesQuarantine(const Candidate& candidate, Suspicion suspicion)
+    {
+        if (suspicion == Suspicion::None)
+            return !candidate.isQuarantined;
+        return candidate.suspectSlots > 0 && (suspicion == Suspicion::Some || candidate.suspectsPlaced == 0);
+    }
+
+    bool isSuitable(const Candidate& candidate, const PlacementRequest& request)
+    {
+        return passesQuarantine(candidate, request.suspicion) && reservedBy(*request.step).fitsInto(candidate.room) && meetsConstraints(*candidate.worker, request);
+    }
+
     /// Number of runs that would slow down a task of the step, or be slowed down by it.
     unsigned conflictsOn(const Worker& worker, const StepSpec& step)
     {
@@ -42,21 +51,22 @@
     }
 
     /// Compared from the first element on; lower is better.
-    using Score = std::tuple<bool, bool, unsigned, bool, std::int64_t>;
+    using Score = std::tuple<bool, bool, bool, unsigned, bool, std::int64_t>;
 
     Score scoreOf(const Candidate& candidate, const PlacementRequest& request)
     {
         constexpr unsigned crowdingThreshold = 2; // Tasks of a lasting step that may share a worker, so that its loss takes no more.
         const auto& step = *request.step;
         const auto& worker = *candidate.worker;
+        const bool isUnreliable = request.needsReliable && candidate.crashesByItself;
         const bool isRemote = !step.dataRack.empty() && worker.entry.rack != step.dataRack;
         const bool isOffPreferredRack = !request.preferredRack.empty() && worker.entry.rack != request.preferredRack;
         const auto room = static_cast<std::int64_t>(candidate.room.milliCores);
         if (!step.isLasting && !step.isFiller)
-            return { isRemote, isOffPreferredRack, worker.failuresInRow, !candidate.hasLastingTasks, room };
+            return { isUnreliable, isRemote, isOffPreferredRack, worker.failuresInRow, !candidate.hasLastingTasks, room };
         const auto count = countOf(*request.placedByWorker, worker.entry.id);
         const auto crowding = count >= crowdingThreshold ? count : 0;
-        return { isRemote, isOffPreferredRack, conflictsOn(worker, step) + crowding, !candidate.hasLastingTasks, -room };
+        return { isUnreliable, isRemote, isOffPreferredRack, conflictsOn(worker, step) + crowding, !candidate.hasLastingTasks, -room };
     }
 
 } // namespace
@@ -69,6 +79,16 @@
     return need;
 }
 
+bool couldRunOn(const Worker& worker, const PlacementRequest& request)
+{
+    auto room = worker.entry.capacity;
+    for (const auto& [key, run] : worker.runs) {
+        if (run.isLasting)
+            room -= run.reserved;
+    }
+    return reservedBy(*request.step).fitsInto(room) && meetsConstraints(worker, request);
+}
+
 Candidate candidateOf(Worker& worker)
 {
     return { &worker, worker.room(), std::ranges::any_of(worker.runs, [](const auto& it) { return it.second.isLasting; }) };
--- a/Source/Core/Jobs/Decision/Placement.h
+++ b/Source/Core/Jobs/Decision/Placement.h
@@ -19,6 +19,17 @@
     Resources room;
     /// Short tasks prefer such workers. They are rarely moved or switched off, and the others become free for that.
     bool hasLastingTasks = false;
+    bool crashesByItself = false; ///< Tasks that have been lost in a crash prefer others.
+    bool isQuarantined = false; ///< Takes only suspects.
+    unsigned suspectSlots = 0; ///< Number of suspects that may be placed there in this pass.
+    unsigned suspectsPlaced = 0; ///< In this pass.
+};
+
+/// Whether a task may crash its worker, so that it must be kept apart from others.
+enum class Suspicion {
+    None,
+    Some, ///< May share a worker with other suspects.
+    Strong, ///< Must be the only suspect on its worker.
 };
 
 /// A candidate with the worker's current free capacity.
@@ -35,6 +46,8 @@
     bool mayRunRemote = true;
     /// Whether a worker may run the step at all, by the advice service; empty when any may.
     std::function<bool(const Worker&)> isAllowed {};
+    Suspicion suspicion = Suspicion::None;
+    bool needsReliable = false; ///< Workers that don't crash by themselves are preferred.
 
     /// True when capacity is the only constraint, so that a failed placement holds for all steps that need as much or more.
     bool needsRoomOnly() const;
@@ -43,6 +56,9 @@
 /// Resources reserved for a task of the step; none of the cores for a filler.
 Resources reservedBy(const StepSpec&);
 
+/// Whether the worker may ever run the task, apart from what short tasks occupy now and from quarantine.
+bool couldRunOn(const Worker&, const PlacementRequest&);
+
 /// The best candidate for one task, or null when none qualifies. Doesn't reduce the candidate's free capacity.
 Candidate* choosePlace(std::vector<Candidate>&, const PlacementRequest&);
 
--- a/Source/Core/Jobs/Decision/PoolCore.cpp
+++ b/Source/Core/Jobs/Decision/PoolCore.cpp
@@ -49,9 +49,14 @@
         auto run = makeRun(job.spec().steps[key.step], task.lastRun, at.now);
         run.phase = WorkerRun::Phase::Confirmed;
         run.confirmedAt = at.now;
+        run.isSuspect = task.crashTally.suspected > 0;
         run.checkpoint = task.checkpoint;
         worker.runs[key] = std::move(run);
     });
+    m_jobs.forEachTask([this](const Job&, const TaskKey& key, const Task& task) {
+        if (task.crashTally.suspected > 0)
+            m_suspects[key] = Suspicion::Some;
+    });
 }
 
 void PoolCore::configure(const JobConfiguration& configuration)
@@ -70,6 +75,7 @@
     const bool isOlder = entry.incarnation != 0 && entry.incarnation < worker.entry.incarnation;
     if (isOlder)
         return;
+    onMachineRestarted(entry, at);
     if (isNewIncarnation)
         onWorkerLost(entry.id, WorkerLoss::Restarted, at);
     if (worker.entry.state != entry.state || !worker.isListed || worker.entry.address.empty())
@@ -90,6 +96,15 @@
         m_workers.erase(it);
 }
 
+void PoolCore::onWorkerFailing(const std::string& id, Instant aliveUntil, Moment at)
+{
+    const auto it = m_workers.find(id);
+    if (it == m_workers.end() || it->second.failingSince != Instant())
+        return;
+    it->second.failingSince = at.now;
+    it->second.aliveUntil = aliveUntil;
+}
+
 void PoolCore::onWorkerUnresponsive(const std::string& id, Moment)
 {
     const auto it = m_workers.find(id);
@@ -105,17 +120,29 @@
     if (it == m_workers.end())
         return;
     auto& worker = it->second;
+    if (loss == WorkerLoss::Lapsed && hasSuccessor(worker))
+        loss = WorkerLoss::Crashed;
     log("worker-lost", id, { { "reason", nameOf(loss) }, { "machine", worker.entry.machine }, { "runs", std::to_string(worker.runs.size()) } });
     worker.isResponsive = false;
     worker.lastEndNumber = 0;
     m_advice.voidTickets(id);
     const auto runs = std::exchange(worker.runs, {});
+    const auto failingSince = std::exchange(worker.failingSince, {});
+    std::vector<LostRun> lost = std::exchange(worker.lapsedRuns, {});
     for (const auto& [key, run] : runs) {
         log("run-lost", key.job, { { "task", std::to_string(key.step) + "." + std::to_string(key.index) }, { "run", std::to_string(run.run) }, { "worker", id }, { "reason", nameOf(loss) }, { "ageMs", std::to_string(std::chrono::duration_cast<milliseconds>(at.now - run.orderedAt).count()) }, { "confirmed", run.phase == WorkerRun::Phase::Ordered ? "no" : "yes" }, { "percent", std::to_string(run.percent) } });
         const auto* task = m_jobs.findTask(key);
-        if (task && task->state == Task::State::Placed && task->lastRun == run.run && task->worker == id)
-            recordEnd({ key, run.run, RunEnd::Lost, run.checkpoint, at.wall });
+        if (!task || task->state != Task::State::Placed || task->lastRun != run.run || task->worker != id)
+            continue;
+        if (failingSince == Instant() || run.orderedAt < failingSince)
+            lost.push_back(lostRunOf(key, run, worker.aliveUntil, failingSince));
+        recordEnd({ key, run.run, RunEnd::Lost, run.checkpoint, at.wall });
     }
+    const bool isPlanned = loss == WorkerLoss::Ordered || worker.isCordoned || worker.entry.state == WorkerEntry::State::Draining;
+    if (loss == WorkerLoss::Lapsed)
+        worker.lapsedRuns = std::move(lost);
+    else if (!isPlanned)
+        onWorkerCrashed(worker, lost, at);
     if (!worker.isListed)
         m_workers.erase(it);
 }
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -3,6 +3,7 @@
 /// Decision core of one pool: takes events with their times, returns records and orders. Does no I/O and reads no clock.
 
 #include "Jobs/Decision/AdviceCache.h"
+#include "Jobs/Decision/CrashEvidence.h"
 #include "Jobs/Decision/JobSummary.h"
 #include "Jobs/Decision/JobTable.h"
 #include "Jobs/Decision/Placement.h"
@@ -86,6 +87,9 @@
     void onWorkerListed(const WorkerEntry&, Moment);
     /// The worker's entry was deleted. It may still run tasks, so its runs keep their places.
     void onWorkerUnlisted(const std::string& worker, Moment);
+    /// A poll of the worker has failed: it may have crashed, though not before `aliveUntil`. Runs ordered from now on haven't started
+    /// there.
+    void onWorkerFailing(const std::string& worker, Instant aliveUntil, Moment);
     /// The worker doesn't answer: it gets no new runs until it answers a poll.
     void onWorkerUnresponsive(const std::string& worker, Moment);
     /// None of the worker's runs can still be running; their tasks wait to be placed again.
@@ -152,6 +156,22 @@
     void log(const char* event, const std::string& id, std::vector<std::pair<const char*, std::string>> fields);
     std::string submissionError(const JobSpec&) const;
 
+    LostRun lostRunOf(const TaskKey&, const WorkerRun&, Instant aliveUntil, Instant failingSince) const;
+    Suspicion suspicionOf(const TaskKey&, const Task&) const;
+    void onWorkerCrashed(const Worker&, const std::vector<LostRun>&, Moment);
+    bool isProvenElsewhere(const LostRun&, const Task&) const;
+    /// True when a later worker is known to run on the worker's machine, which runs one at a time.
+    bool hasSuccessor(const Worker&) const;
+    /// Judges the lapsed runs of the machine's earlier worker.
+    void onMachineRestarted(const WorkerEntry& newWorker, Moment);
+    /// Fails the job of a task that crashes its workers.
+    void giveUp(const TaskKey&, const CrashTally&, Moment);
+    /// Another task has turned out to explain crashes that count against this one.
+    void exonerate(const TaskKey&, const CrashTally& growth);
+    void updateProof(const TaskKey&, WorkerRun&, Moment);
+    void clearSuspicion(const TaskKey&, Moment);
+    std::vector<TaskKey> waitingSuspects();
+    void quarantineWorkers(std::vector<Candidate>&, Moment);
     void onRunEnded(Worker&, const Ports::EndedTask&, Moment);
     void updateWorkerHealth(Worker&, const TaskKey&, RunEnd, Moment);
     void onRunReported(Worker&, const Ports::RunningTask&, Moment);
@@ -167,6 +187,7 @@
     bool mayInterrupt(const TaskKey&, Instant now) const;
     bool isServing(const TaskKey&, const Task&) const;
     std::vector<WaitingStep> waitingSteps(Moment);
+    PlacementRequest requestFor(const WaitingStep&, const std::map<std::string, unsigned>& placed, Moment) const;
     bool placeStep(const WaitingStep&, std::vector<Candidate>&, Moment);
     void placeGang(const WaitingStep&, std::vector<Candidate>&, const PlacementRequest&, Moment);
     void placeTask(Job&, const TaskKey&, RunNumber, Candidate&, Moment);
@@ -181,6 +202,9 @@
     AdviceCache m_advice;
     std::map<std::string, Worker> m_workers;
     std::set<std::string> m_cordoned;
+    CrashHistory m_crashes;
+    std::map<TaskKey, Suspicion> m_suspects; ///< Tasks with suspected crashes. May contain tasks that are done or gone.
+    std::set<std::string> m_quarantined; ///< Workers that take only suspects for the time being.
     Instant m_previousStopsEndAt {}; ///< From then on, polls no longer list runs that a previous owner has stopped.
     PoolOutput m_output;
 };
--- /dev/null
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -0,0 +1,218 @@
+/// Handling of workers that crash: which tasks are suspected, and where they may start.
+
+#include "Jobs/Decision/PoolCore.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace Jobs {
+
+namespace {
+
+    constexpr milliseconds provenAfter { 200 }; ///< Age at which a run has outlived its start.
+    constexpr milliseconds recentStart { 50 }; ///< Runs that had started so shortly before a crash are suspected most.
+    constexpr milliseconds reliableAfter { 10000 }; ///< Age from which earlier crashes no longer count against the task.
+    constexpr std::size_t minimumQuarantine = 2;
+    constexpr std::size_t quarantineDivisor = 3; ///< The rest of the workers is left to tasks that aren't suspected.
+
+    std::string nameOfTask(const TaskKey& key) { return std::to_string(key.step) + "." + std::to_string(key.index); }
+
+} // namespace
+
+LostRun PoolCore::lostRunOf(const TaskKey& key, const WorkerRun& run, Instant aliveUntil, Instant failingSince) const
+{
+    const bool hasStarted = run.startedBy != Instant();
+    LostRun lost { key, run.run };
+    lost.isProven = run.isProven || (hasStarted && aliveUntil - run.startedBy >= provenAfter);
+    lost.isDoubtful = !hasStarted || failingSince == Instant() || failingSince - run.startedBy >= provenAfter;
+    lost.isRecent = !lost.isDoubtful && failingSince - run.startedBy < recentStart;
+    return lost;
+}
+
+Suspicion PoolCore::suspicionOf(const TaskKey& key, const Task& task) const
+{
+    if (task.crashTally.suspected == 0)
+        return Suspicion::None;
+    const auto it = m_suspects.find(key);
+    return task.crashTally.suspected > 1 || (it != m_suspects.end() && it->second == Suspicion::Strong) ? Suspicion::Strong : Suspicion::Some;
+}
+
+void PoolCore::onWorkerCrashed(const Worker& worker, const std::vector<LostRun>& lost, Moment at)
+{
+    const auto& machine = worker.entry.machine;
+    std::vector<CrashWitness> witnesses;
+    for (const auto& it : lost) {
+        const auto* task = m_jobs.findTask(it.task);
+        if (task && task->state != Task::State::Done)
+            witnesses.push_back({ it.task, task->crashTally, it.isDoubtful || m_crashes.isWitness(machine, it.task), it.isProven || isProvenElsewhere(it, *task), m_jobs.find(it.task.job)->spec().steps[it.task.step].isGang });
+    }
+    const bool isByItself = m_crashes.crashedByItself(machine);
+    const auto verdicts = judgeCrash(witnesses, isByItself);
+    CrashHistory::Witnesses growth;
+    for (std::size_t n = 0; n < witnesses.size(); ++n) {
+        const auto& [before, after] = std::tie(witnesses[n].tally, verdicts[n].tally);
+        growth[witnesses[n].task] = { after.unexplained - before.unexplained, verdicts[n].isSuspect ? 1U : 0U, 0 };
+    }
+    const auto suspects = std::ranges::count_if(verdicts, &CrashVerdict::isSuspect);
+    log("worker-crashed", worker.entry.id, { { "machine", machine }, { "runs", std::to_string(witnesses.size()) }, { "suspects", std::to_string(suspects) }, { "crashedByItself", isByItself ? "yes" : "no" } });
+    m_crashes.add(machine, std::move(growth), at.now);
+    for (std::size_t n = 0; n < witnesses.size(); ++n) {
+        const auto& key = witnesses[n].task;
+        const auto& tally = verdicts[n].tally;
+        record(TaskSuspected { key, tally });
+        if (tally.suspected == 0)
+            continue;
+        m_suspects[key] = std::ranges::any_of(lost, [&key](const auto& it) { return it.task == key && it.isRecent; }) ? Suspicion::Strong : Suspicion::Some;
+        log("task-suspected", key.job, { { "task", nameOfTask(key) }, { "worker", worker.entry.id }, { "sinceProven", std::to_string(tally.sinceProven) }, { "unexplained", std::to_string(tally.unexplained) }, { "suspected", std::to_string(tally.suspected) } });
+    }
+    for (std::size_t n = 0; n < witnesses.size(); ++n) {
+        if (verdicts[n].isGuilty)
+            giveUp(witnesses[n].task, verdicts[n].tally, at);
+    }
+}
+
+/// A worker that lapsed may be known to have crashed only after the task's next run has outlived its start.
+bool PoolCore::isProvenElsewhere(const LostRun& lost, const Task& task) const
+{
+    const auto* worker = task.lastRun > lost.run ? findWorker(task.worker) : nullptr;
+    const auto run = worker ? worker->runs.find(lost.task) : std::map<TaskKey, WorkerRun>::const_iterator();
+    return worker && run != worker->runs.end() && run->second.isProven;
+}
+
+bool PoolCore::hasSuccessor(const Worker& worker) const
+{
+    const auto succeeds = [&worker](const auto& it) { return isSuccessor(it.second.entry, worker.entry); };
+    return std::ranges::any_of(m_workers, succeeds);
+}
+
+void PoolCore::onMachineRestarted(const WorkerEntry& newWorker, Moment at)
+{
+    for (auto& [id, worker] : m_workers) {
+        if (worker.lapsedRuns.empty() || !isSuccessor(newWorker, worker.entry))
+            continue;
+        const auto lost = std::exchange(worker.lapsedRuns, {});
+        onWorkerCrashed(worker, lost, at);
+    }
+}
+
+void PoolCore::giveUp(const TaskKey& key, const CrashTally& tally, Moment at)
+{
+    const auto* job = m_jobs.find(key.job);
+    if (!job)
+        return;
+    auto summary = summaryOf(*job, at.wall);
+    summary.state = JobState::Failed;
+    log("job-given-up", key.job, { { "task", nameOfTask(key) }, { "sinceProven", std::to_string(tally.sinceProven) }, { "unexplained", std::to_string(tally.unexplained) }, { "suspected", std::to_string(tally.suspected) } });
+    logFinished(key.job, summary);
+    record(JobFinished { key.job, summary.queue, JobState::Failed, at.wall });
+    m_output.finished.push_back(std::move(summary));
+    m_suspects.erase(key);
+    for (const auto& [other, growth] : m_crashes.convict(key))
+        exonerate(other, growth);
+    m_advice.removeJob(key.job);
+    stopJob(key.job);
+}
+
+void PoolCore::exonerate(const TaskKey& key, const CrashTally& growth)
+{
+    const auto* task = m_jobs.findTask(key);
+    if (!task || task->state == Task::State::Done)
+        return;
+    auto tally = task->crashTally;
+    tally.unexplained -= std::min(tally.unexplained, growth.unexplained);
+    tally.suspected -= std::min(tally.suspected, growth.suspected);
+    record(TaskSuspected { key, tally });
+}
+
+void PoolCore::updateProof(const TaskKey& key, WorkerRun& run, Moment at)
+{
+    if (run.startedBy == Instant())
+        run.startedBy = at.now;
+    const auto age = at.now - run.startedBy;
+    if (age < provenAfter)
+        return;
+    if (!run.isProven) {
+        run.isProven = true;
+        clearSuspicion(key, at);
+    }
+    const auto* task = age < reliableAfter ? nullptr : m_jobs.findTask(key);
+    if (task && task->crashTally.unexplained > 0)
+        record(TaskSuspected { key, {} });
+}
+
+/// The task has outlived a start. Crashes in which it was the last suspect count against the tasks that ran beside it.
+void PoolCore::clearSuspicion(const TaskKey& key, Moment at)
+{
+    const auto* task = m_jobs.findTask(key);
+    if (!task || task->crashTally.sinceProven == 0)
+        return;
+    m_suspects.erase(key);
+    log("task-cleared", key.job, { { "task", nameOfTask(key) }, { "unexplained", std::to_string(task->crashTally.unexplained) } });
+    record(TaskSuspected { key, { task->crashTally.unexplained, 0, 0 } });
+    for (const auto& bystander : m_crashes.acquit(key)) {
+        const auto* other = m_jobs.findTask(bystander);
+        if (!other || other->state == Task::State::Done)
+            continue;
+        auto tally = other->crashTally;
+        ++tally.unexplained;
+        record(TaskSuspected { bystander, tally });
+        if (isTooOften(tally))
+            giveUp(bystander, tally, at);
+    }
+}
+
+/// Suspects that wait for a worker. Gangs aren't among them: their members may need more workers than are set aside.
+std::vector<TaskKey> PoolCore::waitingSuspects()
+{
+    std::vector<TaskKey> waiting;
+    std::erase_if(m_suspects, [&](const auto& it) {
+        const auto& key = it.first;
+        const auto* task = m_jobs.findTask(key);
+        if (!task || task->state == Task::State::Done || task->crashTally.suspected == 0)
+            return true;
+        if (task->state == Task::State::Waiting && !m_jobs.find(key.job)->spec().steps[key.step].isGang)
+            waiting.push_back(key);
+        return false;
+    });
+    return waiting;
+}
+
+/// Sets workers aside for suspects, and keeps others away from suspects that haven't outlived their starts. A worker takes its
+/// first suspect once all its runs have outlived theirs, so that a crash leaves no doubt.
+void PoolCore::quarantineWorkers(std::vector<Candidate>& candidates, Moment at)
+{
+    const auto suspects = waitingSuspects();
+    auto previous = std::exchange(m_quarantined, {});
+    if (m_suspects.empty())
+        return;
+    for (auto& it : candidates)
+        it.isQuarantined = it.worker->isTestingSuspect();
+    const auto inUse = static_cast<std::size_t>(std::ranges::count_if(candidates, &Candidate::isQuarantined));
+    const auto limit = std::max<std::size_t>(1, std::min(candidates.size() - 1, std::max(minimumQuarantine, candidates.size() / quarantineDivisor)));
+    std::vector<Candidate*> chosen;
+    const auto scoreOf = [&](const Candidate& it) {
+        const auto& id = it.worker->entry.id;
+        return std::tuple(m_crashes.countOf(it.worker->entry.machine), !previous.contains(id), it.worker->hasUnprovenRuns(), it.hasLastingTasks, it.worker->runs.size(), id);
+    };
+    for (const auto& key : suspects) {
+        if (inUse + chosen.size() >= limit)
+            break;
+        const WaitingStep step { {}, m_jobs.find(key.job), key.occurrence, key.step };
+        const std::map<std::string, unsigned> none;
+        const auto request = requestFor(step, none, at);
+        Candidate* best = nullptr;
+        for (auto& it : candidates) {
+            if (!it.isQuarantined && couldRunOn(*it.worker, request) && (!best || scoreOf(it) < scoreOf(*best)))
+                best = &it;
+        }
+        if (!best)
+            continue;
+        best->isQuarantined = true;
+        chosen.push_back(best);
+        m_quarantined.insert(best->worker->entry.id);
+    }
+    for (auto* it : chosen)
+        it->suspectSlots = it->worker->hasUnprovenRuns() ? 0 : static_cast<unsigned>((suspects.size() + chosen.size() - 1) / chosen.size());
+}
+
+} // namespace Jobs
--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -48,6 +48,8 @@
         if (it->second.phase == WorkerRun::Phase::Ordered)
             it->second.phase = WorkerRun::Phase::Confirmed;
         it->second.confirmedAt = at.now;
+        if (it->second.startedBy == Instant())
+            it->second.startedBy = at.now;
         return;
     }
     log("run-refused", order.task.job, { { "task", std::to_string(order.task.step) + "." + std::to_string(order.task.index) }, { "run", std::to_string(order.run) }, { "worker", order.worker }, { "status", std::to_string(static_cast<int>(answer.status)) }, { "refusal", std::to_string(static_cast<int>(answer.refusal)) } });
@@ -112,6 +114,8 @@
     if (!worker.isResponsive)
         log("worker-responsive", id, { { "running", std::to_string(answer.running.size()) }, { "ended", std::to_string(answer.ended.size()) } });
     worker.isResponsive = true;
+    worker.failingSince = {};
+    worker.lapsedRuns.clear();
     ++worker.pollAnswers;
     for (const auto& it : answer.ended)
         onRunEnded(worker, it, at);
@@ -139,6 +143,8 @@
     updateWorkerHealth(worker, end.task, end.runEnd, at);
     if (end.runEnd != RunEnd::Done)
         stopGang(end.task);
+    if (end.runEnd == RunEnd::Done || end.runEnd == RunEnd::Failed)
+        clearSuspicion(end.task, at);
     recordEnd({ end.task, end.run, end.runEnd, end.checkpoint, at.wall });
 }
 
@@ -183,6 +189,7 @@
     run.measure = seen.measure;
     if (!seen.checkpoint.empty())
         run.checkpoint = seen.checkpoint;
+    updateProof(seen.task, run, at);
 }
 
 /// A confirmed run that is neither running nor ended according to a later poll is lost.
@@ -247,7 +254,7 @@
         serves = serves || run.targetLatency > milliseconds(0);
         fills = fills || run.isFiller;
     }
-    return serves && fills;
+    return (serves && fills) || m_quarantined.contains(id) || worker->isTestingSuspect();
 }
 
 void PoolCore::orderStop(Worker& worker, const TaskKey& key, WorkerRun& run, bool isOptional)
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -22,13 +22,19 @@
         if (worker.isSchedulable(at.now))
             candidates.push_back(candidateOf(worker));
     }
+    m_crashes.forget(at.now);
+    for (auto& it : candidates)
+        it.crashesByItself = m_crashes.crashedByItself(it.worker->entry.machine);
     if (candidates.empty())
         return;
+    quarantineWorkers(candidates, at);
     // Once a step hasn't fitted anywhere, steps that need as much or more won't either.
     std::vector<Resources> unplaceable;
     for (const auto& it : waitingSteps(at)) {
         const auto need = reservedBy(it.job->spec().steps[it.step]);
-        if (std::ranges::none_of(unplaceable, [&need](const auto& failed) { return failed.fitsInto(need); }) && !placeStep(it, candidates, at))
+        const bool hasSuspects = !m_suspects.empty() && std::ranges::any_of(it.job->stepOf({ it.job->accepted.job, it.occurrence, it.step, 0 })->tasks, [](const auto& task) { return task.crashTally.suspected > 0; });
+        const bool mayFit = hasSuspects || std::ranges::none_of(unplaceable, [&need](const auto& failed) { return failed.fitsInto(need); });
+        if (mayFit && !placeStep(it, candidates, at))
             unplaceable.push_back(need);
     }
 }
@@ -176,6 +182,15 @@
     m_advice.add(order.step, isAnswered ? order.workers : std::vector<std::string>(), allowed, at.now + validity);
 }
 
+PlacementRequest PoolCore::requestFor(const WaitingStep& it, const std::map<std::string, unsigned>& placed, Moment at) const
+{
+    PlacementRequest request { &it.job->spec().steps[it.step], &placed };
+    request.mayRunRemote = mayRunRemote(it, at);
+    if (needsAdvice(*it.job))
+        request.isAllowed = [this, it, at](const Worker& worker) { return isAdvised(it, worker, at.now); };
+    return request;
+}
+
 /// Returns false when a task wasn't placed and lacked nothing but capacity.
 bool PoolCore::placeStep(const WaitingStep& it, std::vector<Candidate>& candidates, Moment at)
 {
@@ -188,10 +203,7 @@
         if (task.state == Task::State::Placed)
             ++placed[task.worker];
     }
-    PlacementRequest request { &spec, &placed };
-    request.mayRunRemote = mayRunRemote(it, at);
-    if (needsAdvice(job))
-        request.isAllowed = [&](const Worker& worker) { return isAdvised(it, worker, at.now); };
+    auto request = requestFor(it, placed, at);
     if (spec.sameRack && !placed.empty()) {
         if (const auto* worker = findWorker(placed.begin()->first))
             request.preferredRack = worker->entry.rack;
@@ -200,19 +212,25 @@
         placeGang(it, candidates, request, at);
         return true;
     }
+    bool isFull = false;
     for (key.index = 0; key.index < step.tasks.size(); ++key.index) {
         const auto& task = step.tasks[key.index];
-        if (task.state != Task::State::Waiting)
+        request.suspicion = suspicionOf(key, task);
+        request.needsReliable = task.crashTally.unexplained > 0;
+        const bool isSuspect = request.suspicion != Suspicion::None;
+        if (task.state != Task::State::Waiting || (isFull && !isSuspect))
+            continue;
+        if (auto* place = choosePlace(candidates, request)) {
+            ++placed[place->worker->entry.id];
+            placeTask(job, key, task.lastRun + 1, *place, at);
             continue;
-        auto* place = choosePlace(candidates, request);
-        if (!place) {
-            requestAdvice(it, candidates, at);
-            return !request.needsRoomOnly();
         }
-        ++placed[place->worker->entry.id];
-        placeTask(job, key, task.lastRun + 1, *place, at);
+        requestAdvice(it, candidates, at);
+        isFull = isFull || !isSuspect;
+        if (isFull && m_suspects.empty())
+            break;
     }
-    return true;
+    return !isFull || !request.needsRoomOnly();
 }
 
 void PoolCore::placeGang(const WaitingStep& it, std::vector<Candidate>& candidates, const PlacementRequest& request, Moment at)
@@ -245,7 +263,12 @@
     auto& worker = *place.worker;
     const auto checkpoint = m_jobs.findTask(key)->checkpoint;
     place.room -= reservedBy(spec);
-    worker.runs[key] = makeRun(spec, run, at.now);
+    auto& placed = worker.runs[key] = makeRun(spec, run, at.now);
+    if (const auto suspicion = suspicionOf(key, *m_jobs.findTask(key)); suspicion != Suspicion::None) {
+        placed.isSuspect = true;
+        ++place.suspectsPlaced;
+        place.suspectSlots = suspicion == Suspicion::Strong || place.suspectSlots == 0 ? 0 : place.suspectSlots - 1;
+    }
     if (job.state == JobState::Queued) {
         job.firstPlacedAt = at.wall;
         m_output.firstStarts.push_back(at.wall - job.dueAt(key.occurrence));
--- a/Source/Core/Jobs/Decision/Worker.h
+++ b/Source/Core/Jobs/Decision/Worker.h
@@ -4,8 +4,10 @@
 
 #include "Jobs/Model/FleetTypes.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace Jobs {
 
@@ -45,6 +47,18 @@
     unsigned percent = 0; ///< Of its work; 100 when a lasting task is serving.
     std::uint64_t measure = 0; ///< See Ports::RunningTask.
     unsigned throttlePercent = 100; ///< Share of full speed that a filler was set to.
+    Common::Instant startedBy {}; ///< It had started by then; zero while that isn't known.
+    bool isSuspect = false; ///< Its task may have crashed workers before; see CrashEvidence.h.
+    bool isProven = false; ///< It has outlived its start.
+};
+
+/// A run that was lost with its worker.
+struct LostRun {
+    TaskKey task;
+    RunNumber run = 0;
+    bool isDoubtful = false; ///< Its start wasn't confirmed, or the worker may have been lost long after it.
+    bool isProven = false; ///< Had outlived its start.
+    bool isRecent = false; ///< Had started immediately before the worker was lost.
 };
 
 /// A run of a task of the step, in the phase Ordered.
@@ -61,11 +75,24 @@
     std::uint64_t pollAnswers = 0; ///< Number of poll answers handled so far.
     std::uint64_t lastEndNumber = 0; ///< Number of the newest reported end that was handled; starts over with each incarnation.
     std::map<TaskKey, WorkerRun> runs;
+    Common::Instant failingSince {}; ///< When the first poll since the last answer failed; zero for none.
+    Common::Instant aliveUntil {}; ///< While failing: it hadn't crashed before then.
+    std::vector<LostRun> lapsedRuns; ///< Lost when the lease lapsed; evidence if the worker turns out to have crashed.
 
     /// True when new runs may be placed on the worker.
     bool isSchedulable(Common::Instant now) const
     {
-        return isListed && isResponsive && !isCordoned && entry.state == WorkerEntry::State::Ready && avoidUntil <= now;
+        const bool mayHaveCrashed = failingSince != Common::Instant() && !runs.empty();
+        return isListed && isResponsive && !mayHaveCrashed && !isCordoned && entry.state == WorkerEntry::State::Ready && avoidUntil <= now;
+    }
+    /// True while a run whose task is suspected of crashing workers hasn't outlived its start here.
+    bool isTestingSuspect() const
+    {
+        return std::ranges::any_of(runs, [](const auto& it) { return it.second.isSuspect && !it.second.isProven; });
+    }
+    bool hasUnprovenRuns() const
+    {
+        return std::ranges::any_of(runs, [](const auto& it) { return !it.second.isProven; });
     }
     /// Capacity that no run has reserved.
     Resources room() const
--- a/Source/Core/Jobs/Model/FleetTypes.cpp
+++ b/Source/Core/Jobs/Model/FleetTypes.cpp
@@ -26,6 +26,11 @@
     return best;
 }
 
+bool isSuccessor(const WorkerEntry& later, const WorkerEntry& earlier)
+{
+    return !later.machine.empty() && later.machine == earlier.machine && later.id != earlier.id && earlier.incarnation != 0 && later.incarnation > earlier.incarnation;
+}
+
 bool WorkerEntry::hasLabel(const std::string& label) const
 {
     return std::ranges::find(labels, label) != labels.end();
--- a/Source/Core/Jobs/Model/FleetTypes.h
+++ b/Source/Core/Jobs/Model/FleetTypes.h
@@ -74,6 +74,9 @@
     bool operator==(const WorkerEntry&) const = default;
 };
 
+/// True when `later` was started on the machine of `earlier`, which therefore runs no longer: a machine runs one worker at a time.
+bool isSuccessor(const WorkerEntry& later, const WorkerEntry& earlier);
+
 /// A machine as the platform's machine service lists it.
 struct Machine {
     enum class State {
--- a/Source/Core/Jobs/Model/JobFields.h
+++ b/Source/Core/Jobs/Model/JobFields.h
@@ -58,6 +58,18 @@
     v(m.task, m.run, m.how, m.checkpoint, m.at);
 }
 
+template<typename V, MaybeConst<CrashTally> M>
+void visitFields(V& v, M& m)
+{
+    v(m.unexplained, m.suspected, m.sinceProven);
+}
+
+template<typename V, MaybeConst<TaskSuspected> M>
+void visitFields(V& v, M& m)
+{
+    v(m.task, m.tally);
+}
+
 template<typename V, MaybeConst<JobFinished> M>
 void visitFields(V& v, M& m)
 {
--- a/Source/Core/Jobs/Model/JobRecords.h
+++ b/Source/Core/Jobs/Model/JobRecords.h
@@ -52,7 +52,14 @@
     Common::WallTime at {};
 };
 
-using JobRecord = std::variant<JobAccepted, JobCancelled, RunStarted, RunEnded, JobFinished>;
+/// Replaces a task's tally of crashes.
+struct TaskSuspected {
+    TaskKey task;
+    CrashTally tally;
+};
+
+/// The kind is stored as the index, so new ones go to the end. Earlier versions can't read the kinds that they don't know.
+using JobRecord = std::variant<JobAccepted, JobCancelled, RunStarted, RunEnded, JobFinished, TaskSuspected>;
 
 /// Appends the encoded record to `out`.
 void appendRecord(std::string& out, const JobRecord&);
--- a/Source/Core/Jobs/Model/JobTypes.h
+++ b/Source/Core/Jobs/Model/JobTypes.h
@@ -78,6 +78,15 @@
     auto operator<=>(const TaskKey&) const = default; // NOLINT(modernize-use-nullptr): false positive on defaulted <=>.
 };
 
+/// Crashes of the workers that a task was placed on.
+struct CrashTally {
+    unsigned unexplained = 0; ///< While it may have been running there, and nothing else explains them.
+    unsigned suspected = 0; ///< The part of them just after a start of it, since it last outlived one.
+    unsigned sinceProven = 0; ///< Just after a start of it, since it last outlived one, even if another task explains them.
+
+    bool operator==(const CrashTally&) const = default;
+};
+
 /// How a run ended on its worker.
 enum class RunEnd {
     Done,
--- a/Source/Core/Jobs/Runtime/PoolOwnerState.h
+++ b/Source/Core/Jobs/Runtime/PoolOwnerState.h
@@ -40,6 +40,7 @@
     void checkSilentWorker(const std::string& id, const Machine*);
     void onPollAnswered(const std::string& id, const Ports::PollAnswer&, Common::Instant sentAt);
     void onWorkerListed(const WorkerEntry&);
+    void confirmSuccession(const WorkerEntry& later);
     void onWorkerUnlisted(const std::string& id);
     void scheduleSessionRemoval(const std::string& id);
     void cordonWorkers();
--- a/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
@@ -47,6 +47,7 @@
         core.onStopCancelled(run, moment());
         scheduleDecision();
     };
+    result.onFailing = [this, id](Common::Instant aliveUntil) { core.onWorkerFailing(id, aliveUntil, moment()); };
     result.onSilent = [this, id] {
         core.onWorkerUnresponsive(id, moment());
         silentWorkers.insert(id);
@@ -167,6 +168,7 @@
     knownMachines[entry.id] = entry.machine;
     if (!isServing)
         return;
+    confirmSuccession(entry);
     core.onWorkerListed(entry, moment());
     if (cordonedMachines.contains(entry.machine))
         cordonWorkers();
@@ -174,6 +176,19 @@
     scheduleDecision();
 }
 
+/// A silent worker needn't be waited for once its machine has started another one.
+void PoolOwner::State::confirmSuccession(const WorkerEntry& later)
+{
+    const auto earlier = std::ranges::find_if(silentWorkers, [&](const auto& id) { return entries.contains(id) && isSuccessor(later, entries.at(id)); });
+    if (earlier == silentWorkers.end())
+        return;
+    const auto id = *earlier;
+    silentWorkers.erase(earlier);
+    log({ "worker-gone", id, { { "machine", later.machine }, { "listed", later.id }, { "reason", nameOf(WorkerLoss::Crashed) } } });
+    if (const auto it = sessions.find(id); it != sessions.end())
+        it->second->confirmGone(WorkerLoss::Crashed);
+}
+
 void PoolOwner::State::onWorkerUnlisted(const std::string& id)
 {
     if (!entries.contains(id) || !pendingRemovals.insert(id).second)
--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -18,6 +18,7 @@
 
     constexpr milliseconds initialRetryDelay { 60 }; ///< A lost answer costs little; the worker answers in a few milliseconds.
     constexpr milliseconds maximumRetryDelay { 1000 }; ///< Each attempt of a poll and each new connection has a cost.
+    constexpr milliseconds shortestPollMargin { 400 }; ///< Of the ports' timeouts of polls, beyond the time that the worker waits.
     constexpr milliseconds endStoreWait { 300 }; ///< For ends to be committed; after that, a poll that acknowledges none is sent.
     constexpr milliseconds unansweredLimit { 3000 }; ///< Of an order; twice the timeout of an attempt, plus the first retry delays.
 
@@ -64,6 +65,7 @@
         if (clock.isKnown() && failedPolls == 0)
             order.wait = hooks.needsLatencyPoll() ? limits.latencyPollWait : limits.pollWait;
         const auto sentAt = loop.now();
+        pollLength = order.wait + shortestPollMargin;
         port.poll(order, [self = shared_from_this(), sentAt](const Ports::PollAnswer& answer) {
             self->isPolling = false;
             if (!self->isClosed)
@@ -80,7 +82,7 @@
             incarnation = poll.incarnation;
         }
         if (!applyAnswer(poll.answer)) {
-            onPollFailed();
+            onPollFailed(clock.isKnown() && poll.answer.status != WorkerStatus::Done && loop.now() - sentAt < pollLength);
             return;
         }
         failedPolls = 0;
@@ -103,9 +105,11 @@
         pollTimer = loop.after(delay, [self = shared_from_this()] { self->sendPoll(); });
     }
 
-    void onPollFailed()
+    void onPollFailed(bool isBroken)
     {
         if (failedPolls++ == 0) {
+            // A connection that broke before its time shows that the worker had been there until then.
+            hooks.onFailing(isBroken ? loop.now() : clock.lastAnswerAt());
             silentTimer = loop.after(limits.silentAfter, [self = shared_from_this()] { self->isClosed ? void() : self->hooks.onSilent(); });
             scheduleLapse();
         }
@@ -289,6 +293,7 @@
     std::uint64_t incarnation = 0;
     std::uint64_t acknowledgedEnds = 0; ///< Number of the newest end that is committed.
     unsigned failedPolls = 0; ///< Consecutive polls that failed.
+    milliseconds pollLength { 0 }; ///< Time after which the poll in flight may have timed out.
     bool isPolling = false;
     bool isGone = false; ///< Confirmed by the machine list since the last answer.
     bool isClosed = false;
@@ -314,7 +319,7 @@
 void WorkerSession::begin()
 {
     if (m_state->entry.address.empty())
-        m_state->onPollFailed(); // Known from the journal only: waits for its entry or its lapse.
+        m_state->onPollFailed(false); // Known from the journal only: waits for its entry or its lapse.
     else
         m_state->sendPoll();
 }
--- a/Source/Standins/JobWorker.cpp
+++ b/Source/Standins/JobWorker.cpp
@@ -155,9 +155,11 @@
     }
     m_runs.clear();
     m_ended.clear();
-    m_pendingPoll = nullptr;
+    const auto poll = std::exchange(m_pendingPoll, nullptr);
     m_loop.cancel(m_pollTimer);
     m_loop.cancel(m_leaseTimer);
+    if (poll && closesConnections)
+        poll({});
 }
 
 } // namespace Standins
--- a/Source/Standins/JobWorker.h
+++ b/Source/Standins/JobWorker.h
@@ -52,6 +52,7 @@
     bool failsAll = false; ///< Every run ends as failed.
     unsigned startsToRefuse = 0; ///< The number of next starts to refuse for lack of capacity.
     std::chrono::milliseconds crashDelay { 10 }; ///< From the start of a crashing task to the crash.
+    bool closesConnections = false; ///< A crash ends the poll that waits, instead of leaving it unanswered.
     std::function<void()> onCrashed; ///< Called after a task has crashed the worker; the worker must not be destroyed in it.
     bool hangs = false; ///< While set, new runs never end and all runs report no progress.
 
--- a/Source/UnitTests/Jobs/CrashingTaskTest.cpp
+++ b/Source/UnitTests/Jobs/CrashingTaskTest.cpp
@@ -23,9 +23,17 @@
         : JobFleet(hostCount, workerCount, cores)
     {
         runMonitor.crashing.insert(task);
+        setClosesConnections(true);
         settle();
     }
 
+    void setClosesConnections(bool closes)
+    {
+        closesConnections = closes;
+        for (auto& [id, worker] : workers)
+            worker->closesConnections = closes;
+    }
+
     void submit(unsigned number, const JobSpec& spec)
     {
         const auto answer = call(hosts.begin()->first, JobVerb::Submit, jobId(number), spec);
@@ -70,3 +78,173 @@
     for (unsigned n = 2; n <= 10; ++n)
         CHECK(fleet.stateOf(n) == JobState::Completed);
 }
+
+TEST_CASE("a task whose workers fall silent when it crashes them is given up")
+{
+    CrashingFleet fleet;
+    fleet.setClosesConnections(false);
+    for (unsigned n = 1; n <= 10; ++n)
+        fleet.submit(n, oneStep(4));
+    fleet.runFor(40s);
+    CHECK(fleet.crashes() <= maximumCrashes);
+    CHECK(fleet.stateOf(1) == JobState::Failed);
+    for (unsigned n = 2; n <= 10; ++n)
+        CHECK(fleet.stateOf(n) == JobState::Completed);
+}
+
+TEST_CASE("few workers are lost to a crashing task before its job fails")
+{
+    CrashingFleet fleet;
+    for (unsigned n = 1; n <= 10; ++n)
+        fleet.submit(n, oneStep(4));
+    fleet.runFor(30s);
+    CHECK(fleet.workerCrashes <= 3);
+}
+
+TEST_CASE("crashes of a task are remembered by the next owner of its pool")
+{
+    for (unsigned crash = 1; crash <= 2; ++crash) {
+        CrashingFleet fleet(4);
+        for (unsigned n = 1; n <= 6; ++n)
+            fleet.submit(n, oneStep(4));
+        for (unsigned n = 1; n <= crash; ++n) {
+            fleet.runUntilCrash(n);
+            // Before, and after, the owner has noticed the crash.
+            fleet.runFor(crash == 1 ? 100ms : 3000ms);
+            if (fleet.stateOf(1) != JobState::Failed)
+                fleet.killHost(fleet.ownerOf("desk"));
+        }
+        fleet.runFor(40s);
+        CHECK(fleet.crashes() <= maximumCrashes);
+        CHECK(fleet.stateOf(1) == JobState::Failed);
+        for (unsigned n = 2; n <= 6; ++n)
+            CHECK(fleet.stateOf(n) == JobState::Completed);
+    }
+}
+
+TEST_CASE("a task that crashes workers which return at once, or under their old ids, is given up")
+{
+    for (const auto downTime : { 100ms, 700ms, 3000ms, 9000ms }) {
+        for (const bool keepsIds : { false, true }) {
+            CrashingFleet fleet;
+            fleet.downTime = downTime;
+            fleet.keepsWorkerIds = keepsIds;
+            for (unsigned n = 1; n <= 6; ++n)
+                fleet.submit(n, oneStep(4));
+            fleet.runFor(40s);
+            CAPTURE(downTime.count());
+            CAPTURE(keepsIds);
+            CHECK(fleet.crashes() <= maximumCrashes);
+            CHECK(fleet.stateOf(1) == JobState::Failed);
+            for (unsigned n = 2; n <= 6; ++n)
+                CHECK(fleet.stateOf(n) == JobState::Completed);
+        }
+    }
+}
+
+TEST_CASE("a crashing task is given up while the list of machines can't be read")
+{
+    CrashingFleet fleet;
+    fleet.failsMachineLists = true;
+    for (unsigned n = 1; n <= 6; ++n)
+        fleet.submit(n, oneStep(4));
+    fleet.runFor(60s);
+    CHECK(fleet.crashes() <= maximumCrashes);
+    CHECK(fleet.stateOf(1) == JobState::Failed);
+    for (unsigned n = 2; n <= 6; ++n)
+        CHECK(fleet.stateOf(n) == JobState::Completed);
+}
+
+TEST_CASE("a crashing task whose starts aren't answered is given up")
+{
+    CrashingFleet fleet;
+    for (auto& [name, host] : fleet.hosts)
+        host->workers->startAnswersToLose = 40;
+    for (unsigned n = 1; n <= 6; ++n)
+        fleet.submit(n, oneStep(4));
+    fleet.runFor(40s);
+    CHECK(fleet.crashes() <= maximumCrashes);
+    CHECK(fleet.stateOf(1) == JobState::Failed);
+    for (unsigned n = 2; n <= 6; ++n)
+        CHECK(fleet.stateOf(n) == JobState::Completed);
+}
+
+TEST_CASE("a lasting task that crashes its workers is given up, and lasting tasks beside it serve again")
+{
+    CrashingFleet fleet;
+    fleet.submit(1, longRunningStep(2));
+    fleet.submit(2, longRunningStep(4));
+    fleet.runFor(40s);
+    CHECK(fleet.crashes() <= maximumCrashes);
+    CHECK(fleet.stateOf(1) == JobState::Failed);
+    CHECK(fleet.stateOf(2) == JobState::Running);
+    for (unsigned n = 0; n < 4; ++n)
+        CHECK(fleet.runMonitor.running[{ jobId(2), 0, 0, n }] == 1);
+}
+
+TEST_CASE("a gang with a member that crashes its workers is given up")
+{
+    CrashingFleet fleet;
+    auto spec = oneStep(4);
+    spec.steps.front().isGang = true;
+    fleet.submit(1, spec);
+    for (unsigned n = 2; n <= 6; ++n)
+        fleet.submit(n, oneStep(4));
+    fleet.runFor(60s);
+    CHECK(fleet.crashes() <= maximumCrashes);
+    CHECK(fleet.stateOf(1) == JobState::Failed);
+    for (unsigned n = 2; n <= 6; ++n)
+        CHECK(fleet.stateOf(n) == JobState::Completed);
+}
+
+TEST_CASE("several crashing tasks at once are each given up, and the other jobs of the pool are served")
+{
+    CrashingFleet fleet(2, 12);
+    for (unsigned n = 1; n <= 40; n += 8)
+        fleet.runMonitor.crashing.insert({ jobId(n), 0, 0, n % 4 });
+    for (unsigned n = 1; n <= 40; ++n)
+        fleet.submit(n, oneStep(4));
+    fleet.runFor(60s);
+    for (const auto& [task, crashes] : fleet.runMonitor.crashes)
+        CHECK(crashes <= maximumCrashes);
+    for (unsigned n = 1; n <= 40; ++n)
+        CHECK(fleet.stateOf(n) == (n % 8 == 1 ? JobState::Failed : JobState::Completed));
+}
+
+TEST_CASE("tasks of workers that crash by themselves are served, however often")
+{
+    CrashingFleet fleet(2, 6);
+    fleet.setClosesConnections(false);
+    fleet.downTime = 1500ms;
+    fleet.setRunTime(2500ms);
+    for (unsigned n = 2; n <= 9; ++n)
+        fleet.submit(n, oneStep(6, 2500ms));
+    for (unsigned n = 0; n < 10; ++n) {
+        for (const auto* machine : { "m0", "m1" }) {
+            const auto worker = fleet.machines.at(machine).worker;
+            if (!worker.empty() && !fleet.workers.at(worker)->isCrashed)
+                fleet.crashWorker(worker);
+        }
+        fleet.runFor(2000ms);
+    }
+    fleet.runFor(40s);
+    for (unsigned n = 2; n <= 9; ++n)
+        CHECK(fleet.stateOf(n) == JobState::Completed);
+}
+
+TEST_CASE("tasks of workers that are cut off again and again are served, as a cut is no crash")
+{
+    CrashingFleet fleet(2, 3);
+    fleet.setRunTime(8s);
+    fleet.submit(2, oneStep(2, 8s));
+    for (unsigned n = 0; n < 6; ++n) {
+        fleet.runFor(500ms);
+        for (const auto& [id, worker] : fleet.workers)
+            worker->isPartitioned = worker->isBusy();
+        fleet.runFor(9s);
+        for (const auto& [id, worker] : fleet.workers)
+            worker->isPartitioned = false;
+    }
+    fleet.runFor(20s);
+    CHECK(fleet.stateOf(2) == JobState::Completed);
+}
--- a/Source/UnitTests/Jobs/FakeWorkers.cpp
+++ b/Source/UnitTests/Jobs/FakeWorkers.cpp
@@ -28,6 +28,12 @@
     return it == m_workers.end() || it->second->isPartitioned || it->second->isCrashed ? nullptr : it->second.get();
 }
 
+bool FakeWorkerPort::isRefused(const std::string& worker) const
+{
+    const auto it = m_workers.find(worker);
+    return it != m_workers.end() && !it->second->isPartitioned && it->second->isCrashed && it->second->closesConnections;
+}
+
 void FakeWorkerPort::retransmitStart(const Ports::StartOrder& order)
 {
     constexpr milliseconds retransmission { 200 };
@@ -58,6 +64,8 @@
             worker->start(order, [](const WorkerAnswer&) {});
         else if (worker)
             worker->start(order, [this, alive, callback](const WorkerAnswer& answer) { m_loop.after(networkDelay, [alive, callback, answer] { *alive ? callback(answer) : void(); }); });
+        else if (isRefused(order.target.worker))
+            callback({ WorkerStatus::NotSent, WorkerRefusal::None, {} });
         else if (!isDelayed)
             m_loop.after(callTimeout, [alive, callback] { *alive ? callback({}) : void(); });
         if (!worker && retransmitsStarts)
@@ -87,10 +95,15 @@
     ++polls[order.target.worker];
     m_loop.after(networkDelay, [this, alive = m_isAlive, order, callback] {
         const auto answered = std::make_shared<bool>(false);
+        if (isRefused(order.target.worker)) {
+            m_loop.after(networkDelay, [alive, callback] { *alive ? callback({ { WorkerStatus::NotSent, WorkerRefusal::None, {} }, 0, {}, {} }) : void(); });
+            return;
+        }
         if (auto* worker = findReachable(order.target.worker)) {
             worker->poll(order, [this, alive, answered, id = order.target.worker, callback](const Ports::PollAnswer& answer) {
                 m_loop.after(networkDelay, [this, alive, answered, id, callback, answer] {
-                    if (*alive && !*answered && findReachable(id)) {
+                    const bool isClosed = answer.answer.status == WorkerStatus::NoAnswer;
+                    if (*alive && !*answered && (isClosed || findReachable(id))) {
                         *answered = true;
                         callback(answer);
                     }
--- a/Source/UnitTests/Jobs/FakeWorkers.h
+++ b/Source/UnitTests/Jobs/FakeWorkers.h
@@ -43,6 +43,8 @@
 private:
     /// Null for a worker that is unknown, cut off or crashed.
     FakeWorker* findReachable(const std::string& worker);
+    /// True for a crashed worker whose machine refuses connections.
+    bool isRefused(const std::string& worker) const;
     void retransmitStart(const Ports::StartOrder&);
 
     VirtualLoop& m_loop;
--- a/Source/UnitTests/Jobs/JobFleet.cpp
+++ b/Source/UnitTests/Jobs/JobFleet.cpp
@@ -30,7 +30,7 @@
     std::vector<Jobs::Machine> machines;
     for (const auto& [name, machine] : m_fleet.machines)
         machines.push_back(machine);
-    m_fleet.loop.after(m_fleet.machineListDelay, [callback, machines] { callback(true, machines); });
+    m_fleet.loop.after(m_fleet.machineListDelay, [callback, machines, isComplete = !m_fleet.failsMachineLists] { callback(isComplete, isComplete ? machines : std::vector<Jobs::Machine>()); });
 }
 
 void FakeMachinePort::move(const Ports::MachineOrder& order, Ports::MachineCallback callback)
@@ -134,6 +134,7 @@
     machines[machine] = { machine, "desk", Jobs::Machine::State::Up, id, "dc", {}, entry.capacity };
     auto worker = std::make_shared<FakeWorker>(loop, runMonitor, entry);
     worker->runTime = m_runTime;
+    worker->closesConnections = closesConnections;
     worker->onCrashed = [this, id] { onWorkerCrashed(id); };
     return workers[id] = std::move(worker);
 }
