Ask for the list of machines as soon as a worker refuses connections

Callers saw: tasks lost with a crashed worker started again 1.3 to 2.2 s later, as a worker counted as silent only 1.2 s after its first failed poll, and the list of machines was asked for once a second.

Cause: a broken connection and a refused one were treated like a time-out. Change: two polls in a row that break or are refused count as silence; the list is asked for 0.25 s after the last time when another worker has become silent. Only the list, or the lapse of the lease, still ends the runs: a worker that is cut off with refusals keeps them.

CrashingTaskTest: a task of a crashed worker starts again within 0.5 s; failed before.

--- a/Source/Core/Jobs/Runtime/PoolOwnerState.h
+++ b/Source/Core/Jobs/Runtime/PoolOwnerState.h
@@ -36,6 +36,7 @@
     WorkerSession::Hooks sessionHooks(const std::string& id);
     /// Lists the machines as long as workers are silent. The lease of a worker that its machine has ended needn't be waited for.
     void requestMachineList();
+    void scheduleMachineList(milliseconds interval);
     void checkSilentWorkers(const std::set<std::string>& silentBefore, const std::vector<Machine>& machines);
     void checkSilentWorker(const std::string& id, const Machine*);
     void onPollAnswered(const std::string& id, const Ports::PollAnswer&, Common::Instant sentAt);
@@ -75,8 +76,10 @@
     Common::Instant decisionDueAt {};
     Common::TaskLoop::TimerId decisionTimer = 0;
     Common::TaskLoop::TimerId reportTimer = 0;
+    Common::TaskLoop::TimerId machineListTimer = 0;
+    Common::Instant machineListRequestedAt {};
     bool isAdvicePending = false;
-    bool isMachineListScheduled = false;
+    bool isMachineListPending = false;
     bool isServing = false;
     bool isDecisionScheduled = false;
     bool isClosed = false;
--- a/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
@@ -13,6 +13,7 @@
 namespace {
 
     constexpr milliseconds machineListInterval { 1000 }; ///< Between list calls while a worker is silent; each call has a cost.
+    constexpr milliseconds minimumListInterval { 250 }; ///< The same after another worker has become silent.
     constexpr milliseconds removalGrace { 2200 }; ///< Entries that lapsed during an outage of the store are back within 2 s.
     constexpr milliseconds adviceRetryDelay { 200 };
 
@@ -51,7 +52,7 @@
     result.onSilent = [this, id] {
         core.onWorkerUnresponsive(id, moment());
         silentWorkers.insert(id);
-        requestMachineList();
+        scheduleMachineList(minimumListInterval);
         scheduleDecision();
     };
     result.onLapsed = [this, id](WorkerLoss loss) {
@@ -72,11 +73,26 @@
     return result;
 }
 
+/// Requests the list once it is that long since the last request.
+void PoolOwner::State::scheduleMachineList(milliseconds interval)
+{
+    if (isMachineListPending)
+        return;
+    const auto delay = std::chrono::ceil<milliseconds>(machineListRequestedAt + interval - loop.now());
+    loop.cancel(machineListTimer);
+    machineListTimer = loop.after(std::max(milliseconds(0), delay), [self = weak_from_this()] {
+        if (const auto it = self.lock())
+            it->requestMachineList();
+    });
+}
+
 void PoolOwner::State::requestMachineList()
 {
-    if (isClosed || isMachineListScheduled || silentWorkers.empty())
+    if (isClosed || isMachineListPending || silentWorkers.empty())
         return;
-    isMachineListScheduled = true;
+    isMachineListPending = true;
+    loop.cancel(machineListTimer);
+    machineListRequestedAt = loop.now();
     // The list proves nothing about a worker that has become silent since it was requested.
     context.machines.list([self = weak_from_this(), silentBefore = silentWorkers](bool isComplete, const std::vector<Machine>& machines) {
         const auto state = self.lock();
@@ -86,12 +102,9 @@
             state->checkSilentWorkers(silentBefore, machines);
         else
             state->limiter.write({ "machine-list-incomplete", state->pool, { { "silent", std::to_string(state->silentWorkers.size()) } } }, state->loop.now());
-        state->loop.after(machineListInterval, [self] {
-            if (const auto it = self.lock()) {
-                it->isMachineListScheduled = false;
-                it->requestMachineList();
-            }
-        });
+        state->isMachineListPending = false;
+        const bool hasMore = std::ranges::any_of(state->silentWorkers, [&silentBefore](const auto& id) { return !silentBefore.contains(id); });
+        state->scheduleMachineList(hasMore ? minimumListInterval : machineListInterval);
     });
 }
 
--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -82,11 +82,12 @@
             incarnation = poll.incarnation;
         }
         if (!applyAnswer(poll.answer)) {
-            onPollFailed(clock.isKnown() && poll.answer.status != WorkerStatus::Done && loop.now() - sentAt < pollLength);
+            onPollFailed(isBrokenEarly(poll.answer, sentAt));
             return;
         }
         failedPolls = 0;
         isGone = false;
+        isSilent = false;
         loop.cancel(silentTimer);
         loop.cancel(lapseTimer);
         std::uint64_t newest = acknowledgedEnds;
@@ -105,18 +106,34 @@
         pollTimer = loop.after(delay, [self = shared_from_this()] { self->sendPoll(); });
     }
 
+    /// True when the connection was refused or broke, rather than timed out.
+    bool isBrokenEarly(const WorkerAnswer& answer, Instant sentAt) const
+    {
+        const bool isUnanswered = answer.status == WorkerStatus::NotSent || answer.status == WorkerStatus::NoAnswer;
+        return isUnanswered && loop.now() - sentAt < pollLength;
+    }
+
     void onPollFailed(bool isBroken)
     {
         if (failedPolls++ == 0) {
             // A connection that broke before its time shows that the worker had been there until then.
-            hooks.onFailing(isBroken ? loop.now() : clock.lastAnswerAt());
-            silentTimer = loop.after(limits.silentAfter, [self = shared_from_this()] { self->isClosed ? void() : self->hooks.onSilent(); });
+            hooks.onFailing(isBroken && clock.isKnown() ? loop.now() : clock.lastAnswerAt());
+            silentTimer = loop.after(limits.silentAfter, [self = shared_from_this()] { self->reportSilence(); });
             scheduleLapse();
+        } else if (isBroken) {
+            reportSilence(); // The machine refuses connections.
         }
         schedulePoll(pollRetryDelay(failedPolls, isGone ? WorkerUse::Gone : hooks.hasRuns() ? WorkerUse::Busy
                                                                                             : WorkerUse::Idle));
     }
 
+    void reportSilence()
+    {
+        loop.cancel(silentTimer);
+        if (!isClosed && !std::exchange(isSilent, true))
+            hooks.onSilent();
+    }
+
     void scheduleLapse()
     {
         const auto remaining = std::chrono::ceil<milliseconds>(clock.lapsedAt() - loop.now());
@@ -296,6 +313,7 @@
     milliseconds pollLength { 0 }; ///< Time after which the poll in flight may have timed out.
     bool isPolling = false;
     bool isGone = false; ///< Confirmed by the machine list since the last answer.
+    bool isSilent = false; ///< Reported since the last answer.
     bool isClosed = false;
     Common::TaskLoop::TimerId pollTimer = 0;
     Common::TaskLoop::TimerId silentTimer = 0;
--- a/Source/Core/Jobs/Runtime/WorkerSession.h
+++ b/Source/Core/Jobs/Runtime/WorkerSession.h
@@ -34,7 +34,7 @@
         std::function<void(const StopRun&, const Ports::WorkerAnswer&)> onStopAnswer;
         std::function<void(const StopRun&)> onStopCancelled; ///< The stop is no longer allowed, and no attempt can have reached the worker.
         std::function<void(Common::Instant aliveUntil)> onFailing; ///< A poll has failed, the first since the last answer.
-        std::function<void()> onSilent; ///< Polls have failed for `silentAfter`.
+        std::function<void()> onSilent; ///< Polls have failed for `silentAfter`, or two in a row because connections were refused.
         std::function<void(WorkerLoss)> onLapsed; ///< The lease has lapsed: the worker runs nothing.
         std::function<void()> onFenced; ///< The worker has seen a higher fencing token.
         std::function<bool()> mayExtendLease; ///< False for an owner that has had no contact with the store for long.
--- a/Source/Standins/JobWorker.cpp
+++ b/Source/Standins/JobWorker.cpp
@@ -155,11 +155,18 @@
     }
     m_runs.clear();
     m_ended.clear();
-    const auto poll = std::exchange(m_pendingPoll, nullptr);
-    m_loop.cancel(m_pollTimer);
     m_loop.cancel(m_leaseTimer);
-    if (poll && closesConnections)
-        poll({});
+    if (closesConnections)
+        breakConnections();
+    m_pendingPoll = nullptr;
+    m_loop.cancel(m_pollTimer);
+}
+
+void JobWorker::breakConnections()
+{
+    m_loop.cancel(m_pollTimer);
+    if (const auto callback = std::exchange(m_pendingPoll, nullptr))
+        callback({});
 }
 
 } // namespace Standins
--- a/Source/Standins/JobWorker.h
+++ b/Source/Standins/JobWorker.h
@@ -42,6 +42,8 @@
     void poll(const Ports::PollOrder&, const Ports::PollCallback&);
     /// Drops all runs, ends and timers without answering; callers check isCrashed and deliver no more calls.
     void crash();
+    /// Ends the poll that waits, as a reset of its connection does.
+    void breakConnections();
     bool isBusy() const { return !m_runs.empty(); }
 
     Jobs::WorkerEntry entry;
--- a/Source/UnitTests/Jobs/CrashingTaskTest.cpp
+++ b/Source/UnitTests/Jobs/CrashingTaskTest.cpp
@@ -248,3 +248,27 @@
     fleet.runFor(20s);
     CHECK(fleet.stateOf(2) == JobState::Completed);
 }
+
+TEST_CASE("tasks of a worker that refuses connections after a crash don't wait until it counts as silent")
+{
+    CrashingFleet fleet(1, 2);
+    fleet.submit(2, oneStep(1));
+    fleet.runFor(200ms);
+    const auto id = fleet.busyWorker().entry.id;
+    fleet.crashWorker(id);
+    fleet.runFor(500ms);
+    CHECK(fleet.runMonitor.starts == 2);
+}
+
+TEST_CASE("a worker whose connections break once keeps its tasks")
+{
+    CrashingFleet fleet(1, 2);
+    fleet.setRunTime(2s);
+    fleet.submit(2, oneStep(1, 2s));
+    fleet.runFor(200ms);
+    fleet.machines.at(fleet.busyWorker().entry.machine).worker = "another";
+    fleet.busyWorker().breakConnections();
+    fleet.runFor(4s);
+    CHECK(fleet.runMonitor.starts == 1);
+    CHECK(fleet.stateOf(2) == JobState::Completed);
+}
