Never start more on a worker than it reports, while its capacity shrinks and grows

Callers could see: tasks that share less than they asked for, on workers that don't refuse overload; and jobs refused as malformed for good while a worker's capacity had shrunk for a moment.

Causes: (1) a start without an answer was repeated for seconds, whatever its worker reported meanwhile; (2) runs that the owner doesn't know, such as those of a job cancelled under the owner before, were stopped but took no room; (3) submissions were checked against the capacity of the moment; (4) after a refused repetition the task was placed elsewhere as soon as the stop was answered, although the run that an earlier attempt had started may end only some hundred milliseconds later: two runs of one task.

Change: each attempt of a start asks mayStart(); runs that are being stopped take room until a poll no longer lists them; the largest capacity reported decides what could ever run; a cancelled start ends once a poll shows so.

--- a/Source/Core/Jobs/Decision/PoolCore.cpp
+++ b/Source/Core/Jobs/Decision/PoolCore.cpp
@@ -81,6 +81,8 @@
     if (worker.entry.state != entry.state || !worker.isListed || worker.entry.address.empty())
         log("worker-listed", entry.id, { { "state", entry.state == WorkerEntry::State::Ready ? "ready" : "draining" }, { "address", entry.address }, { "incarnation", std::to_string(entry.incarnation) } });
     worker.entry = entry;
+    auto& largest = worker.largestCapacity;
+    largest = { std::max(largest.milliCores, entry.capacity.milliCores), std::max(largest.memoryMb, entry.capacity.memoryMb), std::max(largest.accelerators, entry.capacity.accelerators) };
     worker.isListed = true;
     worker.isCordoned = m_cordoned.contains(entry.id);
 }
@@ -127,6 +129,8 @@
     worker.lastEndNumber = 0;
     m_advice.voidTickets(id);
     const auto runs = std::exchange(worker.runs, {});
+    worker.strays = {};
+    worker.hasStrayOfUnknownSize = false;
     const auto failingSince = std::exchange(worker.failingSince, {});
     std::vector<LostRun> lost = std::exchange(worker.lapsedRuns, {});
     for (const auto& [key, run] : runs) {
@@ -159,7 +163,7 @@
     if (auto fault = validationError(spec); !fault.empty())
         return fault;
     for (std::size_t n = 0; n < spec.steps.size() && !m_workers.empty(); ++n) {
-        const auto canHold = [need = reservedBy(spec.steps[n])](const auto& it) { return !it.second.isListed || need.fitsInto(it.second.entry.capacity); };
+        const auto canHold = [need = reservedBy(spec.steps[n])](const auto& it) { return !it.second.isListed || need.fitsInto(it.second.largestCapacity); };
         if (std::ranges::none_of(m_workers, canHold))
             return "no worker of the pool could ever hold a task of step " + std::to_string(n);
     }
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -109,6 +109,10 @@
 
     /// Handles the answer to a start order. Without a definite answer the run keeps its place.
     void onStartAnswer(const StartRun&, const Ports::WorkerAnswer&, Moment);
+    /// The run was stopped after the refusal of its start, as an earlier attempt may have started it: it ends once a poll shows so.
+    void onStartCancelled(const StartRun&, const Ports::WorkerAnswer& refusal, Moment);
+    /// Whether a start order may still be sent: its worker's capacity may have shrunk since the run was placed.
+    bool mayStart(const StartRun&) const;
     /// Whether a stop order may still be sent. The session calls this right before each attempt, since the order may have
     /// waited for the store or the worker for seconds.
     bool mayStop(const StopRun&, Moment) const;
@@ -172,6 +176,8 @@
     void clearSuspicion(const TaskKey&, Moment);
     std::vector<TaskKey> waitingSuspects();
     void quarantineWorkers(std::vector<Candidate>&, Moment);
+    void logRefusal(const StartRun&, const Ports::WorkerAnswer&);
+    void avoidAfterRefusal(Worker&, const Ports::WorkerAnswer&, Instant now);
     void onRunEnded(Worker&, const Ports::EndedTask&, Moment);
     void updateWorkerHealth(Worker&, const TaskKey&, RunEnd, Moment);
     void onRunReported(Worker&, const Ports::RunningTask&, Moment);
--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -52,17 +52,43 @@
             it->second.startedBy = at.now;
         return;
     }
-    log("run-refused", order.task.job, { { "task", std::to_string(order.task.step) + "." + std::to_string(order.task.index) }, { "run", std::to_string(order.run) }, { "worker", order.worker }, { "status", std::to_string(static_cast<int>(answer.status)) }, { "refusal", std::to_string(static_cast<int>(answer.refusal)) } });
-    if (answer.refusal == Ports::WorkerRefusal::Ticket)
-        m_advice.voidTickets(order.worker);
-    const bool isUnhealthy = answer.status != WorkerStatus::Refused;
-    worker.avoidUntil = std::max(worker.avoidUntil, at.now + (isUnhealthy ? unhealthyPause : noRoomPause));
+    logRefusal(order, answer);
+    avoidAfterRefusal(worker, answer, at.now);
     worker.runs.erase(it);
     stopGang(order.task);
     if (isAssignedHere(m_jobs.findTask(order.task), worker, order.run))
         recordEnd({ order.task, order.run, RunEnd::Lost, {}, at.wall });
 }
 
+void PoolCore::logRefusal(const StartRun& order, const Ports::WorkerAnswer& answer)
+{
+    log("run-refused", order.task.job, { { "task", std::to_string(order.task.step) + "." + std::to_string(order.task.index) }, { "run", std::to_string(order.run) }, { "worker", order.worker }, { "status", std::to_string(static_cast<int>(answer.status)) }, { "refusal", std::to_string(static_cast<int>(answer.refusal)) } });
+}
+
+void PoolCore::avoidAfterRefusal(Worker& worker, const Ports::WorkerAnswer& answer, Instant now)
+{
+    if (answer.refusal == Ports::WorkerRefusal::Ticket)
+        m_advice.voidTickets(worker.entry.id);
+    const bool isUnhealthy = answer.status != Ports::WorkerStatus::Refused;
+    worker.avoidUntil = std::max(worker.avoidUntil, now + (isUnhealthy ? unhealthyPause : noRoomPause));
+}
+
+void PoolCore::onStartCancelled(const StartRun& order, const Ports::WorkerAnswer& refusal, Moment at)
+{
+    const auto found = m_workers.find(order.worker);
+    if (found == m_workers.end())
+        return;
+    const auto it = found->second.runs.find(order.task);
+    if (it == found->second.runs.end() || it->second.run != order.run)
+        return;
+    logRefusal(order, refusal);
+    avoidAfterRefusal(found->second, refusal, at.now);
+    it->second.phase = WorkerRun::Phase::Stopping;
+    it->second.isStopOptional = false;
+    it->second.confirmedAt = at.now;
+    stopGang(order.task);
+}
+
 void PoolCore::onStopAnswer(const StopRun& order, const Ports::WorkerAnswer& answer, Moment at)
 {
     const auto found = m_workers.find(order.worker);
@@ -73,6 +99,18 @@
         it->second.confirmedAt = at.now;
 }
 
+bool PoolCore::mayStart(const StartRun& order) const
+{
+    const auto* worker = findWorker(order.worker);
+    const auto run = worker ? worker->runs.find(order.task) : std::map<TaskKey, WorkerRun>::const_iterator();
+    if (!worker || run == worker->runs.end())
+        return true;
+    const auto& need = run->second.reserved;
+    const auto sum = worker->reserved();
+    const auto& capacity = worker->entry.capacity;
+    return (need.milliCores == 0 || sum.milliCores <= capacity.milliCores) && (need.memoryMb == 0 || sum.memoryMb <= capacity.memoryMb) && (need.accelerators == 0 || sum.accelerators <= capacity.accelerators);
+}
+
 bool PoolCore::mayStop(const StopRun& order, Moment at) const
 {
     const auto* worker = findWorker(order.worker);
@@ -119,6 +157,8 @@
     ++worker.pollAnswers;
     for (const auto& it : answer.ended)
         onRunEnded(worker, it, at);
+    worker.strays = {};
+    worker.hasStrayOfUnknownSize = false;
     for (const auto& it : answer.running)
         onRunReported(worker, it, at);
     handleMissingRuns(worker, sentAt, at);
@@ -171,6 +211,10 @@
 {
     const auto it = worker.runs.find(seen.task);
     if (it == worker.runs.end() || it->second.run != seen.run) {
+        const auto* job = m_jobs.find(seen.task.job);
+        const bool isKnown = job && seen.task.step < job->spec().steps.size();
+        worker.strays += isKnown ? reservedBy(job->spec().steps[seen.task.step]) : Resources();
+        worker.hasStrayOfUnknownSize = worker.hasStrayOfUnknownSize || !isKnown;
         if (it != worker.runs.end() && it->second.run > seen.run && it->second.phase == WorkerRun::Phase::Ordered)
             return; // The previous run of the task, which is still ending there.
         log("run-unexpected", seen.task.job, { { "task", std::to_string(seen.task.step) + "." + std::to_string(seen.task.index) }, { "run", std::to_string(seen.run) }, { "worker", worker.entry.id } });
--- a/Source/Core/Jobs/Decision/Worker.h
+++ b/Source/Core/Jobs/Decision/Worker.h
@@ -75,6 +75,9 @@
     std::uint64_t pollAnswers = 0; ///< Number of poll answers handled so far.
     std::uint64_t lastEndNumber = 0; ///< Number of the newest reported end that was handled; starts over with each incarnation.
     std::map<TaskKey, WorkerRun> runs;
+    Resources strays {}; ///< Occupied, at the last answer, by runs that aren't in `runs` and are being stopped.
+    bool hasStrayOfUnknownSize = false;
+    Resources largestCapacity; ///< Largest amounts that the worker has reported; its capacity may shrink and grow.
     Common::Instant failingSince {}; ///< When the first poll since the last answer failed; zero for none.
     Common::Instant aliveUntil {}; ///< While failing: it hadn't crashed before then.
     std::vector<LostRun> lapsedRuns; ///< Lost when the lease lapsed; evidence if the worker turns out to have crashed.
@@ -83,7 +86,7 @@
     bool isSchedulable(Common::Instant now) const
     {
         const bool mayHaveCrashed = failingSince != Common::Instant() && !runs.empty();
-        return isListed && isResponsive && !mayHaveCrashed && !isCordoned && entry.state == WorkerEntry::State::Ready && avoidUntil <= now;
+        return isListed && isResponsive && !mayHaveCrashed && !hasStrayOfUnknownSize && !isCordoned && entry.state == WorkerEntry::State::Ready && avoidUntil <= now;
     }
     /// True while a run whose task is suspected of crashing workers hasn't outlived its start here.
     bool isTestingSuspect() const
@@ -94,12 +97,18 @@
     {
         return std::ranges::any_of(runs, [](const auto& it) { return !it.second.isProven; });
     }
-    /// Capacity that no run has reserved.
+    Resources reserved() const
+    {
+        Resources sum = strays;
+        for (const auto& [key, it] : runs)
+            sum += it.reserved;
+        return sum;
+    }
+    /// Capacity that no run has reserved; zero where more is reserved than there is.
     Resources room() const
     {
         Resources free = entry.capacity;
-        for (const auto& [key, it] : runs)
-            free -= it.reserved;
+        free -= reserved();
         return free;
     }
 };
--- a/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
@@ -42,6 +42,8 @@
         if (answer.status != Ports::WorkerStatus::Done)
             scheduleDecision();
     };
+    result.onStartCancelled = [this](const StartRun& run, const Ports::WorkerAnswer& refusal) { core.onStartCancelled(run, refusal, moment()); };
+    result.mayStart = [this](const StartRun& run) { return core.mayStart(run); };
     result.mayStop = [this](const StopRun& run) { return core.mayStop(run, moment()); };
     result.onStopAnswer = [this](const StopRun& run, const Ports::WorkerAnswer& answer) { core.onStopAnswer(run, answer, moment()); };
     result.onStopCancelled = [this](const StopRun& run) {
--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -207,6 +207,14 @@
             retry({ "start", run.task, run.run }, attempt, [run](State& self, const Attempt& next) { self.start(run, next); });
             return;
         }
+        if (!hooks.mayStart(run)) {
+            const WorkerAnswer refusal { WorkerStatus::Refused, WorkerRefusal::NoRoom, Ports::WorkerTime(0) };
+            if (attempt.retries > 0)
+                cancelStart(run, refusal, { 0, attempt.epoch, attempt.since, attempt.isReportedUnanswered });
+            else
+                hooks.onStartAnswered(run, refusal);
+            return;
+        }
         const Ports::StartOrder order { target(), run.task, run.run, run.payload, leaseForStart(), fence, run.checkpoint, run.ticket };
         port.start(order, [self = shared_from_this(), run, attempt](const WorkerAnswer& answer) {
             if (self->isClosed)
@@ -242,7 +250,7 @@
             if (self->isSettled(attempt))
                 return;
             if (answer.status == WorkerStatus::Done)
-                self->hooks.onStartAnswered(run, refusal);
+                self->hooks.onStartCancelled(run, refusal);
             else if (answer.refusal != WorkerRefusal::Fence)
                 self->retry({ "cancel-start", run.task, run.run }, attempt, [run, refusal](State& it, const Attempt& next) { it.cancelStart(run, refusal, next); });
         });
--- a/Source/Standins/JobWorker.cpp
+++ b/Source/Standins/JobWorker.cpp
@@ -79,6 +79,8 @@
         });
     } else if (!hangs)
         run.timer = m_loop.after(runTime, [this, task = order.task, runEnd] { end(task, runEnd); });
+    if (onStarted)
+        onStarted(m_runs.size() * milliCoresEach);
     callback({ WorkerStatus::Done, WorkerRefusal::None, clock() });
 }
 
@@ -89,8 +91,13 @@
     auto& highest = m_highestRuns[order.task];
     highest = std::max(highest, order.run);
     const auto it = m_runs.find(order.task);
-    if (it != m_runs.end() && it->second.run == order.run)
-        end(order.task, Jobs::RunEnd::Stopped);
+    if (it != m_runs.end() && it->second.run == order.run) {
+        m_loop.cancel(it->second.timer);
+        if (stopTime.count() == 0)
+            end(order.task, Jobs::RunEnd::Stopped);
+        else
+            it->second.timer = m_loop.after(stopTime, [this, task = order.task] { end(task, Jobs::RunEnd::Stopped); });
+    }
     callback({ WorkerStatus::Done, WorkerRefusal::None, clock() });
 }
 
--- a/Source/Standins/JobWorker.h
+++ b/Source/Standins/JobWorker.h
@@ -56,13 +56,15 @@
     std::chrono::milliseconds crashDelay { 10 }; ///< From the start of a crashing task to the crash.
     bool closesConnections = false; ///< A crash ends the poll that waits, instead of leaving it unanswered.
     std::function<void()> onCrashed; ///< Called after a task has crashed the worker; the worker must not be destroyed in it.
+    std::chrono::milliseconds stopTime { 0 }; ///< From a stop order to the end of its run.
+    std::uint64_t milliCoresEach = 1000; ///< Taken by each run.
+    std::function<void(std::uint64_t milliCores)> onStarted; ///< Called after each start with the cores that all runs take.
     bool hangs = false; ///< While set, new runs never end and all runs report no progress.
 
 private:
     struct Run {
         Jobs::RunNumber run = 0;
         Common::Instant startedAt {};
-        std::uint64_t milliCores = 0;
         Common::TaskLoop::TimerId timer = 0;
     };
 
