Repeat advice requests that fail ever more rarely

Each failure of a request now doubles its delay, up to 6.4 s; the others go on at their pace.

The queue is a class of its own without I/O.

--- a/Source/Core/Jobs/Runtime/PoolOwnerState.h
+++ b/Source/Core/Jobs/Runtime/PoolOwnerState.h
@@ -2,6 +2,7 @@
 
 /// Internal state of PoolOwner.
 
+#include "Jobs/Decision/AdviceQueue.h"
 #include "Jobs/Runtime/EventLimiter.h"
 #include "Jobs/Runtime/Journal.h"
 #include "Jobs/Runtime/OwnerActivity.h"
@@ -69,7 +70,8 @@
     std::set<std::string> pendingRemovals; ///< Workers whose entries were removed less than `removalGrace` ago.
     std::set<std::string> cordonedMachines; ///< Machines whose workers are to be drained.
     std::map<std::string, std::unique_ptr<WorkerSession>> sessions;
-    std::vector<AdviceRequest> adviceQueue; ///< The first is in progress or next.
+    AdviceQueue adviceQueue;
+    Common::TaskLoop::TimerId adviceTimer = 0;
     OwnerActivity activity;
     EventLimiter limiter;
     Common::Instant decidedAt {};
@@ -78,7 +80,6 @@
     Common::TaskLoop::TimerId reportTimer = 0;
     Common::TaskLoop::TimerId machineListTimer = 0;
     Common::Instant machineListRequestedAt {};
-    bool isAdvicePending = false;
     bool isMachineListPending = false;
     bool isServing = false;
     bool isDecisionScheduled = false;
--- a/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
@@ -15,7 +15,6 @@
     constexpr milliseconds machineListInterval { 1000 }; ///< Between list calls while a worker is silent; each call has a cost.
     constexpr milliseconds minimumListInterval { 250 }; ///< The same after another worker has become silent.
     constexpr milliseconds removalGrace { 2200 }; ///< Entries that lapsed during an outage of the store are back within 2 s.
-    constexpr milliseconds adviceRetryDelay { 200 };
 
 } // namespace
 
@@ -273,17 +272,24 @@
 
 void PoolOwner::State::execute(const AdviceRequest& order)
 {
-    adviceQueue.push_back(order);
+    adviceQueue.add(order);
     requestNextAdvice();
 }
 
 void PoolOwner::State::requestNextAdvice()
 {
-    if (isAdvicePending || adviceQueue.empty())
+    loop.cancel(adviceTimer);
+    if (const auto at = adviceQueue.nextAt(); at && *at > loop.now()) {
+        adviceTimer = loop.after(std::chrono::ceil<milliseconds>(*at - loop.now()), [self = weak_from_this()] {
+            if (const auto state = self.lock())
+                state->requestNextAdvice();
+        });
+        return;
+    }
+    const auto order = adviceQueue.next(loop.now());
+    if (!order)
         return;
-    isAdvicePending = true;
-    const auto order = adviceQueue.front();
-    context.machines.advise(order.step, order.workers, [self = weak_from_this(), order](Ports::AdviceStatus status, const std::vector<Ports::Ticket>& tickets, milliseconds validity) {
+    context.machines.advise(order->step, order->workers, [self = weak_from_this(), order = *order](Ports::AdviceStatus status, const std::vector<Ports::Ticket>& tickets, milliseconds validity) {
         const auto state = self.lock();
         if (state && !state->isClosed)
             state->onAdvice(order, status, tickets, validity);
@@ -294,18 +300,11 @@
 {
     if (status != Ports::AdviceStatus::Received) {
         limiter.write({ "advice-failed", order.step.job, { { "status", std::to_string(static_cast<int>(status)) }, { "waiting", std::to_string(adviceQueue.size()) } } }, loop.now());
-        // A request that the service didn't answer goes to the end of the queue.
-        std::rotate(adviceQueue.begin(), std::next(adviceQueue.begin()), adviceQueue.end());
-        loop.after(adviceRetryDelay, [self = weak_from_this()] {
-            if (const auto state = self.lock()) {
-                state->isAdvicePending = false;
-                state->requestNextAdvice();
-            }
-        });
+        adviceQueue.onFailed(loop.now());
+        requestNextAdvice();
         return;
     }
-    isAdvicePending = false;
-    adviceQueue.erase(adviceQueue.begin());
+    adviceQueue.onAnswered();
     std::vector<AdvisedWorker> advisedWorkers;
     advisedWorkers.reserve(tickets.size());
     for (const auto& it : tickets)
