Don't count refused attempts as retries of a request

Cause: a refused attempt pauses its upstream for 20 ms and was repeated out of the pool's retry budget of 16, which a few waiting requests use up in some hundred milliseconds; and it counted as one of the three attempts that may have run. Ruled out for this case: health and ejection of upstreams (the same with spare failures, PolicyUpstreamTest). An attempt that is proved not to have run adds no load, so it takes no retry and doesn't count.

PolicyUpstreamTest: 40 refusals before or after a loss; answered without a result before, served after.

--- a/Source/Core/Decision/Requests/RequestAttempts.cpp
+++ b/Source/Core/Decision/Requests/RequestAttempts.cpp
@@ -86,6 +86,7 @@
 void RequestCore::Impl::handleResult(Moment at, Request& request, const Ports::UpstreamResult& result)
 {
     const bool proved = result.end == AttemptEnd::Refused || result.end == AttemptEnd::NotSent;
+    request.provedAttempts += proved ? 1 : 0;
     if (request.cancelled && result.end != AttemptEnd::Answered) {
         complete(at, request.number, proved ? notRun(Reason::CancelledByCaller) : unknown(Reason::CancelledByCaller));
         return;
@@ -127,14 +128,15 @@
     if (!proved && !request.idempotent && m_guards.retryOnlyIfSafe)
         return false;
     // Retrying a request that is proved not to have run is safe; the deadline and the retry budget limit it.
-    if (!proved && request.attempts >= m_limits.maximumAttempts)
+    if (!proved && request.attempts - request.provedAttempts >= m_limits.maximumAttempts)
         return false;
     if (m_guards.harmfulRequestsBlocked && m_harmful.isHarmful(at.now, request.bodyHash))
         return false;
     const auto run = m_runTimes.expected(request.service, declaredRunTime(request.service));
     if (at.now + run > request.deadline)
         return false;
-    return pool(request.pool).retries.takeRetry();
+    // An attempt that didn't run added no load; the pause of its upstream limits how often it is repeated.
+    return proved || pool(request.pool).retries.takeRetry();
 }
 
 void RequestCore::Impl::retry(Moment, Request& request)
--- a/Source/Core/Decision/Requests/RequestTypes.h
+++ b/Source/Core/Decision/Requests/RequestTypes.h
@@ -62,9 +62,9 @@
     std::size_t maximumRecords = 100000; ///< Claim records kept by a holder.
     std::size_t maximumAnswerBytes = 32 << 20; ///< Total size of the answers kept by a holder.
     unsigned maximumHops = 3; ///< Forwards after which the receiving host handles the request itself.
-    unsigned maximumAttempts = 3; ///< Later attempts are made only if the one before is proved not to have run.
+    unsigned maximumAttempts = 3; ///< That may have run.
     unsigned harmfulLosses = 2; ///< Upstreams lost to one body before requests with it are refused.
-    double retryRatio = 0.1; ///< Retries allowed per first attempt.
+    double retryRatio = 0.1; ///< Retries allowed per first attempt, apart from those of attempts that are proved not to have run.
 };
 
 /// The request was received from a caller that is connected to this host.
@@ -116,6 +116,7 @@
     std::uint64_t bodyHash = 0;
     unsigned hops = 0;
     unsigned attempts = 0;
+    unsigned provedAttempts = 0; ///< The part of them that is proved not to have run.
     RequestState state = RequestState::Queued;
     HostId forwardedTo;
     AttemptId attempt = 0;
--- a/Source/UnitTests/Requests/PolicyUpstreamTest.cpp
+++ b/Source/UnitTests/Requests/PolicyUpstreamTest.cpp
@@ -138,3 +138,34 @@
         CHECK(fixture.answerOf(handle)->answer.outcome == Ports::Outcome::Done);
     }
 }
+
+// Seen with real processes: 18 requests, of which six were in flight on a killed upstream and four slots were free elsewhere.
+TEST_CASE("refusals by upstreams without a free slot don't use up the retries of a request that is lost with its upstream")
+{
+    for (const bool refusesFirst : { false, true }) {
+        FixtureSettings settings = settingsOf(2, true);
+        settings.declaredRunTime = 100ms;
+        PolicyFixture fixture(settings);
+        const auto handle = fixture.sendRequest("batch", 60s);
+        unsigned refusals = 0;
+        bool isLost = false;
+        for (auto passed = 0ms; passed < 10s && refusals < 40; passed += 5ms) {
+            fixture.advance(5ms);
+            if (fixture.inFlight.empty())
+                continue;
+            const bool isDue = refusesFirst ? refusals == 20 : refusals == 0;
+            if (isDue && !isLost) {
+                isLost = true;
+                fixture.endOldest(Ports::AttemptEnd::Lost);
+                continue;
+            }
+            ++refusals;
+            fixture.endOldest(Ports::AttemptEnd::Refused);
+        }
+        fixture.advance(1s);
+        REQUIRE(fixture.inFlight.size() == 1);
+        fixture.endOldest();
+        REQUIRE(fixture.answerOf(handle));
+        CHECK(fixture.answerOf(handle)->answer.outcome == Ports::Outcome::Done);
+    }
+}
