Count crashes that an owner's loss or a silent worker hides

Causes: (1) a run placed by an earlier owner wasn't a witness when its worker had failed from the first poll on; (2) nor when the worker had restarted under its id, and the run was only missing; (3) with the time of a crash unknown no task was suspected alone, so that innocent ones were tried in groups with the guilty one up to the fourth crash; (4) a start was repeated at a worker that didn't answer polls, and ran on its next incarnation beside the task's next run.

Change: inherited runs are always witnesses; a task lost twice since it last outlived a start is tried alone; starts wait while polls fail.

--- a/Source/Core/Jobs/Decision/PoolCore.cpp
+++ b/Source/Core/Jobs/Decision/PoolCore.cpp
@@ -49,6 +49,7 @@
         auto run = makeRun(job.spec().steps[key.step], task.lastRun, at.now);
         run.phase = WorkerRun::Phase::Confirmed;
         run.confirmedAt = at.now;
+        run.isInherited = true;
         run.isSuspect = task.crashTally.suspected > 0;
         run.checkpoint = task.checkpoint;
         worker.runs[key] = std::move(run);
@@ -138,7 +139,7 @@
         const auto* task = m_jobs.findTask(key);
         if (!task || task->state != Task::State::Placed || task->lastRun != run.run || task->worker != id)
             continue;
-        if (failingSince == Instant() || run.orderedAt < failingSince)
+        if (run.isInherited || failingSince == Instant() || run.orderedAt < failingSince)
             lost.push_back(lostRunOf(key, run, worker.aliveUntil, failingSince));
         recordEnd({ key, run.run, RunEnd::Lost, run.checkpoint, at.wall });
     }
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -160,6 +160,8 @@
     void log(const char* event, const std::string& id, std::vector<std::pair<const char*, std::string>> fields);
     std::string submissionError(const JobSpec&) const;
 
+    /// The worker may have crashed and restarted under its id before this owner's first poll.
+    void onInheritedRunMissing(const Worker&, const TaskKey&, RunNumber, Moment);
     LostRun lostRunOf(const TaskKey&, const WorkerRun&, Instant aliveUntil, Instant failingSince) const;
     Suspicion suspicionOf(const TaskKey&, const Task&) const;
     void onWorkerCrashed(const Worker&, const std::vector<LostRun>&, Moment);
--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -34,7 +34,7 @@
     if (task.crashTally.suspected == 0)
         return Suspicion::None;
     const auto it = m_suspects.find(key);
-    return task.crashTally.suspected > 1 || (it != m_suspects.end() && it->second == Suspicion::Strong) ? Suspicion::Strong : Suspicion::Some;
+    return task.crashTally.sinceProven > 1 || (it != m_suspects.end() && it->second == Suspicion::Strong) ? Suspicion::Strong : Suspicion::Some;
 }
 
 void PoolCore::onWorkerCrashed(const Worker& worker, const std::vector<LostRun>& lost, Moment at)
@@ -71,6 +71,13 @@
     }
 }
 
+void PoolCore::onInheritedRunMissing(const Worker& worker, const TaskKey& key, RunNumber run, Moment at)
+{
+    LostRun lost { key, run };
+    lost.isDoubtful = true;
+    onWorkerCrashed(worker, { lost }, at);
+}
+
 /// A worker that lapsed may be known to have crashed only after the task's next run has outlived its start.
 bool PoolCore::isProvenElsewhere(const LostRun& lost, const Task& task) const
 {
--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -248,8 +248,11 @@
         log("run-missing", key.job, { { "task", std::to_string(key.step) + "." + std::to_string(key.index) }, { "run", std::to_string(run.run) }, { "worker", worker.entry.id } });
         worker.runs.erase(key);
         stopGang(key);
-        if (isAssignedHere(m_jobs.findTask(key), worker, run.run))
-            recordEnd({ key, run.run, RunEnd::Lost, run.checkpoint, at.wall });
+        if (!isAssignedHere(m_jobs.findTask(key), worker, run.run))
+            continue;
+        recordEnd({ key, run.run, RunEnd::Lost, run.checkpoint, at.wall });
+        if (run.isInherited && run.startedBy == Instant())
+            onInheritedRunMissing(worker, key, run.run, at);
     }
 }
 
--- a/Source/Core/Jobs/Runtime/Journal.cpp
+++ b/Source/Core/Jobs/Runtime/Journal.cpp
@@ -22,6 +22,7 @@
 struct Journal::State : std::enable_shared_from_this<Journal::State> {
     struct Batch {
         std::string records;
+        std::string tallies; ///< Records of TaskSuspected. Stored last: versions that don't know them stop reading there.
         std::vector<Effect> effects;
     };
 
@@ -59,7 +60,7 @@
         waiting.pop_front();
         // The fence makes the segment's text unique to this owner. By it, resolveCommit() recognizes a commit that was
         // carried out.
-        segment = std::to_string(settings.fence) + '\n' + inFlight->records;
+        segment = std::to_string(settings.fence) + '\n' + inFlight->records + inFlight->tallies;
         lastCommit = loop.now();
         // A snapshot covers the state up to this segment: it mustn't contain records that wait for a later one.
         if (waiting.empty() && nextSegment - snapshotSegment >= settings.segmentsPerSnapshot && !snapshots.isBusy())
@@ -123,9 +124,10 @@
     void append(const std::vector<JobRecord>& records)
     {
         for (const auto& it : records) {
-            if (waiting.empty() || waiting.back().records.size() >= StoreKeys::valueBytes)
+            if (waiting.empty() || waiting.back().records.size() + waiting.back().tallies.size() >= StoreKeys::valueBytes)
                 waiting.emplace_back();
-            appendRecord(waiting.back().records, it);
+            auto& batch = waiting.back();
+            appendRecord(std::holds_alternative<TaskSuspected>(it) ? batch.tallies : batch.records, it);
         }
     }
 
--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -203,7 +203,11 @@
     {
         if (isSettled(attempt))
             return;
-        if (!hooks.mayOrder()) {
+        // A worker that doesn't answer polls may have restarted under its id: the start would run beside the task's next one.
+        const bool mayHaveRestarted = failedPolls > 0;
+        if (mayHaveRestarted && attempt.retries == 0)
+            schedulePoll(milliseconds(0));
+        if (mayHaveRestarted || !hooks.mayOrder()) {
             retry({ "start", run.task, run.run }, attempt, [run](State& self, const Attempt& next) { self.start(run, next); });
             return;
         }
--- a/Source/UnitTests/Jobs/CrashingTaskTest.cpp
+++ b/Source/UnitTests/Jobs/CrashingTaskTest.cpp
@@ -1,8 +1,10 @@
 /// Tests of tasks that crash each worker that starts them, and of the tasks that run beside them.
 
 #include "JobFleet.h"
+#include "Jobs/Decision/CrashEvidence.h"
 
 #include <doctest/doctest.h>
+#include <random>
 
 using namespace Jobs;
 using namespace std::chrono_literals;
@@ -55,6 +57,44 @@
     const TaskKey task { jobId(1), 0, 0, 0 };
 };
 
+/// Submits jobs, a few of which crash their workers, beside faults drawn from the seed.
+void checkBesideFaults(std::uint64_t seed)
+{
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    CrashingFleet fleet(4, 12);
+    fleet.setClosesConnections(seed % 3 != 0);
+    fleet.keepsWorkerIds = seed % 2 == 0;
+    unsigned jobs = 0;
+    std::set<unsigned> bad;
+    for (unsigned tick = 0; tick < 50; ++tick) {
+        ++jobs;
+        if (jobs % 12 == 1) {
+            bad.insert(jobs);
+            fleet.runMonitor.crashing.insert({ jobId(jobs), 0, 0, static_cast<unsigned>(random() % 3) });
+        }
+        fleet.submit(jobs, oneStep(3));
+        auto& port = *std::next(fleet.hosts.begin(), static_cast<std::ptrdiff_t>(random() % fleet.hosts.size()))->second->workers;
+        port.startAnswersToLose += random() % 6 == 0 ? 1 : 0;
+        port.startsToDelay += random() % 8 == 0 ? 1 : 0;
+        const auto machine = "m" + std::to_string(random() % 12);
+        const auto worker = fleet.machines.at(machine).worker;
+        if (random() % 15 == 0 && !worker.empty() && !fleet.workers.at(worker)->isCrashed)
+            fleet.crashWorker(worker);
+        if (tick % 24 == 20 && !fleet.ownerOf("desk").empty()) {
+            fleet.killHost(fleet.ownerOf("desk"));
+            fleet.runFor(4s);
+        }
+        fleet.runFor(std::chrono::milliseconds(50 + random() % 400));
+    }
+    fleet.runFor(60s);
+    for (const auto& [task, crashes] : fleet.runMonitor.crashes)
+        CHECK(crashes <= maximumCrashes);
+    for (unsigned n = 1; n <= jobs; ++n)
+        CHECK(fleet.stateOf(n) == (bad.contains(n) ? JobState::Failed : JobState::Completed));
+    CHECK(fleet.runMonitor.duplicateRuns == 0);
+}
+
 } // namespace
 
 TEST_CASE("a task that crashes its workers is started no more than twice after the third crash, and its job fails")
@@ -272,3 +312,60 @@
     CHECK(fleet.runMonitor.starts == 1);
     CHECK(fleet.stateOf(2) == JobState::Completed);
 }
+
+TEST_CASE("two tasks that crash their workers together don't excuse each other for ever")
+{
+    CrashTally first;
+    CrashTally second;
+    const TaskKey a { jobId(1), 0, 0, 0 };
+    const TaskKey b { jobId(2), 0, 0, 0 };
+    unsigned crashes = 0;
+    for (bool isGuilty = false; !isGuilty && crashes < 10; ++crashes) {
+        const auto verdicts = judgeCrash({ { a, first, true, false, false }, { b, second, true, false, false } }, false);
+        first = verdicts[0].tally;
+        second = verdicts[1].tally;
+        // As if each crash were explained by a third task.
+        first.suspected = second.suspected = first.unexplained = second.unexplained = 0;
+        isGuilty = verdicts[0].isGuilty && verdicts[1].isGuilty;
+    }
+    CHECK(crashes <= maximumCrashes);
+}
+
+TEST_CASE("a crash that nobody is suspected of counts against the machine, and against tasks only after several such crashes")
+{
+    CrashHistory history;
+    const TaskKey task { jobId(1), 0, 0, 0 };
+    const TaskKey suspect { jobId(2), 0, 0, 0 };
+    history.add("m0", { { suspect, { 1, 1, 0 } }, { task, { 0, 0, 0 } } }, Instant(1h));
+    CHECK(!history.crashedByItself("m0"));
+    CHECK(history.acquit(suspect) == std::set<TaskKey> { task });
+    CHECK(history.crashedByItself("m0"));
+    history.forget(Instant(2h));
+    CHECK(!history.crashedByItself("m0"));
+}
+
+TEST_CASE("a task that a given-up task has excused starts with a clean record")
+{
+    CrashHistory history;
+    const TaskKey guilty { jobId(1), 0, 0, 0 };
+    const TaskKey beside { jobId(2), 0, 0, 0 };
+    history.add("m0", { { guilty, { 1, 1, 0 } }, { beside, { 1, 1, 0 } } }, Instant(1h));
+    history.add("m1", { { beside, { 1, 1, 0 } } }, Instant(1h));
+    const auto excused = history.convict(guilty);
+    REQUIRE(excused.contains(beside));
+    CHECK(excused.at(beside).suspected == 1);
+    CHECK(history.countOf("m0") == 0);
+    CHECK(history.countOf("m1") == 1);
+}
+
+TEST_CASE("crashing tasks beside lost owners, other crashes, cuts and lost or late starts: each is given up, all others are served")
+{
+    for (std::uint64_t seed = 1; seed <= 15; ++seed)
+        checkBesideFaults(seed);
+}
+
+TEST_CASE("a start that arrives late at a worker that has restarted under its id doesn't run beside the task's next run")
+{
+    for (const std::uint64_t seed : { 36, 66, 96, 102, 126, 186 })
+        checkBesideFaults(seed);
+}
--- a/Source/UnitTests/Jobs/JobTableTest.cpp
+++ b/Source/UnitTests/Jobs/JobTableTest.cpp
@@ -127,3 +127,23 @@
     CHECK(criticalPaths.front() == 2560ms);
     CHECK(criticalPaths.back() == 10ms);
 }
+
+TEST_CASE("tallies of crashes survive encoding, replay and snapshots")
+{
+    std::vector<JobRecord> records { accepted(jobId(1), oneStep(3)), RunStarted { { jobId(1), 0, 0, 2 }, 4, "w1" }, RunEnded { { jobId(1), 0, 0, 2 }, 4, RunEnd::Lost, "c", {} }, TaskSuspected { { jobId(1), 0, 0, 2 }, { 3, 2, 1 } } };
+    for (unsigned round = 0; round < 3; ++round) {
+        std::string text;
+        for (const auto& it : records)
+            appendRecord(text, it);
+        std::vector<JobRecord> read;
+        REQUIRE(readRecords(text, read));
+        JobTable table;
+        for (const auto& it : read)
+            table.apply(it);
+        const auto* task = table.findTask({ jobId(1), 0, 0, 2 });
+        REQUIRE(task);
+        CHECK(task->crashTally == CrashTally { 3, 2, 1 });
+        CHECK(task->lastRun == 4);
+        records = table.snapshot();
+    }
+}
