--- a/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
@@ -196,8 +196,8 @@
     const auto earlier = std::ranges::find_if(silentWorkers, [&](const auto& id) { return entries.contains(id) && isSuccessor(later, entries.at(id)); });
     if (earlier == silentWorkers.end())
         return;
-    const auto id = *earlier;
-    silentWorkers.erase(earlier);
+    const auto node = silentWorkers.extract(earlier);
+    const auto& id = node.value();
     log({ "worker-gone", id, { { "machine", later.machine }, { "listed", later.id }, { "reason", nameOf(WorkerLoss::Crashed) } } });
     if (const auto it = sessions.find(id); it != sessions.end())
         it->second->confirmGone(WorkerLoss::Crashed);
--- a/Source/UnitTests/Jobs/CapacityTest.cpp
+++ b/Source/UnitTests/Jobs/CapacityTest.cpp
@@ -24,8 +24,8 @@
         : JobFleet(hostCount, workerCount, cores)
     {
         configuration.pools.front().refusesOverload = false;
-        for (auto& [id, worker] : workers)
-            worker->onStarted = [this, id](std::uint64_t milliCores) { onStarted(id, milliCores); };
+        for (auto& it : workers)
+            it.second->onStarted = [this, id = it.first](std::uint64_t milliCores) { onStarted(id, milliCores); };
         for (const auto& [id, worker] : workers)
             m_capacities[id].push_back({ loop.now(), worker->entry.capacity.milliCores });
         settle();
