Ask for the list of machines at most once a second again

The list of a large installation is long, and reading it four times a second for each pool in which workers fall silent one after the other loads the owners of all pools.

--- a/Source/Core/Jobs/Runtime/PoolOwnerState.h
+++ b/Source/Core/Jobs/Runtime/PoolOwnerState.h
@@ -37,7 +37,8 @@
     WorkerSession::Hooks sessionHooks(const std::string& id);
     /// Lists the machines as long as workers are silent. The lease of a worker that its machine has ended needn't be waited for.
     void requestMachineList();
-    void scheduleMachineList(milliseconds interval);
+    /// Requests the list once it is long enough since the last request.
+    void scheduleMachineList();
     void checkSilentWorkers(const std::set<std::string>& silentBefore, const std::vector<Machine>& machines);
     void checkSilentWorker(const std::string& id, const Machine*);
     void onPollAnswered(const std::string& id, const Ports::PollAnswer&, Common::Instant sentAt);
--- a/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
@@ -13,7 +13,6 @@
 namespace {
 
     constexpr milliseconds machineListInterval { 1000 }; ///< Between list calls while a worker is silent; each call has a cost.
-    constexpr milliseconds minimumListInterval { 250 }; ///< The same after another worker has become silent.
     constexpr milliseconds removalGrace { 2200 }; ///< Entries that lapsed during an outage of the store are back within 2 s.
 
 } // namespace
@@ -53,7 +52,7 @@
     result.onSilent = [this, id] {
         core.onWorkerUnresponsive(id, moment());
         silentWorkers.insert(id);
-        scheduleMachineList(minimumListInterval);
+        scheduleMachineList();
         scheduleDecision();
     };
     result.onLapsed = [this, id](WorkerLoss loss) {
@@ -74,12 +73,11 @@
     return result;
 }
 
-/// Requests the list once it is that long since the last request.
-void PoolOwner::State::scheduleMachineList(milliseconds interval)
+void PoolOwner::State::scheduleMachineList()
 {
     if (isMachineListPending)
         return;
-    const auto delay = std::chrono::ceil<milliseconds>(machineListRequestedAt + interval - loop.now());
+    const auto delay = std::chrono::ceil<milliseconds>(machineListRequestedAt + machineListInterval - loop.now());
     loop.cancel(machineListTimer);
     machineListTimer = loop.after(std::max(milliseconds(0), delay), [self = weak_from_this()] {
         if (const auto it = self.lock())
@@ -104,8 +102,7 @@
         else
             state->limiter.write({ "machine-list-incomplete", state->pool, { { "silent", std::to_string(state->silentWorkers.size()) } } }, state->loop.now());
         state->isMachineListPending = false;
-        const bool hasMore = std::ranges::any_of(state->silentWorkers, [&silentBefore](const auto& id) { return !silentBefore.contains(id); });
-        state->scheduleMachineList(hasMore ? minimumListInterval : machineListInterval);
+        state->scheduleMachineList();
     });
 }
 
