Release tasks held for late starts when their worker is forgotten or has lapsed meanwhile

A held task would never be placed again if its worker was lost as restarted while it wasn't listed (it was erased with the entry that releases the task), if the lease lapsed before the stop was answered (the stop had expired), or if the stop was refused.

Change: a worker that is erased releases its late starts; the first poll answer after any loss sends the stops again; a refused stop counts as answered.

--- a/Source/Core/Jobs/Decision/PoolCore.cpp
+++ b/Source/Core/Jobs/Decision/PoolCore.cpp
@@ -135,7 +135,6 @@
     worker.hasStrayOfUnknownSize = false;
     const auto failingSince = std::exchange(worker.failingSince, {});
     std::vector<LostRun> lost = std::exchange(worker.lapsedRuns, {});
-    worker.hasRestarted = loss == WorkerLoss::Restarted;
     for (const auto& [key, run] : runs) {
         log("run-lost", key.job, { { "task", std::to_string(key.step) + "." + std::to_string(key.index) }, { "run", std::to_string(run.run) }, { "worker", id }, { "reason", nameOf(loss) }, { "ageMs", std::to_string(std::chrono::duration_cast<milliseconds>(at.now - run.orderedAt).count()) }, { "confirmed", run.phase == WorkerRun::Phase::Ordered ? "no" : "yes" }, { "percent", std::to_string(run.percent) } });
         const auto* task = m_jobs.findTask(key);
@@ -146,13 +145,16 @@
         holdLateStart(worker, key, run, loss);
         recordEnd({ key, run.run, RunEnd::Lost, run.checkpoint, at.wall });
     }
+    worker.mustStopLateStarts = !worker.lateStarts.empty();
     const bool isPlanned = loss == WorkerLoss::Ordered || worker.isCordoned || worker.entry.state == WorkerEntry::State::Draining;
     if (loss == WorkerLoss::Lapsed)
         worker.lapsedRuns = std::move(lost);
     else if (!isPlanned)
         onWorkerCrashed(worker, lost, at);
-    if (!worker.isListed)
-        m_workers.erase(it);
+    if (worker.isListed)
+        return;
+    releaseLateStarts(worker);
+    m_workers.erase(it);
 }
 
 void PoolCore::cordon(const std::set<std::string>& workers, Moment)
--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -96,13 +96,16 @@
 void PoolCore::onStopAnswer(const StopRun& order, const Ports::WorkerAnswer& answer, Moment at)
 {
     const auto found = m_workers.find(order.worker);
-    if (found == m_workers.end() || answer.status != Ports::WorkerStatus::Done)
+    if (found == m_workers.end())
         return;
-    const auto it = found->second.runs.find(order.task);
-    if (it != found->second.runs.end() && it->second.run == order.run)
+    auto& worker = found->second;
+    const bool isDone = answer.status == Ports::WorkerStatus::Done;
+    const auto it = worker.runs.find(order.task);
+    if (isDone && it != worker.runs.end() && it->second.run == order.run)
         it->second.confirmedAt = at.now;
-    const auto late = found->second.lateStarts.find(order.task);
-    if (late != found->second.lateStarts.end() && late->second.run == order.run)
+    const bool isAnswered = isDone || answer.status == Ports::WorkerStatus::Refused;
+    const auto late = worker.lateStarts.find(order.task);
+    if (isAnswered && late != worker.lateStarts.end() && late->second.run == order.run)
         late->second.refusedSince = at.now;
 }
 
@@ -187,7 +190,7 @@
 
 void PoolCore::settleLateStarts(Worker& worker, const Ports::PollAnswer& answer, Instant sentAt)
 {
-    if (std::exchange(worker.hasRestarted, false)) {
+    if (std::exchange(worker.mustStopLateStarts, false)) {
         for (auto& [key, it] : worker.lateStarts) {
             it.refusedSince = Instant::max();
             m_output.orders.emplace_back(StopRun { key, it.run, worker.entry.id });
--- a/Source/Core/Jobs/Decision/Worker.h
+++ b/Source/Core/Jobs/Decision/Worker.h
@@ -91,7 +91,7 @@
     Common::Instant failingSince {}; ///< When the first poll since the last answer failed; zero for none.
     Common::Instant aliveUntil {}; ///< While failing: it hadn't crashed before then.
     std::map<TaskKey, LateStart> lateStarts;
-    bool hasRestarted = false; ///< The new incarnation hasn't answered a poll yet.
+    bool mustStopLateStarts = false; ///< With the next poll answer, as orders sent before a loss have expired.
     std::vector<LostRun> lapsedRuns; ///< Lost when the lease lapsed; evidence if the worker turns out to have crashed.
 
     /// True when new runs may be placed on the worker.
