Place lasting tasks that are suspected of a crash after 1.5 s at the latest

Cause, from the logs: after task-suspected no run-placed follows. Suspects start only on workers set aside for them; why none came free isn't traced further.

Change: a lasting suspect that has waited 1.5 s is placed like other tasks. The limits on its crashes count on.

Tried first, not kept: the same for all suspects; on six jobs of "several crashing tasks at once" innocents were given up.

--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -182,7 +182,10 @@
     void exonerate(const TaskKey&, const CrashTally& growth);
     void updateProof(const TaskKey&, WorkerRun&, Moment);
     void clearSuspicion(const TaskKey&, Moment);
-    std::vector<TaskKey> waitingSuspects();
+    std::vector<TaskKey> waitingSuspects(Instant now);
+    /// The suspicion that placement has to respect. A lasting suspect that has waited too long for a worker of its own is placed like
+    /// others.
+    Suspicion placementSuspicionOf(const TaskKey&, const Task&, bool isLasting, Instant now) const;
     void quarantineWorkers(std::vector<Candidate>&, Moment);
     void logRefusal(const StartRun&, const Ports::WorkerAnswer&);
     void avoidAfterRefusal(Worker&, const Ports::WorkerAnswer&, Instant now);
@@ -218,6 +221,7 @@
     std::set<std::string> m_cordoned;
     CrashHistory m_crashes;
     std::map<TaskKey, Suspicion> m_suspects; ///< Tasks with suspected crashes. May contain tasks that are done or gone.
+    std::map<TaskKey, Instant> m_suspectsWaitingSince;
     std::set<std::string> m_quarantined; ///< Workers that take only suspects for the time being.
     std::set<TaskKey> m_heldTasks; ///< Tasks with a late start; see LateStart.
     Instant m_previousStopsEndAt {}; ///< From then on, polls no longer list runs that a previous owner has stopped.
--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace Jobs {
 
@@ -12,6 +13,7 @@
     constexpr milliseconds provenAfter { 200 }; ///< Age at which a run has outlived its start.
     constexpr milliseconds recentStart { 50 }; ///< Runs that had started so shortly before a crash are suspected most.
     constexpr milliseconds reliableAfter { 10000 }; ///< Age from which earlier crashes no longer count against the task.
+    constexpr milliseconds maximumIsolationWait { 1500 }; ///< The platform allows 3 s without a run where there is capacity.
     constexpr std::size_t minimumQuarantine = 2;
     constexpr std::size_t quarantineDivisor = 3; ///< The rest of the workers is left to tasks that aren't suspected.
 
@@ -172,9 +174,10 @@
 }
 
 /// Suspects that wait for a worker. Gangs aren't among them: their members may need more workers than are set aside.
-std::vector<TaskKey> PoolCore::waitingSuspects()
+std::vector<TaskKey> PoolCore::waitingSuspects(Instant now)
 {
     std::vector<TaskKey> waiting;
+    const auto before = std::exchange(m_suspectsWaitingSince, {});
     std::erase_if(m_suspects, [&](const auto& it) {
         const auto& key = it.first;
         const auto* task = m_jobs.findTask(key);
@@ -184,14 +187,25 @@
             waiting.push_back(key);
         return false;
     });
+    for (const auto& key : waiting) {
+        const auto it = before.find(key);
+        m_suspectsWaitingSince[key] = it == before.end() ? now : it->second;
+    }
     return waiting;
 }
 
+Suspicion PoolCore::placementSuspicionOf(const TaskKey& key, const Task& task, bool isLasting, Instant now) const
+{
+    const auto it = m_suspectsWaitingSince.find(key);
+    const bool hasWaitedTooLong = isLasting && it != m_suspectsWaitingSince.end() && now - it->second > maximumIsolationWait;
+    return hasWaitedTooLong ? Suspicion::None : suspicionOf(key, task);
+}
+
 /// Sets workers aside for suspects, and keeps others away from suspects that haven't outlived their starts. A worker takes its
 /// first suspect once all its runs have outlived theirs, so that a crash leaves no doubt.
 void PoolCore::quarantineWorkers(std::vector<Candidate>& candidates, Moment at)
 {
-    const auto suspects = waitingSuspects();
+    const auto suspects = waitingSuspects(at.now);
     auto previous = std::exchange(m_quarantined, {});
     if (m_suspects.empty())
         return;
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -215,7 +215,7 @@
     bool isFull = false;
     for (key.index = 0; key.index < step.tasks.size(); ++key.index) {
         const auto& task = step.tasks[key.index];
-        request.suspicion = suspicionOf(key, task);
+        request.suspicion = placementSuspicionOf(key, task, spec.isLasting, at.now);
         request.needsReliable = task.crashTally.unexplained > 0;
         const bool isSuspect = request.suspicion != Suspicion::None;
         if (task.state != Task::State::Waiting || m_heldTasks.contains(key) || (isFull && !isSuspect))
