--- a/Source/Core/Jobs/Decision/Worker.h
+++ b/Source/Core/Jobs/Decision/Worker.h
@@ -90,7 +90,7 @@
     Resources largestCapacity; ///< Largest amounts that the worker has reported; its capacity may shrink and grow.
     Common::Instant failingSince {}; ///< When the first poll since the last answer failed; zero for none.
     Common::Instant aliveUntil {}; ///< While failing: it hadn't crashed before then.
-    std::map<TaskKey, LateStart> lateStarts;
+    std::map<TaskKey, LateStart> lateStarts; ///< At most one of a task.
     bool mustStopLateStarts = false; ///< With the next poll answer, as orders sent before a loss have expired.
     std::vector<LostRun> lapsedRuns; ///< Lost when the lease lapsed; evidence if the worker turns out to have crashed.
 
--- a/Source/UnitTests/Jobs/CrashingTaskTest.cpp
+++ b/Source/UnitTests/Jobs/CrashingTaskTest.cpp
@@ -370,7 +370,7 @@
         checkBesideFaults(seed);
 }
 
-TEST_CASE("a start that arrives late after its worker's restart isn't a second run: the seed that is left of 300")
+TEST_CASE("an unanswered start of a run that is done isn't carried out by its worker's next incarnation")
 {
     checkBesideFaults(234);
 }
