--- a/Source/Core/Jobs/Runtime/JobNode.cpp
+++ b/Source/Core/Jobs/Runtime/JobNode.cpp
@@ -300,6 +300,9 @@
     isLeaving = true;
     writeEvent("node", { "leaving", settings.ownership.self.host, { { "pools", std::to_string(owners.size()) } } });
     ownership.leave();
+    // Under load the journals of pools that go on accepting jobs would never be idle.
+    for (const auto& [pool, owner] : owners)
+        owner->stopServing();
     handOverDuties(loop.now() + handOverLimit, std::move(onLeft));
 }
 
--- a/Source/UnitTests/Jobs/TakeoverTest.cpp
+++ b/Source/UnitTests/Jobs/TakeoverTest.cpp
@@ -187,3 +187,42 @@
     fleet.runFor(7s);
     CHECK(fleet.runMonitor.starts == 2);
 }
+
+// Seen in fleetbench, incident inc-5adb of aithousa-grid-grown: 12 submissions with an unknown outcome, 1 s without an owner.
+TEST_CASE("a host that is stopped while submissions arrive hands its pool over at once, and answers all of them")
+{
+    JobFleet fleet(3, 4);
+    fleet.settle();
+    const auto owner = fleet.ownerOf("desk");
+    unsigned unknown = 0;
+    unsigned answered = 0;
+    unsigned number = 0;
+    const auto submitOne = [&](const std::string& host) {
+        Ports::JobCall call;
+        call.verb = Ports::JobVerb::Submit;
+        call.host = "desk.example";
+        call.path = "/bookings/" + jobId(++number);
+        call.callerTimeout = 3s;
+        call.spec = oneStep(1);
+        fleet.hosts.at(host)->node->onJobCall(std::move(call), [&](const Ports::JobAnswer& it) {
+            ++answered;
+            unknown += it.outcome == Ports::JobOutcome::Unknown ? 1 : 0;
+        });
+    };
+    bool hasLeft = false;
+    auto ownerlessFor = 0ms;
+    for (auto time = 0ms; time < 3s; time += 2ms) {
+        if (time == 500ms)
+            fleet.hosts.at(owner)->node->leave([&] { hasLeft = true; });
+        if (time > 500ms && fleet.ownerOf("desk").empty())
+            ownerlessFor += 2ms;
+        for (const auto& [name, host] : fleet.hosts)
+            submitOne(name);
+        fleet.runFor(2ms);
+        CHECK((time < 600ms || hasLeft));
+    }
+    fleet.runFor(4s);
+    CHECK(answered == number);
+    CHECK(unknown == 0);
+    CHECK(ownerlessFor < 300ms);
+}
