--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -65,6 +65,9 @@
     std::size_t cordoned = 0;
     std::size_t avoided = 0; ///< Get no runs for a while, after refusals and failures.
     std::size_t leaving = 0; ///< Draining, or not listed.
+    std::size_t testing = 0; ///< Run a suspect that hasn't outlived its start, and take no other tasks until then.
+    std::size_t waitingSuspects = 0; ///< Tasks that wait and may start only apart from others; see CrashEvidence.h.
+    milliseconds oldestSuspect { 0 }; ///< Longest time that one of them has waited.
 };
 
 /// State of a pool and its scheduler. The pool's owner calls it from its loop: load() and finishLoad() with the journal, then
--- a/Source/Core/Jobs/Decision/PoolCoreReport.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreReport.cpp
@@ -50,7 +50,11 @@
         result.cordoned += worker.isCordoned ? 1 : 0;
         result.avoided += worker.avoidUntil > at.now ? 1 : 0;
         result.leaving += !worker.isListed || worker.entry.state != WorkerEntry::State::Ready ? 1 : 0;
+        result.testing += worker.isTestingSuspect() ? 1 : 0;
     }
+    result.waitingSuspects = m_suspectsWaitingSince.size();
+    for (const auto& [key, since] : m_suspectsWaitingSince)
+        result.oldestSuspect = std::max(result.oldestSuspect, std::chrono::duration_cast<milliseconds>(at.now - since));
     forEachWaitingStep(m_jobs, [&](const Job& job, unsigned occurrence, unsigned, unsigned waiting) {
         result.waitingTasks += waiting;
         result.oldestWaiting = std::max(result.oldestWaiting, at.wall - job.dueAt(occurrence));
--- a/Source/Core/Jobs/Runtime/OwnerActivity.cpp
+++ b/Source/Core/Jobs/Runtime/OwnerActivity.cpp
@@ -67,6 +67,9 @@
     add("cordoned", pressure.cordoned);
     add("avoided", pressure.avoided);
     add("leaving", pressure.leaving);
+    add("testing", pressure.testing);
+    add("waitingSuspects", pressure.waitingSuspects);
+    add("oldestSuspectMs", static_cast<std::uint64_t>(pressure.oldestSuspect.count()));
     add("accepted", m_accepted);
     add("placed", m_placed);
     add("ended", m_ended);
