Log attempts and answers of requests at debug level

The case "a killed upstream: ..." failed now and then, and nothing in the logs said which attempts a request had, on which upstream they ran and how they ended. Nothing is formatted when debug events are dropped. Fleets of process_tests log at debug level, into the directory that MARIGOLD_KEEP_LOGS keeps.

--- a/Source/Core/Decision/Requests/RequestAnswers.cpp
+++ b/Source/Core/Decision/Requests/RequestAnswers.cpp
@@ -86,7 +86,7 @@
 void RequestCore::Impl::reply(const Request& request, const Answer& answer)
 {
     if (const auto* caller = std::get_if<CallerSource>(&request.source))
-        addAction(AnswerCaller { caller->handle, answer });
+        addAction(AnswerCaller { caller->handle, answer, request.requestId });
     else if (const auto* peer = std::get_if<PeerSource>(&request.source))
         send(peer->host, Messages::ForwardAnswer { peer->requestId, answer });
 }
--- a/Source/Core/Decision/Requests/RequestCore.cpp
+++ b/Source/Core/Decision/Requests/RequestCore.cpp
@@ -99,7 +99,7 @@
 
 void RequestCore::Impl::acceptFromCaller(Moment at, const Ports::CallerRequest& from)
 {
-    const auto refuseNow = [&](const Answer& answer) { addAction(AnswerCaller { from.handle, answer }); };
+    const auto refuseNow = [&](const Answer& answer) { addAction(AnswerCaller { from.handle, answer, {} }); };
     if (!m_objects) {
         // Without a configuration it can't be determined whether an earlier try of the key ran.
         const bool mayBeRetry = !from.idempotent && !from.idempotencyKey.empty();
--- a/Source/Core/Decision/Requests/RequestTypes.h
+++ b/Source/Core/Decision/Requests/RequestTypes.h
@@ -134,6 +134,7 @@
 struct AnswerCaller {
     CallerHandle handle = 0;
     Answer answer;
+    std::string requestId {}; ///< Empty for a request that was refused before it got one.
 };
 
 /// Send a message to an entry host.
--- a/Source/Core/Kernel/Logging.cpp
+++ b/Source/Core/Kernel/Logging.cpp
@@ -41,13 +41,13 @@
         return levels.at(static_cast<std::size_t>(level)).level();
     }
 
-    log4cxx::LevelPtr levelNamed(const std::string& name)
+    std::optional<LogLevel> levelNamed(const std::string& name)
     {
-        for (const auto& entry : levels) {
-            if (entry.name == name)
-                return entry.level();
+        for (std::size_t i = 0; i < levels.size(); ++i) {
+            if (levels.at(i).name == name)
+                return static_cast<LogLevel>(i);
         }
-        return nullptr;
+        return std::nullopt;
     }
 
     log4cxx::LogString logString(const std::string& text)
@@ -75,6 +75,9 @@
 
     constexpr std::size_t bytesPerEvent = 256; ///< Length of a long event line.
 
+    /// Lowest level that is written. Without a Logging there is no output for lower ones either.
+    std::atomic<LogLevel> lowestLevel { LogLevel::Info };
+
     /// Set while a Logging with buffered events exists.
     std::atomic<EventWriter*> eventWriter { nullptr };
 
@@ -129,7 +132,8 @@
     const auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
     root->addAppender(makeAppender(section));
-    root->setLevel(level);
+    root->setLevel(levelOf(*level));
+    lowestLevel = *level;
     auto logging = std::unique_ptr<Logging>(new Logging);
     if (section.bufferedEvents > 0 && section.json && section.file.empty() && root->isInfoEnabled()) {
         logging->m_events = std::make_unique<EventWriter>(section.standardOutput ? STDOUT_FILENO : STDERR_FILENO, section.bufferedEvents * bytesPerEvent);
@@ -155,6 +159,11 @@
     log4cxx::LogManager::shutdown();
 }
 
+bool Logging::isEnabled(LogLevel level)
+{
+    return level >= lowestLevel.load();
+}
+
 void Logging::write(LogLevel level, const std::string& component, const std::string& message, const LogContext& context)
 {
     const auto logger = log4cxx::Logger::getLogger(loggerPrefix + component);
--- a/Source/Core/Kernel/Logging.h
+++ b/Source/Core/Kernel/Logging.h
@@ -56,6 +56,9 @@
     /// Queues one line of JSON for the EventWriter; does nothing when there is none.
     static void writeEventLine(std::string_view json);
 
+    /// False when events of this level are dropped, so that their context needn't be formatted.
+    static bool isEnabled(LogLevel);
+
     /// Writes one event to the logger of a component, for example "moves". Events below the configured level are dropped.
     static void write(LogLevel, const std::string& component, const std::string& message, const LogContext& = {});
 
--- a/Source/Core/Kernel/RequestService.cpp
+++ b/Source/Core/Kernel/RequestService.cpp
@@ -46,6 +46,38 @@
         return "unknown";
     }
 
+    const char* endName(Ports::AttemptEnd end)
+    {
+        switch (end) {
+        case Ports::AttemptEnd::Answered:
+            return "answered";
+        case Ports::AttemptEnd::Refused:
+            return "refused";
+        case Ports::AttemptEnd::NotSent:
+            return "not-sent";
+        case Ports::AttemptEnd::Lost:
+            return "lost";
+        case Ports::AttemptEnd::Truncated:
+            return "truncated";
+        case Ports::AttemptEnd::Cancelled:
+            return "cancelled";
+        }
+        return "lost";
+    }
+
+    std::string millisecondsText(Common::Instant::duration time)
+    {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+    }
+
+    void logDebug(const char* message, const std::string& requestId, std::vector<LogField> fields)
+    {
+        LogContext context;
+        context.requestId = requestId;
+        context.fields = std::move(fields);
+        Logging::write(LogLevel::Debug, "requests", message, context);
+    }
+
 } // namespace
 
 Moment momentNow()
@@ -118,7 +150,12 @@
 {
     const auto it = m_openRequests.find(action.handle);
     if (it != m_openRequests.end()) {
-        m_metrics.countRequest(outcomeName(action.answer.outcome), Ports::reasonName(action.answer.reason), Common::BootClock::now() - it->second.arrivedAt);
+        const auto took = Common::BootClock::now() - it->second.arrivedAt;
+        m_metrics.countRequest(outcomeName(action.answer.outcome), Ports::reasonName(action.answer.reason), took);
+        if (Logging::isEnabled(LogLevel::Debug)) {
+            logDebug("request answered", action.requestId,
+                { { "outcome", outcomeName(action.answer.outcome) }, { "reason", Ports::reasonName(action.answer.reason) }, { "tookMs", millisecondsText(took) } });
+        }
         m_openRequests.erase(it);
     }
     m_ports.callers.answer(action.handle, action.answer);
@@ -133,23 +170,28 @@
         m_core->onAttemptEnded({ now, Common::wallNow() }, { call.attempt, Ports::AttemptEnd::Refused, 0, {}, nullptr });
         return;
     }
-    m_attemptUpstreams[call.attempt] = call.upstream;
-    m_attemptDeadlines[call.attempt] = now + call.timeLeft;
+    if (Logging::isEnabled(LogLevel::Debug))
+        logDebug("attempt started", call.requestId, { { "upstream", call.upstream }, { "pool", call.pool }, { "timeLeftMs", millisecondsText(call.timeLeft) } });
+    m_openAttempts[call.attempt] = { call.requestId, call.upstream, now, now + call.timeLeft };
     m_ports.upstreams.dispatch(std::move(action.call));
 }
 
 void RequestService::recordAttemptEnd(const Ports::UpstreamResult& result)
 {
-    const auto it = m_attemptUpstreams.find(result.attempt);
-    if (it == m_attemptUpstreams.end())
+    const auto it = m_openAttempts.find(result.attempt);
+    if (it == m_openAttempts.end())
         return;
+    const OpenAttempt& attempt = it->second;
+    if (Logging::isEnabled(LogLevel::Debug)) {
+        logDebug("attempt ended", attempt.requestId,
+            { { "upstream", attempt.upstream }, { "end", endName(result.end) }, { "status", std::to_string(result.status) }, { "tookMs", millisecondsText(Common::BootClock::now() - attempt.startedAt) } });
+    }
     const bool isFinished = result.end == Ports::AttemptEnd::Answered || result.end == Ports::AttemptEnd::Refused || result.end == Ports::AttemptEnd::NotSent;
     if (isFinished)
-        m_table.endDispatch(it->second);
+        m_table.endDispatch(attempt.upstream);
     else
-        m_table.abandonDispatch(it->second, m_attemptDeadlines[result.attempt]);
-    m_attemptDeadlines.erase(result.attempt);
-    m_attemptUpstreams.erase(it);
+        m_table.abandonDispatch(attempt.upstream, attempt.deadline);
+    m_openAttempts.erase(it);
 }
 
 void RequestService::onCallerRequest(Ports::CallerRequest request)
--- a/Source/Core/Kernel/RequestService.h
+++ b/Source/Core/Kernel/RequestService.h
@@ -77,6 +77,13 @@
         Common::Instant arrivedAt {};
     };
 
+    struct OpenAttempt {
+        std::string requestId;
+        std::string upstream;
+        Common::Instant startedAt {};
+        Common::Instant deadline {};
+    };
+
     RequestService(const Settings&, std::uint64_t incarnation, const RequestPorts&, WorkerPool&, Metrics&);
     /// Runs a step on a thread of an adapter. Exceptions are logged and don't reach the adapter.
     void runForAdapter(const Step&);
@@ -93,8 +100,7 @@
     std::mutex m_lock; ///< Guards everything below.
     std::unique_ptr<Decision::RequestCore> m_core;
     Decision::AssignmentTable m_table;
-    std::unordered_map<Ports::AttemptId, std::string> m_attemptUpstreams;
-    std::unordered_map<Ports::AttemptId, Common::Instant> m_attemptDeadlines;
+    std::unordered_map<Ports::AttemptId, OpenAttempt> m_openAttempts;
     std::unordered_map<Ports::CallerHandle, OpenRequest> m_openRequests;
 };
 
--- a/Source/UnitTests/Process/Fleet.cpp
+++ b/Source/UnitTests/Process/Fleet.cpp
@@ -139,7 +139,7 @@
         << R"("operators": { "listen": ")" << host.operatorAddress() << "\" },"
         << R"("platform": { "keyValueAddress": ")" << platform << R"(", "hostListAddress": ")" << platform << "\" },"
         << R"("limits": { "clockSkewAllowanceMilliseconds": 1000, "viewLeaseMilliseconds": 3000, "suspectAfterMilliseconds": 1000, "heartbeatMilliseconds": 250 },)"
-        << R"("logging": { "level": "info", "file": ")" << file(host.name + ".log") << "\" } }";
+        << R"("logging": { "level": "debug", "file": ")" << file(host.name + ".log") << "\" } }";
 }
 
 std::string Fleet::writeObjects(unsigned weight) const
