Don't count attempts that this host stops as losses of their upstream

Cause: the core and the upstreams' adapter both watch the deadline of an attempt. When the core is first it cancels: deadline-passed, the upstream is told to stop, no failure counted. When the adapter is first it reported Lost (or NotSent), which the core can't tell from a broken connection: - the reason was upstream-lost, or upstream-refused for one never sent; - the upstream wasn't told to stop, so the run kept a slot that was given away; - the upstream's health counted a failure, and for one never sent its pause; - up to 1 ms before the deadline, since the time left is cut to whole milliseconds, the body counted as one that crashes upstreams: two such ends refuse it for ten minutes. A cancellation by the caller before sending was NotSent too, and paused and ejected the upstream. And an upstream that never answers was ejected only if the adapter was first.

The port ends an attempt that this host stops as Cancelled, or as Withdrawn if no byte was sent, whoever stops it; the upstream is told to stop what was sent. The core answers deadline-passed, or not-run (deadline-cannot-be-met), and counts a failure only if the attempt had more time than a run takes at most and wasn't cancelled by its caller.

Five new cases in PolicyUpstreamTest; on the code before, with the ends that the adapter reported there, all five fail: upstream-lost instead of deadline-passed; the third request of the body refused; upstream paused after the first withdrawn attempt; 20 attempts on the silent upstream and no ejection; upstream ejected by short deadlines.

--- a/Source/Core/Adapters/Upstreams/CurlUpstreams.cpp
+++ b/Source/Core/Adapters/Upstreams/CurlUpstreams.cpp
@@ -102,19 +102,11 @@
     void expireDue()
     {
         const auto now = Common::BootClock::now();
-        while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
-            const auto attempt = take(m_deadlines.begin()->second);
-            m_loop->remove(attempt->handle());
-            m_sink->onAttemptEnded(attempt->resultOf(endWithoutAnswer(*attempt)));
-        }
+        while (!m_deadlines.empty() && m_deadlines.begin()->first <= now)
+            cancelOnLoop(m_deadlines.begin()->second);
         setDeadlineTimer();
     }
 
-    static Ports::AttemptEnd endWithoutAnswer(const Attempt& attempt)
-    {
-        return attempt.mayHaveBeenSent() ? Ports::AttemptEnd::Lost : Ports::AttemptEnd::NotSent;
-    }
-
     std::unique_ptr<Attempt> take(Ports::AttemptId id)
     {
         auto node = m_attempts.extract(id);
@@ -144,7 +136,7 @@
             return;
         m_loop->remove(attempt->handle());
         if (!attempt->mayHaveBeenSent()) {
-            m_sink->onAttemptEnded(attempt->resultOf(Ports::AttemptEnd::NotSent));
+            m_sink->onAttemptEnded(attempt->resultOf(Ports::AttemptEnd::Withdrawn));
             return;
         }
         sendCancel(attempt->call());
@@ -170,7 +162,7 @@
         while (!m_attempts.empty()) {
             const auto attempt = take(m_attempts.begin()->first);
             m_loop->remove(attempt->handle());
-            m_sink->onAttemptEnded(attempt->resultOf(endWithoutAnswer(*attempt)));
+            m_sink->onAttemptEnded(attempt->resultOf(attempt->mayHaveBeenSent() ? Ports::AttemptEnd::Lost : Ports::AttemptEnd::NotSent));
         }
     }
 
--- a/Source/Core/Adapters/Upstreams/CurlUpstreams.h
+++ b/Source/Core/Adapters/Upstreams/CurlUpstreams.h
@@ -11,9 +11,8 @@
 
 namespace Adapters {
 
-/// Sends each attempt at most once over a pool of persistent connections. An attempt whose time is up ends as Lost, or as
-/// NotSent if no byte was sent. Results are delivered on the thread of the loop, and on the calling thread for a dispatch()
-/// after stop(). Registered as "curl".
+/// Sends each attempt at most once over a pool of persistent connections. An attempt whose time is up is cancelled. Results are
+/// delivered on the thread of the loop, and on the calling thread for a dispatch() after stop(). Registered as "curl".
 class CurlUpstreams final : public Ports::UpstreamPort {
 public:
     /// Fails if connectionsPerUpstream is zero.
@@ -23,7 +22,7 @@
     /// Throws Ports::PortError if libcurl can't be initialized.
     void start(Ports::UpstreamSink&) override;
     void dispatch(Ports::UpstreamCall) override;
-    /// An attempt that was not sent yet ends as NotSent; else the upstream is told to stop the request (fire and forget) and
+    /// An attempt that was not sent yet ends as Withdrawn; else the upstream is told to stop the request (fire and forget) and
     /// the attempt ends as Cancelled. Unknown attempts are ignored.
     void cancel(Ports::AttemptId) override;
     /// Ends every running attempt as Lost, or as NotSent if no byte was sent, and joins the thread.
--- a/Source/Core/Decision/Requests/RequestAnswers.cpp
+++ b/Source/Core/Decision/Requests/RequestAnswers.cpp
@@ -35,6 +35,7 @@
         if (keepRunning || (!explicitly && !request.joined.empty()))
             return;
         request.cancelled = true;
+        m_attempts.at(request.attempt).cancelledByCaller = true; // A running request has an attempt, so at() can't throw.
         addAction(CancelAttempt { request.attempt });
         return;
     case RequestState::Joined:
--- a/Source/Core/Decision/Requests/RequestAttempts.cpp
+++ b/Source/Core/Decision/Requests/RequestAttempts.cpp
@@ -20,7 +20,7 @@
         pool(request.pool).retries.recordFirstAttempt();
     ++m_counts.attempts;
     recordRun(request);
-    m_attempts.emplace(id, InFlightAttempt { request.number, request.pool, request.team, request.service, request.upstream, at.now });
+    m_attempts.emplace(id, InFlightAttempt { request.number, request.pool, request.team, request.service, request.upstream, at.now, false });
     Ports::UpstreamCall call;
     call.attempt = id;
     call.upstream = request.upstream;
@@ -64,6 +64,10 @@
         slots.recordFailure(at.now, attempt.upstream);
         return;
     case AttemptEnd::Cancelled:
+    case AttemptEnd::Withdrawn:
+        // This host stopped the attempt. That is evidence against the upstream only if the run should have ended before the deadline.
+        if (!attempt.cancelledByCaller && at.now - attempt.started > m_runTimes.upperEstimate(attempt.service, declaredRunTime(attempt.service)))
+            slots.recordFailure(at.now, attempt.upstream);
         return;
     }
 }
@@ -85,12 +89,18 @@
 
 void RequestCore::Impl::handleResult(Moment at, Request& request, const Ports::UpstreamResult& result)
 {
-    const bool proved = result.end == AttemptEnd::Refused || result.end == AttemptEnd::NotSent;
+    const bool proved = Ports::isProvedNotRun(result.end);
     request.provedAttempts += proved ? 1 : 0;
     if (request.cancelled && result.end != AttemptEnd::Answered) {
         complete(at, request.number, proved ? notRun(Reason::CancelledByCaller) : unknown(Reason::CancelledByCaller));
         return;
     }
+    // The port may stop an attempt at its deadline a moment before the core does.
+    if (result.end == AttemptEnd::Cancelled || result.end == AttemptEnd::Withdrawn) {
+        request.mayHaveRun = request.mayHaveRun || !proved;
+        complete(at, request.number, proved ? notRun(Reason::DeadlineCannotBeMet, retryTime(microseconds(0))) : unknown(Reason::DeadlinePassed));
+        return;
+    }
     const bool failedAnswer = result.end == AttemptEnd::Answered && result.status >= firstServerError && request.idempotent && !request.cancelled;
     if (result.end == AttemptEnd::Answered && !(failedAnswer && mayRetry(at, request, false))) {
         if (result.status < firstServerError)
--- a/Source/Core/Decision/Requests/RequestCoreImpl.h
+++ b/Source/Core/Decision/Requests/RequestCoreImpl.h
@@ -43,6 +43,7 @@
         std::string service;
         std::string upstream;
         Instant started {};
+        bool cancelledByCaller = false;
     };
 
     /// State of another data centre, from its heartbeats.
--- a/Source/Core/Kernel/RequestService.cpp
+++ b/Source/Core/Kernel/RequestService.cpp
@@ -61,6 +61,8 @@
             return "truncated";
         case Ports::AttemptEnd::Cancelled:
             return "cancelled";
+        case Ports::AttemptEnd::Withdrawn:
+            return "withdrawn";
         }
         return "lost";
     }
@@ -186,8 +188,7 @@
         logDebug("attempt ended", attempt.requestId,
             { { "upstream", attempt.upstream }, { "end", endName(result.end) }, { "status", std::to_string(result.status) }, { "tookMs", millisecondsText(Common::BootClock::now() - attempt.startedAt) } });
     }
-    const bool isFinished = result.end == Ports::AttemptEnd::Answered || result.end == Ports::AttemptEnd::Refused || result.end == Ports::AttemptEnd::NotSent;
-    if (isFinished)
+    if (result.end == Ports::AttemptEnd::Answered || Ports::isProvedNotRun(result.end))
         m_table.endDispatch(attempt.upstream);
     else
         m_table.abandonDispatch(attempt.upstream, attempt.deadline);
--- a/Source/Core/Ports/UpstreamPort.h
+++ b/Source/Core/Ports/UpstreamPort.h
@@ -32,12 +32,19 @@
 enum class AttemptEnd {
     Answered, ///< A complete answer with the attempt's request id.
     Refused, ///< The upstream stated that it did not run the request (503 with its refusal header).
-    NotSent, ///< No byte of the request left this host, for example because the connect failed.
+    NotSent, ///< No byte of the request left this host because the upstream couldn't be reached.
     Lost, ///< The request was sent, at least in part, and no valid answer arrived.
     Truncated, ///< The answer ended before it was complete.
-    Cancelled, ///< Cancelled by cancel() after sending; it may have run.
+    Cancelled, ///< Stopped after sending, by cancel() or because its time was up; it may have run. The upstream is told to stop it.
+    Withdrawn, ///< Stopped by cancel(), or because its time was up, before a byte of the request left this host.
 };
 
+/// True when the end proves that the upstream didn't run the request.
+constexpr bool isProvedNotRun(AttemptEnd end)
+{
+    return end == AttemptEnd::Refused || end == AttemptEnd::NotSent || end == AttemptEnd::Withdrawn;
+}
+
 /// Result of an attempt.
 struct UpstreamResult {
     AttemptId attempt = 0;
@@ -68,7 +75,7 @@
     virtual void start(UpstreamSink&) = 0;
     /// Starts an attempt; its result goes to the sink.
     virtual void dispatch(UpstreamCall) = 0;
-    /// Tells the upstream to stop an attempt that is still running, and ends it with Cancelled.
+    /// Ends an attempt that is still running as Withdrawn, or as Cancelled if the upstream has to be told to stop it.
     virtual void cancel(AttemptId) = 0;
     virtual void stop() = 0;
 };
--- a/Source/UnitTests/Requests/PolicyUpstreamTest.cpp
+++ b/Source/UnitTests/Requests/PolicyUpstreamTest.cpp
@@ -50,6 +50,17 @@
     return settings;
 }
 
+// Shortly before the deadline, since the upstreams' adapter gets the time left in whole milliseconds.
+constexpr auto adapterLead = 500us;
+
+unsigned usableSlots(const PolicyFixture& fixture)
+{
+    unsigned usable = 0;
+    for (const auto& load : fixture.core->loads(fixture.now()))
+        usable += load.slots;
+    return usable;
+}
+
 } // namespace
 
 TEST_CASE("an upstream that fails every request quickly is ejected, probed and reinstated; without ejection it gets most requests")
@@ -169,3 +180,123 @@
         CHECK(fixture.answerOf(handle)->answer.outcome == Ports::Outcome::Done);
     }
 }
+
+// Seen with real processes: six in flight on the killed upstream, five of them idempotent, and four free slots elsewhere.
+TEST_CASE("a request whose second run can't end in time after its upstream was lost is answered with its deadline, not with a loss")
+{
+    PolicyFixture fixture(settingsOf(3, true));
+    std::map<Ports::AttemptId, Decision::Instant> ends;
+    std::vector<Ports::CallerHandle> handles;
+    handles.reserve(18);
+    for (int i = 0; i < 18; ++i)
+        handles.push_back(fixture.sendRequest("batch", 4s));
+    const auto deadline = fixture.now() + 4s;
+    REQUIRE(fixture.inFlight.size() == 18);
+    fixture.advance(30ms);
+    const auto first = fixture.inFlight;
+    for (const auto& call : first) {
+        if (call.upstream == "desk-0")
+            fixture.end(call, Ports::AttemptEnd::Lost);
+        else
+            ends[call.attempt] = fixture.now() - 30ms + 2s;
+    }
+    CHECK(fixture.inFlight.size() == 16);
+    while (fixture.now() + 1ms < deadline) {
+        fixture.advance(1ms);
+        const auto calls = fixture.inFlight;
+        for (const auto& call : calls) {
+            const auto end = ends.try_emplace(call.attempt, fixture.now() + 2s).first->second;
+            if (call.upstream == "desk-0")
+                fixture.end(call, Ports::AttemptEnd::NotSent);
+            else if (end <= fixture.now())
+                fixture.end(call);
+        }
+    }
+    fixture.advance(1ms - adapterLead);
+    const auto left = fixture.inFlight;
+    CHECK(left.size() == 2); // Of the six lost ones, four found a slot at once.
+    for (const auto& call : left)
+        fixture.end(call, Ports::AttemptEnd::Cancelled);
+    for (const auto handle : handles) {
+        REQUIRE(fixture.answerOf(handle));
+        const auto& answer = fixture.answerOf(handle)->answer;
+        if (answer.outcome != Ports::Outcome::Done)
+            CHECK(std::string(Ports::reasonName(answer.reason)) == "deadline-passed");
+    }
+}
+
+TEST_CASE("runs that are stopped at their deadline don't make their body a harmful one")
+{
+    PolicyFixture fixture(settingsOf(2, true));
+    for (int i = 0; i < 2; ++i)
+        fixture.sendRequest("batch", 1s);
+    REQUIRE(fixture.inFlight.size() == 2);
+    CHECK(fixture.inFlight.front().upstream != fixture.inFlight.back().upstream);
+    fixture.advance(1s - adapterLead);
+    while (!fixture.inFlight.empty())
+        fixture.endOldest(Ports::AttemptEnd::Cancelled);
+    const auto handle = fixture.sendRequest("batch", 1s);
+    REQUIRE(fixture.inFlight.size() == 1);
+    fixture.endOldest();
+    CHECK(fixture.answerOf(handle)->answer.outcome == Ports::Outcome::Done);
+}
+
+TEST_CASE("attempts that a caller withdraws before they are sent neither pause nor eject their upstream")
+{
+    PolicyFixture fixture(settingsOf(2, true));
+    for (int i = 0; i < 20; ++i) {
+        const auto handle = fixture.sendRequest("batch", 1s);
+        REQUIRE(fixture.inFlight.size() == 1);
+        CHECK(fixture.inFlight.front().upstream == "desk-0");
+        fixture.disconnect(handle);
+        fixture.endOldest(Ports::AttemptEnd::Withdrawn);
+    }
+    CHECK(usableSlots(fixture) == 16);
+}
+
+TEST_CASE("an upstream that never answers is ejected, whether the core or the adapter is first to stop its attempts")
+{
+    for (const bool coreIsFirst : { false, true }) {
+        PolicyFixture fixture(settingsOf(4, true));
+        std::map<Ports::AttemptId, Decision::Instant> started;
+        int silent = 0;
+        for (auto passed = 0ms; passed < 1000ms; passed += 1ms) {
+            while (fixture.inFlight.size() < 16)
+                fixture.sendRequest("batch", 200ms);
+            fixture.advance(500us);
+            const auto calls = fixture.inFlight;
+            for (const auto& call : calls) {
+                const auto [it, isNew] = started.try_emplace(call.attempt, fixture.now());
+                const auto age = fixture.now() - it->second;
+                const bool isCancelled = std::find(fixture.cancelled.begin(), fixture.cancelled.end(), call.attempt) != fixture.cancelled.end();
+                if (call.upstream != "desk-1") {
+                    if (age >= 10ms)
+                        fixture.end(call);
+                    continue;
+                }
+                silent += isNew;
+                if (isCancelled || (!coreIsFirst && age >= 199ms))
+                    fixture.end(call, Ports::AttemptEnd::Cancelled);
+            }
+            fixture.advance(500us);
+        }
+        CHECK(silent <= 16);
+        CHECK(usableSlots(fixture) == 24);
+    }
+}
+
+TEST_CASE("deadlines that are shorter than the runs don't eject an upstream")
+{
+    FixtureSettings settings = settingsOf(2, true);
+    settings.declaredRunTime = 1000ms;
+    settings.guards.deadlineAware = false;
+    PolicyFixture fixture(settings);
+    for (int i = 0; i < 20; ++i) {
+        fixture.sendRequest("batch", 100ms);
+        REQUIRE(fixture.inFlight.size() == 1);
+        CHECK(fixture.inFlight.front().upstream == "desk-0");
+        fixture.advance(100ms - adapterLead);
+        fixture.endOldest(Ports::AttemptEnd::Cancelled);
+    }
+    CHECK(usableSlots(fixture) == 16);
+}
