Test tree: a host whose loop doesn't run for a while

JobFleet had no host that is stopped for some seconds and goes on: killHost() loses its state, and a cut host's timers go on. HostLoop holds back a host's timers, posts and answers until it continues, in an order that the test chooses, as the order isn't defined. killHost() drops the tasks of the host's loop.

--- a/Source/UnitTests/Jobs/FakeStore.cpp
+++ b/Source/UnitTests/Jobs/FakeStore.cpp
@@ -13,15 +13,16 @@
 
 } // namespace
 
-FakeStorePort::FakeStorePort(FakeStore& store, std::string host)
+FakeStorePort::FakeStorePort(FakeStore& store, std::string host, HostLoop* hostLoop)
     : m_store(store)
     , m_host(std::move(host))
+    , m_hostLoop(hostLoop)
 {
 }
 
 void FakeStorePort::answer(PlatformReply reply, const PlatformCallback& callback)
 {
-    m_store.loop.after(m_store.delay, [alive = m_isAlive, reply = std::move(reply), callback] {
+    m_store.loop.after(m_store.delay, [alive = m_isAlive, reply = std::move(reply), callback = deferWhilePaused(m_hostLoop, callback)] {
         if (*alive)
             callback(reply);
     });
@@ -29,7 +30,7 @@
 
 void FakeStorePort::leaveUnanswered(const PlatformCallback& callback)
 {
-    m_store.loop.after(callTimeout, [alive = m_isAlive, callback] {
+    m_store.loop.after(callTimeout, [alive = m_isAlive, callback = deferWhilePaused(m_hostLoop, callback)] {
         if (*alive)
             callback({ PlatformStatus::Uncertain, 0, {}, 0, {} });
     });
@@ -91,6 +92,7 @@
 
 void FakeStorePort::watch(const std::string& prefix, std::int64_t fromRevision, Ports::WatchCallback callback)
 {
+    callback = deferWhilePaused(m_hostLoop, std::move(callback));
     const auto deliver = [this, callback](const std::vector<Ports::WatchEvent>& events) {
         m_store.loop.after(m_store.delay, [this, alive = m_isAlive, events, callback] {
             if (*alive && !isCut())
--- a/Source/UnitTests/Jobs/FakeStore.h
+++ b/Source/UnitTests/Jobs/FakeStore.h
@@ -3,7 +3,7 @@
 /// Fake of the platform's store in virtual time: one shared state, a port for each host, and injected faults.
 
 #include "Adapters/Platform/KeyValueStore.h"
-#include "VirtualLoop.h"
+#include "HostLoop.h"
 
 #include <memory>
 #include <set>
@@ -37,7 +37,8 @@
 /// One host's connection to the store.
 class FakeStorePort final : public Ports::PlatformPort {
 public:
-    FakeStorePort(FakeStore&, std::string host);
+    /// `HostLoop` is null for a host that is never paused.
+    FakeStorePort(FakeStore&, std::string host, HostLoop* = nullptr);
 
     void start() override { }
     void read(const std::string& key, bool prefix, Ports::PlatformCallback) override;
@@ -60,5 +61,6 @@
 
     FakeStore& m_store;
     std::string m_host;
+    HostLoop* m_hostLoop;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true); ///< False once the host is killed: it gets no more callbacks.
 };
--- a/Source/UnitTests/Jobs/FakeWorkers.cpp
+++ b/Source/UnitTests/Jobs/FakeWorkers.cpp
@@ -16,9 +16,10 @@
 
 } // namespace
 
-FakeWorkerPort::FakeWorkerPort(VirtualLoop& loop, std::map<std::string, std::shared_ptr<FakeWorker>>& workers)
+FakeWorkerPort::FakeWorkerPort(VirtualLoop& loop, std::map<std::string, std::shared_ptr<FakeWorker>>& workers, HostLoop* hostLoop)
     : m_loop(loop)
     , m_workers(workers)
+    , m_hostLoop(hostLoop)
 {
 }
 
@@ -47,6 +48,7 @@
 
 void FakeWorkerPort::start(const Ports::StartOrder& order, Ports::WorkerCallback callback)
 {
+    callback = deferWhilePaused(m_hostLoop, std::move(callback));
     if (startsToLose > 0) {
         --startsToLose;
         m_loop.after(callTimeout, [alive = m_isAlive, callback] { *alive ? callback({}) : void(); });
@@ -77,6 +79,7 @@
 
 void FakeWorkerPort::stop(const Ports::StopOrder& order, Ports::WorkerCallback callback)
 {
+    callback = deferWhilePaused(m_hostLoop, std::move(callback));
     m_loop.after(networkDelay, [this, alive = m_isAlive, order, callback] {
         if (auto* worker = findReachable(order.target.worker))
             worker->stop(order, [this, alive, callback](const WorkerAnswer& answer) { m_loop.after(networkDelay, [alive, callback, answer] { *alive ? callback(answer) : void(); }); });
@@ -87,11 +90,13 @@
 
 void FakeWorkerPort::throttle(const Ports::ThrottleOrder&, Ports::WorkerCallback callback)
 {
+    callback = deferWhilePaused(m_hostLoop, std::move(callback));
     m_loop.after(networkDelay, [alive = m_isAlive, callback] { *alive ? callback({ WorkerStatus::Done, WorkerRefusal::None, {} }) : void(); });
 }
 
 void FakeWorkerPort::poll(const Ports::PollOrder& order, Ports::PollCallback callback)
 {
+    callback = deferWhilePaused(m_hostLoop, std::move(callback));
     ++polls[order.target.worker];
     m_loop.after(networkDelay, [this, alive = m_isAlive, order, callback] {
         const auto answered = std::make_shared<bool>(false);
--- a/Source/UnitTests/Jobs/FakeWorkers.h
+++ b/Source/UnitTests/Jobs/FakeWorkers.h
@@ -2,10 +2,10 @@
 
 /// Stand-in workers in virtual time, behind a port that delays calls and loses answers.
 
+#include "HostLoop.h"
 #include "Ports/MachinePort.h"
 #include "Ports/WorkerPort.h"
 #include "Standins/JobWorker.h"
-#include "VirtualLoop.h"
 
 #include <list>
 #include <map>
@@ -20,7 +20,7 @@
 /// One host's port to all workers of a fleet, with a network delay in each direction.
 class FakeWorkerPort final : public Ports::WorkerPort {
 public:
-    FakeWorkerPort(VirtualLoop&, std::map<std::string, std::shared_ptr<FakeWorker>>&);
+    FakeWorkerPort(VirtualLoop&, std::map<std::string, std::shared_ptr<FakeWorker>>&, HostLoop* = nullptr);
 
     void start(const Ports::StartOrder&, Ports::WorkerCallback) override;
     void stop(const Ports::StopOrder&, Ports::WorkerCallback) override;
@@ -49,5 +49,6 @@
 
     VirtualLoop& m_loop;
     std::map<std::string, std::shared_ptr<FakeWorker>>& m_workers;
+    HostLoop* m_hostLoop; ///< Null for a host that is never paused.
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/Source/UnitTests/Jobs/JobFleet.cpp
+++ b/Source/UnitTests/Jobs/JobFleet.cpp
@@ -27,6 +27,7 @@
 
 void FakeMachinePort::list(Ports::MachineListCallback callback)
 {
+    callback = deferWhilePaused(m_hostLoop, std::move(callback));
     std::vector<Jobs::Machine> machines;
     for (const auto& [name, machine] : m_fleet.machines)
         machines.push_back(machine);
@@ -35,6 +36,7 @@
 
 void FakeMachinePort::move(const Ports::MachineOrder& order, Ports::MachineCallback callback)
 {
+    callback = deferWhilePaused(m_hostLoop, std::move(callback));
     m_fleet.moved.push_back(order);
     const auto status = m_fleet.losesMoveAnswers ? Ports::MachineStatus::NoAnswer : Ports::MachineStatus::Done;
     m_fleet.loop.after(peerDelay, [callback, status] { callback(status); });
@@ -42,12 +44,14 @@
 
 void FakeMachinePort::maintain(const Ports::MachineOrder& order, Ports::MachineCallback callback)
 {
+    callback = deferWhilePaused(m_hostLoop, std::move(callback));
     m_fleet.maintained.push_back(order);
     m_fleet.loop.after(peerDelay, [callback] { callback(Ports::MachineStatus::Done); });
 }
 
 void FakeMachinePort::advise(const Jobs::TaskKey& step, const std::vector<std::string>& workers, Ports::AdviceCallback callback)
 {
+    callback = deferWhilePaused(m_hostLoop, std::move(callback));
     if (m_fleet.jobsWithoutAdvice.contains(step.job)) {
         m_fleet.loop.after(adviceTimeout, [callback] { callback(Ports::AdviceStatus::NoAnswer, {}, milliseconds(0)); });
         return;
@@ -75,6 +79,14 @@
     return it == m_fleet.workers.end() || value == "unreadable" ? std::nullopt : std::optional(it->second->entry);
 }
 
+/// The tasks of the loop refer to the ports.
+JobFleet::Host::~Host()
+{
+    node.reset();
+    if (loop)
+        loop->kill();
+}
+
 JobFleet::JobFleet(unsigned hostCount, unsigned workerCount, unsigned coresPerWorker)
 {
     Jobs::QueueRule queue;
@@ -99,13 +111,15 @@
 {
     auto host = std::make_unique<Host>();
     host->name = name;
-    host->store = std::make_unique<FakeStorePort>(store, name);
-    host->workers = std::make_unique<FakeWorkerPort>(loop, workers);
+    host->loop = std::make_unique<HostLoop>(loop);
+    host->store = std::make_unique<FakeStorePort>(store, name, host->loop.get());
+    host->workers = std::make_unique<FakeWorkerPort>(loop, workers, host->loop.get());
     host->peers = std::make_unique<FakePeerPort>(*this, name);
+    host->machines = std::make_unique<FakeMachinePort>(*this, host->loop.get());
     Jobs::JobNodeSettings settings;
     settings.ownership.self = { name, name + ":1", "dc", strengthPermille };
     settings.ownership.incarnation = ++m_incarnations;
-    const Jobs::JobNodePorts ports { loop, *host->store, *host->workers, machinePort, published, *host->peers };
+    const Jobs::JobNodePorts ports { *host->loop, *host->store, *host->workers, *host->machines, published, *host->peers };
     host->node = std::make_unique<Jobs::JobNode>(ports, settings);
     host->node->start();
     hosts[name] = std::move(host);
@@ -118,9 +132,14 @@
     host->store->stop();
     host->workers->kill();
     host->node.reset();
+    host->loop->kill();
     killedHosts.push_back(std::move(host));
 }
 
+void JobFleet::pauseHost(const std::string& name) { hosts.at(name)->loop->pause(); }
+
+void JobFleet::resumeHost(const std::string& name, WakeOrder order) { hosts.at(name)->loop->resume(order); }
+
 std::shared_ptr<FakeWorker> JobFleet::addWorker(const std::string& id, const std::string& machine, unsigned cores)
 {
     Jobs::WorkerEntry entry;
--- a/Source/UnitTests/Jobs/JobFleet.h
+++ b/Source/UnitTests/Jobs/JobFleet.h
@@ -36,8 +36,9 @@
 /// Machine service: lists the machines of the fleet and records the orders that it receives.
 class FakeMachinePort final : public Ports::MachinePort {
 public:
-    explicit FakeMachinePort(JobFleet& fleet)
+    explicit FakeMachinePort(JobFleet& fleet, HostLoop* hostLoop = nullptr)
         : m_fleet(fleet)
+        , m_hostLoop(hostLoop)
     {
     }
 
@@ -48,6 +49,7 @@
 
 private:
     JobFleet& m_fleet;
+    HostLoop* m_hostLoop; ///< Null for a host that is never paused.
 };
 
 /// Published values are names of objects that the fleet holds, instead of their text.
@@ -75,10 +77,14 @@
 class JobFleet {
 public:
     struct Host {
+        ~Host();
+
         std::string name;
+        std::unique_ptr<HostLoop> loop;
         std::unique_ptr<FakeStorePort> store;
         std::unique_ptr<FakeWorkerPort> workers;
         std::unique_ptr<FakePeerPort> peers;
+        std::unique_ptr<FakeMachinePort> machines;
         std::unique_ptr<Jobs::JobNode> node;
     };
 
@@ -87,6 +93,9 @@
     void addHost(const std::string& name, unsigned strengthPermille = 1000);
     /// The process is killed and loses all its state.
     void killHost(const std::string& name);
+    /// The process doesn't run until resumeHost(); what others send to it waits.
+    void pauseHost(const std::string& name);
+    void resumeHost(const std::string& name, WakeOrder = WakeOrder::TimersFirst);
     std::shared_ptr<FakeWorker> addWorker(const std::string& id, const std::string& machine, unsigned cores);
     void publishWorker(const std::string& id);
     /// The worker crashes; its machine is listed as down until a worker with another id, or a new incarnation, runs there.
