A paused owner no longer denies jobs that its successor accepted

What callers saw: after an owner was paused for seconds (or its machine frozen), a job accepted by the next owner was answered `no-such-job` (410) to GET and DELETE at the resumed host, and at hosts that still forwarded to it.

Cause: PoolOwner answers a call that changes nothing from its table as soon as no commit is pending. The fence protects commits, but this answer needs none, and until the next renewal shows that the lease has ended the host still takes itself for the owner.

Ruled out: submissions and cancels of known jobs (they wait for a fenced commit, which deposes the owner), final states (they don't change), starts (mayOrder is asked before each attempt).

Change: an owner that can't prove its lease refuses such a call ("lease-uncertain", 503 with a retry time) instead of denying the job.

--- a/Source/Core/Jobs/Runtime/PoolOwner.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwner.cpp
@@ -21,6 +21,15 @@
     constexpr milliseconds decisionInterval { 10 };
     constexpr milliseconds reportInterval { 1000 }; ///< Of "pool-load" events.
 
+    JobAnswer refusal(const char* reason, milliseconds retryAfter)
+    {
+        JobAnswer answer;
+        answer.outcome = JobOutcome::Refused;
+        answer.reason = reason;
+        answer.retryAfter = retryAfter;
+        return answer;
+    }
+
 } // namespace
 
 PoolOwner::State::State(const OwnerContext& ownerContext, std::string name, Fence ownFence, Hooks ownerHooks)
@@ -166,14 +175,13 @@
 void PoolOwner::State::handle(PoolRequest request, Ports::JobReply reply)
 {
     if (!isServing || journal.stalledFor() > stallLimit) {
-        JobAnswer answer;
-        answer.outcome = JobOutcome::Refused;
-        answer.reason = isServing ? "store-stalled" : "recovering";
-        answer.retryAfter = isServing ? storeRetryAfter : recoveryRetryAfter;
-        reply(answer);
+        reply(isServing ? refusal("store-stalled", storeRetryAfter) : refusal("recovering", recoveryRetryAfter));
         return;
     }
-    const auto answer = answerTo(request);
+    auto answer = answerTo(request);
+    // Another host may have the pool by now, and may have accepted the job.
+    if (answer.outcome == JobOutcome::NoSuchJob && !hooks.mayOrder())
+        answer = refusal("lease-uncertain", recoveryRetryAfter);
     flush();
     // Reply only once the state that the answer rests on is committed.
     journal.append({}, [reply = std::move(reply), answer] { reply(answer); });
--- a/Source/Core/Jobs/Runtime/PoolOwner.h
+++ b/Source/Core/Jobs/Runtime/PoolOwner.h
@@ -44,7 +44,7 @@
     struct Hooks {
         std::function<void()> onDeposed; ///< Another host now owns the pool. Destroy this owner, but not from within the call.
         std::function<bool()> mayExtendLease; ///< See WorkerSession::Hooks.
-        std::function<bool()> mayOrder;
+        std::function<bool()> mayOrder; ///< False while another host may own the pool; jobs that this owner doesn't know aren't denied then.
     };
 
     PoolOwner(const OwnerContext&, std::string pool, Fence, Hooks);
