KeepAliveClient: a call whose time has passed isn't sent after a pause

What was seen: by test only. A call that waited for a connection was sent however long the process had been paused: an order for a machine or a worker, allowed while the host held its lease, could go out seconds after the next holder's orders. The fence catches that at workers and at machine services that check it (requireFencing); where they don't, the next holder relies on orders going out within their timeout.

Cause: a call's deadline is checked by a timer only. When the process continues, the loop may handle the events of connections first: a connection that opened during the pause sends its request, and one that became free passes on to the next waiting call. In the client's own code the deferral of late timers has the same effect.

Ruled out: calls on an idle connection, which are sent in the same step as they are made; a request whose bytes the system holds (dropped by the reset when the call ends).

Evidence: two tests pause the loop's thread in the same round of events.

Change: the deadline is checked against the current time before a waiting call is sent; an expired one ends as not sent.

--- a/Source/Core/Adapters/Platform/KeepAliveClient.cpp
+++ b/Source/Core/Adapters/Platform/KeepAliveClient.cpp
@@ -140,7 +140,19 @@
 
     void onConnectionOpened(KeepAliveConnection& connection) override
     {
-        connection.send(std::exchange(m_calls.at(connection.call).request, {}));
+        auto& running = m_calls.at(connection.call);
+        if (isExpired(running))
+            abort(connection.call);
+        else
+            connection.send(std::exchange(running.request, {}));
+    }
+
+    /// After a pause of the process the loop may handle the events of connections before its timers. What the caller was allowed to
+    /// send when it made the call, it may no longer send then.
+    bool isExpired(const RunningCall& running) const
+    {
+        uv_update_time(m_loop.handle());
+        return running.deadline > 0 && uv_now(m_loop.handle()) >= running.deadline;
     }
 
     void onAnswerProgress(KeepAliveConnection& connection) override
@@ -187,10 +199,14 @@
     void release(KeepAliveConnection& connection)
     {
         auto& server = m_servers[connection.address()];
-        if (!server.waiting.empty()) {
+        while (!server.waiting.empty()) {
             const auto id = server.waiting.front();
             server.waiting.pop_front();
             auto& running = m_calls.at(id);
+            if (isExpired(running)) {
+                m_loop.post([this, id] { abort(id); });
+                continue;
+            }
             attach(id, running, connection);
             connection.send(std::exchange(running.request, {}));
             return;
--- a/Source/UnitTests/Adapters/KeepAliveClientTest.cpp
+++ b/Source/UnitTests/Adapters/KeepAliveClientTest.cpp
@@ -3,9 +3,13 @@
 #include "Adapters/Platform/KeepAliveClient.h"
 #include "Adapters/ScriptedServer.h"
 
+#include <atomic>
+#include <functional>
 #include <future>
 #include <memory>
 #include <string>
+#include <thread>
+#include <utility>
 #include <vector>
 
 using namespace AdapterTests;
@@ -30,7 +34,9 @@
         m_loop->stop();
     }
 
-    std::future<HttpOutcome> post(const std::string& address, const std::string& body, std::chrono::milliseconds timeout = 0ms, bool isIdleTimeout = false)
+    /// `atStart` runs on the loop's thread right after the start of the call; `pause` before the next events of connections, in the
+    /// same round of the loop.
+    std::future<HttpOutcome> post(const std::string& address, const std::string& body, std::chrono::milliseconds timeout = 0ms, bool isIdleTimeout = false, const std::function<void()>& pause = {}, const std::function<void()>& atStart = {})
     {
         Adapters::HttpCall call;
         call.method = "POST";
@@ -39,8 +45,12 @@
         call.timeout = timeout;
         call.isIdleTimeout = isIdleTimeout;
         const auto promise = std::make_shared<std::promise<HttpOutcome>>();
-        m_loop->post([this, promise, call] {
+        m_loop->post([this, promise, call, pause, atStart] {
+            if (pause)
+                m_loop->post(pause);
             m_last = m_client->start(call, [promise](HttpOutcome outcome) { promise->set_value(std::move(outcome)); });
+            if (atStart)
+                atStart();
         });
         return promise->get_future();
     }
@@ -71,6 +81,14 @@
     return socket.send(answer("echo " + request.body));
 }
 
+/// Keeps the calling thread busy for that long, as a paused process does.
+void pauseFor(std::chrono::milliseconds time)
+{
+    const auto until = Common::BootClock::now() + time;
+    while (Common::BootClock::now() < until)
+        std::this_thread::yield();
+}
+
 /// A listener that accepts connections only when the test does; until then, the system buffers what clients send.
 class SilentListener {
 public:
@@ -216,6 +234,46 @@
     CHECK(first.get().end == HttpEnd::Broken);
 }
 
+TEST_CASE("a call whose time passes during a pause of the process isn't sent once its connection opens")
+{
+    ScriptedServer server(25181, echo);
+    Rig rig;
+    const auto outcome = rig.post(server.address(), "x", 20ms, false, [] { pauseFor(100ms); }).get();
+    CHECK(outcome.end == HttpEnd::NotSent);
+    // The same connection or a later one: whatever was sent before has arrived by now.
+    CHECK(rig.post(server.address(), "y").get().end == HttpEnd::Answered);
+    CHECK(server.requests() == 1);
+}
+
+TEST_CASE("a call whose time passes during a pause of the process isn't sent on the connection that it waited for")
+{
+    std::promise<void> isReceived;
+    std::promise<void> mayAnswer;
+    std::atomic<bool> hasAnswered = false;
+    ScriptedServer server(25182, [&, first = true](RawSocket& socket, const HttpMessage& request) mutable {
+        if (std::exchange(first, false)) {
+            isReceived.set_value();
+            mayAnswer.get_future().wait();
+        }
+        const bool isSent = echo(socket, request);
+        hasAnswered = true;
+        return isSent;
+    });
+    Rig rig({ 8, 1, 3000ms });
+    auto first = rig.post(server.address(), "a");
+    isReceived.get_future().wait();
+    auto waiting = rig.post(
+        server.address(), "b", 20ms, false, [] { pauseFor(100ms); }, [&] {
+        mayAnswer.set_value();
+        while (!hasAnswered)
+            std::this_thread::yield(); });
+    auto last = rig.post(server.address(), "c");
+    CHECK(first.get().body == "echo a");
+    CHECK(waiting.get().end == HttpEnd::NotSent);
+    CHECK(last.get().body == "echo c");
+    CHECK(server.requests() == 2);
+}
+
 TEST_CASE("an idle timeout doesn't end a call while parts of its answer arrive, but a plain timeout does")
 {
     constexpr auto limit = 1000ms;
