An answer of the store that is read after a pause isn't contact with the store

What was seen: by test only. An owner without the store extends its workers' leases for 6 s after its last contact, and the next owner takes a worker that it can't reach for free 11.5 s after the takeover, on account of that limit. An owner that was paused with the answer to a renewal unread counted the 6 s from the end of its pause: cut off from the store from then on, but not from a worker that the next owner can't reach, it could keep that worker's runs past the time at which the next owner starts them elsewhere.

Cause: lastContact was set to the time at which the answer is handled. leaseValidUntil, beside it, is counted from the sending.

That the two runs overlap was reckoned, not played: it takes a pause, a cut from the store and a cut of a worker at once.

Change: lastContact is the time at which the renewal was sent, at most 0.9 s (the timeout) earlier than before without a pause.

--- a/Source/Core/Jobs/Runtime/Ownership.cpp
+++ b/Source/Core/Jobs/Runtime/Ownership.cpp
@@ -125,7 +125,7 @@
 void Ownership::State::recordRenewal(Common::Instant sentAt)
 {
     leaseValidUntil = sentAt + settings.leaseTime;
-    lastContact = loop.now();
+    lastContact = sentAt; // The answer may have been read long after it arrived.
 }
 
 void Ownership::State::handleLeaseLapse()
--- a/Source/Core/Jobs/Runtime/Ownership.h
+++ b/Source/Core/Jobs/Runtime/Ownership.h
@@ -90,7 +90,7 @@
     bool owns(const std::string& duty) const;
     /// True while this host's lease can't have expired, counted from the sending of the last renewal that succeeded.
     bool isLeaseValid() const;
-    /// When the store last confirmed a grant or renewal of the lease; the epoch before the first.
+    /// When the last grant or renewal of the lease that the store confirmed was sent; the epoch before the first.
     Common::Instant lastContact() const;
     /// True while this host is registered as a member.
     bool isRegistered() const;
