A machine list requested in an earlier silence of a worker proves nothing

What was seen: by test, a task that ran twice at once. A worker was silent when the owner requested the machine list, and its machine wasn't up; the worker came back, began a task and was cut off. The list, which arrived then, ended the worker's session, and the task was started elsewhere while it still ran.

Cause: the owner compares the workers that were silent at the request with those silent at the answer, but not whether it is the same silence.

Ruled out: a lapse of the worker's lease (cut off for 4.5 s, the lease lasts 5 s).

Change: silent workers are kept with the beginning of their silence, and the list counts only for a silence that lasts since the request.

--- a/Source/Core/Jobs/Runtime/PoolOwnerState.h
+++ b/Source/Core/Jobs/Runtime/PoolOwnerState.h
@@ -39,7 +39,7 @@
     void requestMachineList();
     /// Requests the list once it is long enough since the last request.
     void scheduleMachineList();
-    void checkSilentWorkers(const std::set<std::string>& silentBefore, const std::vector<Machine>& machines);
+    void checkSilentWorkers(const std::map<std::string, Common::Instant>& silentBefore, const std::vector<Machine>& machines);
     void checkSilentWorker(const std::string& id, const Machine*);
     void onPollAnswered(const std::string& id, const Ports::PollAnswer&, Common::Instant sentAt);
     void onWorkerListed(const WorkerEntry&);
@@ -67,7 +67,7 @@
     Journal journal;
     std::map<std::string, WorkerEntry> entries; ///< Listed workers of the pool.
     std::map<std::string, std::string> knownMachines; ///< Machine by worker, also of workers that are no longer listed.
-    std::set<std::string> silentWorkers; ///< Workers that don't answer polls.
+    std::map<std::string, Common::Instant> silentWorkers; ///< Workers that don't answer polls, with the beginning of their silence.
     std::set<std::string> pendingRemovals; ///< Workers whose entries were removed less than `removalGrace` ago.
     std::set<std::string> cordonedMachines; ///< Machines whose workers are to be drained.
     std::map<std::string, std::unique_ptr<WorkerSession>> sessions;
--- a/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
@@ -51,7 +51,7 @@
     result.onFailing = [this, id](Common::Instant aliveUntil) { core.onWorkerFailing(id, aliveUntil, moment()); };
     result.onSilent = [this, id] {
         core.onWorkerUnresponsive(id, moment());
-        silentWorkers.insert(id);
+        silentWorkers.emplace(id, loop.now());
         scheduleMachineList();
         scheduleDecision();
     };
@@ -92,7 +92,7 @@
     isMachineListPending = true;
     loop.cancel(machineListTimer);
     machineListRequestedAt = loop.now();
-    // The list proves nothing about a worker that has become silent since it was requested.
+    // The list proves nothing about a worker that has become silent since it was requested, for the first time or again.
     context.machines.list([self = weak_from_this(), silentBefore = silentWorkers](bool isComplete, const std::vector<Machine>& machines) {
         const auto state = self.lock();
         if (!state || state->isClosed)
@@ -106,7 +106,7 @@
     });
 }
 
-void PoolOwner::State::checkSilentWorkers(const std::set<std::string>& silentBefore, const std::vector<Machine>& machines)
+void PoolOwner::State::checkSilentWorkers(const std::map<std::string, Common::Instant>& silentBefore, const std::vector<Machine>& machines)
 {
     std::unordered_map<std::string_view, const Machine*> byName;
     std::unordered_map<std::string_view, const Machine*> byWorker;
@@ -114,8 +114,9 @@
         byName.emplace(it.name, &it);
         byWorker.emplace(it.worker, &it);
     }
-    for (const auto& id : silentBefore) {
-        if (!silentWorkers.contains(id))
+    for (const auto& [id, since] : silentBefore) {
+        const auto silent = silentWorkers.find(id);
+        if (silent == silentWorkers.end() || silent->second != since)
             continue;
         // For a worker known from the journal only, look for a machine that still runs it.
         const auto known = knownMachines.find(id);
@@ -190,11 +191,11 @@
 /// A silent worker needn't be waited for once its machine has started another one.
 void PoolOwner::State::confirmSuccession(const WorkerEntry& later)
 {
-    const auto earlier = std::ranges::find_if(silentWorkers, [&](const auto& id) { return entries.contains(id) && isSuccessor(later, entries.at(id)); });
+    const auto earlier = std::ranges::find_if(silentWorkers, [&](const auto& it) { return entries.contains(it.first) && isSuccessor(later, entries.at(it.first)); });
     if (earlier == silentWorkers.end())
         return;
     const auto node = silentWorkers.extract(earlier);
-    const auto& id = node.value();
+    const auto& id = node.key();
     log({ "worker-gone", id, { { "machine", later.machine }, { "listed", later.id }, { "reason", nameOf(WorkerLoss::Crashed) } } });
     if (const auto it = sessions.find(id); it != sessions.end())
         it->second->confirmGone(WorkerLoss::Crashed);
--- a/Source/UnitTests/Jobs/SilentWorkersTest.cpp
+++ b/Source/UnitTests/Jobs/SilentWorkersTest.cpp
@@ -74,6 +74,31 @@
     CHECK(fleet.runMonitor.duplicateRuns == 0);
 }
 
+// The list shows the worker's machine before it came back, and arrives once the worker is silent again.
+TEST_CASE("a machine list that was requested in an earlier silence of a worker doesn't end the runs it has begun since")
+{
+    JobFleet fleet(1, 1);
+    fleet.setRunTime(20s);
+    fleet.settle();
+    auto& worker = *fleet.workers.at("w0");
+    fleet.machineListDelay = 8s;
+    fleet.machines.at("m0").state = Machine::State::Moving;
+    worker.isPartitioned = true;
+    fleet.runFor(3500ms);
+    fleet.machines.at("m0").state = Machine::State::Up;
+    worker.isPartitioned = false;
+    fleet.runFor(2500ms);
+    CHECK(fleet.call("host-0", Ports::JobVerb::Submit, jobId(1), oneStep(1, 20s))->outcome == Ports::JobOutcome::Accepted);
+    fleet.addWorker("w1", "m1", 4);
+    fleet.publishWorker("w1");
+    fleet.runFor(500ms);
+    REQUIRE(worker.isBusy());
+    worker.isPartitioned = true;
+    fleet.runFor(4500ms);
+    CHECK(fleet.runMonitor.starts == 1);
+    CHECK(fleet.runMonitor.duplicateRuns == 0);
+}
+
 TEST_CASE("the delay between polls grows with the failures, and more slowly while runs depend on the worker")
 {
     for (unsigned failed = 1; failed < 20; ++failed) {
