A claim fails if the duty was held and lost since the claimer last saw it

What was seen: by test. A host that had seen a duty's release was paused before its turn to claim; another host claimed the duty, and its lease lapsed. The first host's claim succeeded, and it took its predecessor for one that had stopped acting: no cooldown of all machines until the intents are read, and leases of the predecessor's workers counted as lapsed after 5.25 s instead of 11.5 s.

Cause: a claim compares only that the duty's key doesn't exist, which holds again after a lapse. Who the predecessor is, the claimer takes from its own view of the term, which may be older.

Ruled out: the claim of a duty that an earlier incarnation of the host still holds; it compares the key's revision, which changes with each term. It stays as it is.

Evidence: the new test, before: predecessor Released; after: the first claim fails, the second, once the feed is read, has Lapsed.

Change: a claim also compares the revision of the term that it relies on. A term that is deleted is forgotten, or the claim would fail for ever.

--- a/Source/Core/Jobs/Runtime/Ownership.cpp
+++ b/Source/Core/Jobs/Runtime/Ownership.cpp
@@ -163,7 +163,7 @@
         const std::string duty(key.substr(std::string_view(StoreKeys::owners).size()));
         handleOwnerChange(duty, pair.value, static_cast<Fence>(pair.modRevision));
     } else if (key.starts_with(StoreKeys::terms)) {
-        terms[std::string(key.substr(std::string_view(StoreKeys::terms).size()))] = pair.value;
+        terms[std::string(key.substr(std::string_view(StoreKeys::terms).size()))] = pair;
     }
     evaluateSoon();
     hooks.changed();
@@ -205,6 +205,8 @@
             ownedDuties.erase(it);
             loseDuty(duty, fence, "key-removed");
         }
+    } else if (key.starts_with(StoreKeys::terms)) {
+        terms.erase(std::string(key.substr(std::string_view(StoreKeys::terms).size())));
     }
     evaluateSoon();
     hooks.changed();
--- a/Source/Core/Jobs/Runtime/OwnershipDuties.cpp
+++ b/Source/Core/Jobs/Runtime/OwnershipDuties.cpp
@@ -25,7 +25,7 @@
 std::string Ownership::State::lastHolder(const std::string& duty) const
 {
     const auto term = terms.find(duty);
-    return term == terms.end() ? std::string() : term->second.substr(0, term->second.find(' '));
+    return term == terms.end() ? std::string() : term->second.value.substr(0, term->second.value.find(' '));
 }
 
 DutyCounts Ownership::State::dutyCounts() const
@@ -143,9 +143,11 @@
 {
     pendingClaims.insert(duty);
     const auto term = terms.find(duty);
-    predecessors[duty] = term == terms.end() ? Predecessor::None : predecessorOf(term->second);
+    predecessors[duty] = term == terms.end() ? Predecessor::None : predecessorOf(term->second.value);
     Ports::Transaction transaction;
     transaction.compares = { { keyOf(duty), static_cast<std::int64_t>(expectedRevision) } };
+    if (expectedRevision == 0)
+        transaction.compares.push_back({ StoreKeys::terms + duty, term == terms.end() ? 0 : term->second.modRevision });
     transaction.puts = { { keyOf(duty), ownerText(), lease }, { StoreKeys::terms + duty, ownerText(), 0 } };
     platform.transact(std::move(transaction), [self = shared_from_this(), duty](const Ports::PlatformReply& reply) {
         self->pendingClaims.erase(duty);
--- a/Source/Core/Jobs/Runtime/OwnershipState.h
+++ b/Source/Core/Jobs/Runtime/OwnershipState.h
@@ -57,7 +57,8 @@
     /// Claims the duties that are still held by an earlier incarnation of this host, without waiting for that one's lease to
     /// lapse.
     void reclaim();
-    /// Claims a duty if its key is still at the revision; zero when the key must not exist.
+    /// Claims a duty if its key is still at the revision; zero when the key must not exist. In that case the term must be the one that
+    /// this host knows, too: the duty may have been held and lost in between.
     void claim(const std::string& duty, Fence expectedRevision);
     void handleClaimFailure(const std::string& duty, Ports::PlatformStatus status);
     void becomeHolder(const std::string& duty, Fence fence);
@@ -76,7 +77,7 @@
     std::map<std::string, MemberInfo> members;
     std::map<std::string, OwnerInfo> owners;
     std::map<std::string, Fence> ownedDuties; ///< Duties that this host holds.
-    std::map<std::string, std::string> terms; ///< By duty: the text of its last holder, or that it was released.
+    std::map<std::string, Ports::KeyValue> terms; ///< By duty: its last holder, or that it was released, as last seen in the store.
     std::map<std::string, Predecessor> predecessors; ///< By duty, as of this host's last claim.
     std::map<std::string, Fence> releasedFences; ///< By duty: events with this fence or an older one are stale.
     std::set<std::string> duties;
--- a/Source/UnitTests/Jobs/PausedHostsTest.cpp
+++ b/Source/UnitTests/Jobs/PausedHostsTest.cpp
@@ -1,10 +1,13 @@
 /// Hosts that don't run for some seconds and then go on with a view that has become outdated meanwhile.
 
 #include "JobFleet.h"
+#include "Jobs/Runtime/MemberText.h"
+#include "Jobs/Runtime/StoreKeys.h"
 
 #include <doctest/doctest.h>
 #include <string>
 #include <utility>
+#include <vector>
 
 using namespace Jobs;
 using namespace std::chrono_literals;
@@ -68,3 +71,48 @@
         }
     }
 }
+
+// The claimer has seen a release. During its pause the next holder claims the duty and its lease lapses, so that it may still act.
+TEST_CASE("a claim that was decided before a pause doesn't rely on the release by an earlier holder than the last")
+{
+    VirtualLoop loop;
+    HostLoop hostLoop(loop);
+    FakeStore store { loop };
+    FakeStorePort port(store, "claimer", &hostLoop);
+    const auto term = std::string(StoreKeys::terms) + "desk";
+    const auto hold = [&](const std::string& holder) {
+        store.put(Ownership::keyOf("desk"), holder);
+        store.put(term, holder);
+    };
+    const auto endHold = [&](const std::string& newTerm) {
+        Ports::Transaction transaction;
+        transaction.deletes = { Ownership::keyOf("desk") };
+        transaction.puts = { { term, newTerm, 0 } };
+        store.state.transact(transaction, loop.now());
+    };
+    hold("first 1");
+    // They have their turn first and miss it: the claimer's claim waits.
+    for (const std::string name : { "second", "third", "fourth", "fifth" })
+        store.put(StoreKeys::members + name, formatMember({ name, name + ":1", "dc", 2000 }));
+    OwnershipSettings settings;
+    settings.self = { "claimer", "claimer:1", "dc", 1000 };
+    std::vector<Predecessor> predecessors;
+    Ownership::Hooks hooks;
+    hooks.acquired = [&predecessors](const std::string&, Fence, Predecessor predecessor) { predecessors.push_back(predecessor); };
+    hooks.changed = [] {};
+    Ownership ownership(hostLoop, port, settings, std::move(hooks));
+    ownership.start();
+    ownership.setDuties({ "desk" });
+    loop.runFor(1500ms);
+    endHold("released");
+    loop.runFor(settings.claimStagger / 2);
+    hostLoop.pause();
+    hold("second 2");
+    endHold("second 2");
+    loop.runFor(1s);
+    CHECK(predecessors.empty());
+    hostLoop.resume(WakeOrder::TimersFirst);
+    loop.runFor(3s);
+    REQUIRE(predecessors.size() == 1);
+    CHECK(predecessors.front() == Predecessor::Lapsed);
+}
