Test: a worker whose entry is withdrawn while nobody watches isn't used again

Operators of similar systems had servers that had left in use again after a restart. Here it wasn't found: hosts that restart, that were paused or were without the store read the entries anew. With the comparison of a reread feed taken out the case without the store fails.

--- a/Source/UnitTests/Jobs/TakeoverTest.cpp
+++ b/Source/UnitTests/Jobs/TakeoverTest.cpp
@@ -226,3 +226,51 @@
     CHECK(unknown == 0);
     CHECK(ownerlessFor < 300ms);
 }
+
+namespace {
+
+/// Withdraws a worker's entry during the outage; true if the worker is given tasks of a job that is submitted 4 s later.
+template<class Outage>
+bool isUsedAfterWithdrawal(Outage&& outage)
+{
+    JobFleet fleet(3, 3);
+    fleet.setRunTime(30s);
+    fleet.settle();
+    outage(fleet, [&fleet] { fleet.unpublishWorker("w0"); });
+    fleet.runFor(4s);
+    const auto answer = fleet.call("host-0", Ports::JobVerb::Submit, jobId(1), oneStep(12, 30s));
+    REQUIRE(answer);
+    REQUIRE(answer->outcome == Ports::JobOutcome::Accepted);
+    fleet.runFor(2s);
+    REQUIRE(fleet.runMonitor.starts == 8);
+    return fleet.workers.at("w0")->isBusy();
+}
+
+} // namespace
+
+TEST_CASE("a worker whose entry is withdrawn while hosts restart, are paused or without the store isn't used again")
+{
+    CHECK_FALSE(isUsedAfterWithdrawal([](JobFleet& fleet, const auto& withdraw) {
+        for (unsigned n = 0; n < 3; ++n)
+            fleet.killHost("host-" + std::to_string(n));
+        fleet.runFor(300ms);
+        withdraw();
+        for (unsigned n = 0; n < 3; ++n)
+            fleet.addHost("host-" + std::to_string(n));
+    }));
+    CHECK_FALSE(isUsedAfterWithdrawal([](JobFleet& fleet, const auto& withdraw) {
+        fleet.store.isDown = true;
+        fleet.runFor(1s);
+        withdraw();
+        fleet.runFor(4s);
+        fleet.store.isDown = false;
+    }));
+    CHECK_FALSE(isUsedAfterWithdrawal([](JobFleet& fleet, const auto& withdraw) {
+        const auto owner = fleet.ownerOf("desk");
+        fleet.pauseHost(owner);
+        fleet.runFor(500ms);
+        withdraw();
+        fleet.runFor(500ms);
+        fleet.resumeHost(owner, WakeOrder::TimersFirst);
+    }));
+}
