--- a/Source/UnitTests/Jobs/JobFleet.cpp
+++ b/Source/UnitTests/Jobs/JobFleet.cpp
@@ -10,6 +10,7 @@
 
 constexpr milliseconds peerDelay { 1 };
 constexpr milliseconds adviceTimeout { 4000 };
+constexpr milliseconds machineTimeout { 1500 };
 
 } // namespace
 
@@ -38,6 +39,7 @@
 {
     callback = deferWhilePaused(m_hostLoop, std::move(callback));
     m_fleet.moved.push_back(order);
+    m_fleet.machineOrders.emplace_back(m_fleet.loop.now(), order);
     const auto status = m_fleet.losesMoveAnswers ? Ports::MachineStatus::NoAnswer : Ports::MachineStatus::Done;
     m_fleet.loop.after(peerDelay, [callback, status] { callback(status); });
 }
@@ -46,7 +48,10 @@
 {
     callback = deferWhilePaused(m_hostLoop, std::move(callback));
     m_fleet.maintained.push_back(order);
-    m_fleet.loop.after(peerDelay, [callback] { callback(Ports::MachineStatus::Done); });
+    m_fleet.machineOrders.emplace_back(m_fleet.loop.now(), order);
+    const bool isLost = m_fleet.maintenanceAnswersToLose > 0;
+    m_fleet.maintenanceAnswersToLose -= isLost ? 1 : 0;
+    m_fleet.loop.after(isLost ? machineTimeout : peerDelay, [callback, isLost] { callback(isLost ? Ports::MachineStatus::NoAnswer : Ports::MachineStatus::Done); });
 }
 
 void FakeMachinePort::advise(const Jobs::TaskKey& step, const std::vector<std::string>& workers, Ports::AdviceCallback callback)
--- a/Source/UnitTests/Jobs/JobFleet.h
+++ b/Source/UnitTests/Jobs/JobFleet.h
@@ -131,7 +131,9 @@
     std::map<std::string, Jobs::Machine> machines;
     std::vector<Ports::MachineOrder> maintained;
     std::vector<Ports::MachineOrder> moved;
+    std::vector<std::pair<Common::Instant, Ports::MachineOrder>> machineOrders; ///< Both kinds, with the time.
     bool losesMoveAnswers = false;
+    unsigned maintenanceAnswersToLose = 0; ///< Number of next orders that are carried out but not answered.
     std::chrono::milliseconds downTime { 3000 }; ///< From a worker's crash to its return.
     bool closesConnections = false; ///< Crashed workers' connections end at once, and their machines refuse new ones.
     bool keepsWorkerIds = false; ///< Crashed workers return under their old ids.
