A lost answer no longer sets a completed wave back to running

What was seen: by test. A wave of machines that an earlier holder had done was shown as `running` for ever: its status was written as `completed`, then as `running` again.

Cause: each status was written and repeated on its own. The answer to `running` was lost; 1.3 s later it was repeated, after `completed` had been stored. Both are under the same fence. During an outage of the store both are repeated, and the last one counts.

Ruled out: the wave's progress (what is done is read anew at each repetition).

Evidence: the new test loses the answer to the first write.

Change: one write of a wave's status at a time; a repetition writes the latest one. A write that takes effect after its timeout and after a later one isn't excluded by this.

--- a/Source/Core/Jobs/Runtime/FleetDuty.cpp
+++ b/Source/Core/Jobs/Runtime/FleetDuty.cpp
@@ -378,21 +378,35 @@
         log("wave-completed", std::to_string(number), {});
         completedWaves.insert(number);
         waves.erase(number);
-        writeStatus(number, true);
+        setStatus(number, true);
     }
 
-    void writeStatus(std::uint64_t number, bool isCompleted)
+    /// One write of a wave's status at a time: a repeated one could replace a later status.
+    void setStatus(std::uint64_t number, bool isCompleted)
     {
+        const auto [it, isFirst] = unsettledStatus.insert_or_assign(number, isCompleted);
+        if (isFirst)
+            writeStatus(number);
+    }
+
+    void writeStatus(std::uint64_t number)
+    {
+        const bool isCompleted = unsettledStatus.at(number);
         Ports::Transaction transaction;
         transaction.compares = { { Ownership::keyOf(fleetDuty), static_cast<std::int64_t>(fence) } };
         transaction.puts = { context.published.waveStatus(number, isCompleted) };
         context.platform.transact(std::move(transaction), [self = weak_from_this(), number, isCompleted](const Ports::PlatformReply& reply) {
             const auto state = self.lock();
-            if (!state || state->isOver || state->isWriteSettled(reply, "wave-status", number))
+            if (!state || state->isOver)
+                return;
+            const bool isSettled = state->isWriteSettled(reply, "wave-status", number);
+            if (isSettled && state->unsettledStatus.at(number) == isCompleted) {
+                state->unsettledStatus.erase(number);
                 return;
-            state->loop.after(orderRetry, [self, number, isCompleted] {
+            }
+            state->loop.after(isSettled ? milliseconds(0) : orderRetry, [self, number] {
                 if (const auto it = self.lock(); it && !it->isOver)
-                    it->writeStatus(number, isCompleted);
+                    it->writeStatus(number);
             });
         });
     }
@@ -423,7 +437,7 @@
             const auto done = reply.values.empty() ? std::set<std::string>() : parseNames(reply.values.front().value);
             log("wave-started", std::to_string(wave.number), { { "machines", std::to_string(wave.machines.size()) }, { "done", std::to_string(done.size()) }, { "maximum", std::to_string(wave.maximumDown) } });
             state->waves.emplace(wave.number, WaveRun(wave, done));
-            state->writeStatus(wave.number, false);
+            state->setStatus(wave.number, false);
             state->nextListAt = {};
             state->scheduleStep(milliseconds(1));
         });
@@ -444,6 +458,7 @@
     std::map<std::string, PoolLoad> loads;
     std::map<std::uint64_t, WaveRun> waves;
     std::set<std::uint64_t> completedWaves;
+    std::map<std::uint64_t, bool> unsettledStatus; ///< By wave whose status is being written: whether it is completed.
     std::set<std::uint64_t> loadingWaves; ///< Waves whose progress is being read from the store.
     std::set<std::string> cordon;
     std::size_t pendingLoads = 0;
--- a/Source/UnitTests/Jobs/OrderIntentsTest.cpp
+++ b/Source/UnitTests/Jobs/OrderIntentsTest.cpp
@@ -271,3 +271,26 @@
     fleet.runFor(50ms);
     CHECK(fleet.runMonitor.starts == 6);
 }
+
+TEST_CASE("a wave that is completed stays so although the answer to its earlier status was lost")
+{
+    JobFleet fleet(0, 1);
+    FakeStorePort store(fleet.store, "host-0");
+    fleet.store.put(Ownership::keyOf(fleetDuty), "host-0 1");
+    const auto fence = static_cast<Fence>(fleet.store.state.revision());
+    fleet.store.put(std::string(StoreKeys::waves) + "1", "m0");
+    const auto requestLoad = [](const LoadCall&, const std::function<void(const LoadCallAnswer&)>& callback) {
+        LoadCallAnswer answer;
+        answer.isOwner = true;
+        callback(answer);
+    };
+    FleetDuty duty({ fleet.loop, store, fleet.machinePort, fleet.published, "host-0", {}, Predecessor::None, requestLoad, [] { return true; } }, fence);
+    duty.configure(fleet.configuration);
+    duty.begin();
+    fleet.store.answersToLose = 1; // Of "running".
+    duty.addWave({ 1, { "m0" }, 60s, 1 });
+    fleet.runFor(5s);
+    const auto reply = fleet.store.state.read("status/1", false, fleet.loop.now());
+    REQUIRE(reply.values.size() == 1);
+    CHECK(reply.values.front().value == "completed");
+}
