Suspects use idle workers, and starts are spaced while tasks crash their workers

Cause: a third of the candidates at most tried suspects, one each in about 0.3 s, however idle the others were; and each crash made suspects of all that had started on the worker in the last 0.2 s, six for a crash on average, most of them innocent. So suspicions were made faster than cleared. Class: a safeguard with a bound of its own that ignores free capacity, fed by evidence that is coarser than it need be.

Change: what no other task takes in a pass is left to suspects (lendIdleWorkers). While other tasks wait, a third of the pool is set aside as before, half once a suspect has waited for 5 s, and workers that the tests have just crashed count as set aside. How soon tasks crash their workers is learnt from those that are given up (StartSpacing): starts on one worker are kept that far apart for 10 s after a crash, and only the starts within that time are suspected. Suspects are tried one by one until that is known. Suspects start on the workers with the fewest runs.

--- a/Source/Core/Jobs/Decision/CrashEvidence.cpp
+++ b/Source/Core/Jobs/Decision/CrashEvidence.cpp
@@ -13,6 +13,11 @@
     constexpr unsigned guiltySuspected = 3; ///< Suspected, whoever else was.
     constexpr unsigned guiltySinceProven = 4; ///< The platform allows two starts after the third crash.
     constexpr unsigned guiltyUnexplained = 5; ///< The same, for tasks that crash workers later than just after their start.
+    constexpr milliseconds timingError { 12 }; ///< Of the times of starts and crashes, as their owner sees them.
+    constexpr milliseconds unlearntSpacing { 50 };
+    constexpr milliseconds longestSpacing { 100 };
+    constexpr std::chrono::seconds spacedFor { 10 }; ///< After the latest crash that a task may explain.
+    constexpr std::size_t learntAges = 8;
     constexpr std::chrono::minutes historyLength { 10 };
     constexpr std::size_t maximumCrashes = 1000;
 
@@ -24,9 +29,11 @@
 
 } // namespace
 
-std::vector<CrashVerdict> judgeCrash(const std::vector<CrashWitness>& witnesses, bool crashesByItself)
+std::vector<CrashVerdict> judgeCrash(const std::vector<CrashWitness>& witnesses, bool crashesByItself, milliseconds window)
 {
-    const auto isSuspect = [](const CrashWitness& it) { return !it.isProven; };
+    const auto isRecent = [&](const CrashWitness& it) { return !it.isProven && (it.isDoubtful ? it.isUnconfirmed && window > milliseconds(0) : it.age < window); };
+    const bool hasRecent = std::ranges::any_of(witnesses, isRecent);
+    const auto isSuspect = [&](const CrashWitness& it) { return hasRecent ? isRecent(it) : !it.isProven; };
     const auto first = std::ranges::find_if(witnesses, isSuspect);
     const bool isAlone = std::ranges::all_of(witnesses, [&](const auto& it) { return !isSuspect(it) || isSameSuspect(it, *first); });
     const bool blamesBystanders = first == witnesses.end() && !crashesByItself;
@@ -40,6 +47,7 @@
         if (verdict.isSuspect) {
             ++tally.sinceProven;
             tally.suspected = it.isDoubtful ? std::max(tally.suspected, 1U) : tally.suspected + 1;
+            verdict.isExplanation = !it.isDoubtful && isAlone;
             verdict.isGuilty = (!it.isDoubtful && tally.suspected >= enough) || tally.sinceProven >= guiltySinceProven;
         }
         verdict.isGuilty = verdict.isGuilty || isTooOften(tally);
@@ -48,10 +56,37 @@
     return verdicts;
 }
 
+void StartSpacing::learn(milliseconds age)
+{
+    if (m_ages.size() >= learntAges)
+        m_ages.pop_front();
+    m_ages.push_back(age);
+}
+
+milliseconds StartSpacing::at(Common::Instant now) const
+{
+    if (m_latestCrash == Common::Instant() || now - m_latestCrash > spacedFor)
+        return milliseconds(0);
+    if (m_ages.empty())
+        return unlearntSpacing;
+    const auto spacing = std::ranges::max(m_ages) + 2 * timingError;
+    return spacing <= longestSpacing ? spacing : milliseconds(0);
+}
+
+milliseconds StartSpacing::window(Common::Instant now) const
+{
+    const auto spacing = at(now);
+    return m_ages.empty() || spacing == milliseconds(0) ? milliseconds(0) : spacing - timingError;
+}
+
 bool isTooOften(const CrashTally& tally) { return tally.unexplained >= guiltyUnexplained; }
 
-void CrashHistory::add(const std::string& machine, Witnesses witnesses, Common::Instant now)
+void CrashHistory::add(const std::string& machine, Witnesses witnesses, bool isTest, Common::Instant now)
 {
+    if (isTest)
+        m_tests.push_back(now);
+    if (m_tests.size() > maximumCrashes)
+        m_tests.pop_front();
     if (m_crashes.size() >= maximumCrashes)
         m_crashes.pop_front();
     m_crashes.push_back({ machine, std::move(witnesses), now });
@@ -103,6 +138,11 @@
     return static_cast<std::size_t>(std::ranges::count(m_crashes, machine, &Crash::machine));
 }
 
+std::size_t CrashHistory::countOfTests(Common::Instant since) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_tests, [since](const auto& it) { return it >= since; }));
+}
+
 bool CrashHistory::isWitness(const std::string& machine, const TaskKey& task) const
 {
     return !machine.empty() && std::ranges::any_of(m_crashes, [&](const auto& it) { return it.machine == machine && it.witnesses.contains(task); });
@@ -112,6 +152,8 @@
 {
     while (!m_crashes.empty() && now - m_crashes.front().at > historyLength)
         m_crashes.pop_front();
+    while (!m_tests.empty() && now - m_tests.front() > historyLength)
+        m_tests.pop_front();
 }
 
 } // namespace Jobs
--- a/Source/Core/Jobs/Decision/CrashEvidence.h
+++ b/Source/Core/Jobs/Decision/CrashEvidence.h
@@ -22,6 +22,8 @@
     bool isDoubtful = false; ///< See LostRun; or it was lost in an earlier crash of the same machine.
     bool isProven = false; ///< Had outlived its start there.
     bool isGang = false; ///< Members of a gang start together and are suspected as one.
+    bool isUnconfirmed = false; ///< See LostRun.
+    milliseconds age { 0 }; ///< From its start to the crash; zero when doubtful.
 };
 
 /// What follows from a crash for one witness.
@@ -29,28 +31,51 @@
     CrashTally tally;
     bool isSuspect = false;
     bool isGuilty = false; ///< The task must not be started again.
+    bool isExplanation = false; ///< Nothing else explains the crash.
 };
 
 /// One verdict for each witness, in their order. Suspects are those that hadn't outlived their starts. On a worker that is known to
-/// crash by itself more evidence is needed.
-std::vector<CrashVerdict> judgeCrash(const std::vector<CrashWitness>&, bool crashesByItself);
+/// crash by itself more evidence is needed. Where a `window` is known (zero otherwise), only those that may have
+/// started less than that before the crash are suspected, if there are any.
+std::vector<CrashVerdict> judgeCrash(const std::vector<CrashWitness>&, bool crashesByItself, milliseconds window = milliseconds(0));
 
 /// True when so many crashes are left unexplained that the task must not be started again.
 bool isTooOften(const CrashTally&);
 
+/// Learns from the tasks that were given up how soon after their starts tasks crash their workers. Answers with the time between
+/// starts on one worker that leaves a single task to explain a crash.
+class StartSpacing {
+public:
+    /// A task was given up that had crashed its worker `age` after its start.
+    void learn(milliseconds age);
+    /// A worker has crashed, and tasks are suspected.
+    void onCrash(Common::Instant now) { m_latestCrash = now; }
+    /// Zero when starts needn't be spaced: there was no such crash lately, or tasks crash their workers too late for that.
+    milliseconds at(Common::Instant now) const;
+    /// Tasks that started longer before a crash don't explain it. Zero while that isn't known, or starts aren't spaced.
+    milliseconds window(Common::Instant now) const;
+
+private:
+    std::deque<milliseconds> m_ages; ///< Of the latest tasks given up.
+    Common::Instant m_latestCrash {};
+};
+
 /// Remembers recent crashes by machine, and whether a task explains them. Bounded; forgets crashes after ten minutes.
 class CrashHistory {
 public:
     /// By witness, how much its tally grew by the crash. A witness whose `suspected` grew may explain it.
     using Witnesses = std::map<TaskKey, CrashTally>;
 
-    void add(const std::string& machine, Witnesses, Common::Instant now);
+    /// `isTest`: a task was on the worker that had been suspected before.
+    void add(const std::string& machine, Witnesses, bool isTest, Common::Instant now);
     /// The task has outlived its start: it explains no crash. Returns the other tasks of crashes that are left without a suspect.
     std::set<TaskKey> acquit(const TaskKey&);
     /// The task has crashed the workers on which it was suspected. Returns what doesn't count against the other tasks any more.
     Witnesses convict(const TaskKey&);
     /// Crashes of the machine's workers that no task explains so far.
     std::size_t countOf(const std::string& machine) const;
+    /// Crashes since then under tasks that had been suspected before.
+    std::size_t countOfTests(Common::Instant since) const;
     /// True when the task is a witness of an earlier crash of the machine's worker.
     bool isWitness(const std::string& machine, const TaskKey&) const;
     /// True when a crash of the machine's worker is left without a suspect.
@@ -68,6 +93,7 @@
     };
 
     std::deque<Crash> m_crashes;
+    std::deque<Common::Instant> m_tests; ///< Times of crashes under tasks that had been suspected before.
 };
 
 } // namespace Jobs
--- a/Source/Core/Jobs/Decision/Placement.cpp
+++ b/Source/Core/Jobs/Decision/Placement.cpp
@@ -30,12 +30,12 @@
     {
         if (suspicion == Suspicion::None)
             return !candidate.isQuarantined;
-        return candidate.suspectSlots > 0 && (suspicion == Suspicion::Some || candidate.suspectsPlaced == 0);
+        return suspicion == Suspicion::Some ? candidate.takesSuspects : candidate.takesStrongSuspects;
     }
 
     bool isSuitable(const Candidate& candidate, const PlacementRequest& request)
     {
-        return passesQuarantine(candidate, request.suspicion) && reservedBy(*request.step).fitsInto(candidate.room) && meetsConstraints(*candidate.worker, request);
+        return !candidate.isSpaced && passesQuarantine(candidate, request.suspicion) && reservedBy(*request.step).fitsInto(candidate.room) && meetsConstraints(*candidate.worker, request);
     }
 
     /// Number of runs that would slow down a task of the step, or be slowed down by it.
@@ -62,6 +62,8 @@
         const bool isRemote = !step.dataRack.empty() && worker.entry.rack != step.dataRack;
         const bool isOffPreferredRack = !request.preferredRack.empty() && worker.entry.rack != request.preferredRack;
         const auto room = static_cast<std::int64_t>(candidate.room.milliCores);
+        if (request.suspicion != Suspicion::None)
+            return { isUnreliable, isRemote, isOffPreferredRack, worker.failuresInRow, candidate.hasLastingTasks, static_cast<std::int64_t>(worker.runs.size()) };
         if (!step.isLasting && !step.isFiller)
             return { isUnreliable, isRemote, isOffPreferredRack, worker.failuresInRow, !candidate.hasLastingTasks, room };
         const auto count = countOf(*request.placedByWorker, worker.entry.id);
--- a/Source/Core/Jobs/Decision/Placement.h
+++ b/Source/Core/Jobs/Decision/Placement.h
@@ -21,15 +21,16 @@
     bool hasLastingTasks = false;
     bool crashesByItself = false; ///< Tasks that have been lost in a crash prefer others.
     bool isQuarantined = false; ///< Takes only suspects.
-    unsigned suspectSlots = 0; ///< Number of suspects that may be placed there in this pass.
-    unsigned suspectsPlaced = 0; ///< In this pass.
+    bool takesSuspects = false; ///< Of the kind Some.
+    bool takesStrongSuspects = false;
+    bool isSpaced = false; ///< Takes no more starts in this pass; see StartSpacing.
 };
 
 /// Whether a task may crash its worker, so that it must be kept apart from others.
 enum class Suspicion {
     None,
-    Some, ///< May share a worker with other suspects.
-    Strong, ///< Must be the only suspect on its worker.
+    Some, ///< Other starts on the worker must be spaced from its own.
+    Strong, ///< No other run may start on its worker before it has outlived its start.
 };
 
 /// A candidate with the worker's current free capacity.
--- a/Source/Core/Jobs/Decision/PoolCore.cpp
+++ b/Source/Core/Jobs/Decision/PoolCore.cpp
@@ -56,8 +56,10 @@
     });
     m_jobs.forEachTask([this](const Job&, const TaskKey& key, const Task& task) {
         if (task.crashTally.suspected > 0)
-            m_suspects[key] = Suspicion::Some;
+            m_suspects.insert(key);
     });
+    if (!m_suspects.empty())
+        m_startSpacing.onCrash(at.now);
 }
 
 void PoolCore::configure(const JobConfiguration& configuration)
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -172,7 +172,7 @@
     /// The worker may have crashed and restarted under its id before this owner's first poll.
     void onInheritedRunMissing(const Worker&, const TaskKey&, RunNumber, Moment);
     LostRun lostRunOf(const TaskKey&, const WorkerRun&, Instant aliveUntil, Instant failingSince) const;
-    Suspicion suspicionOf(const TaskKey&, const Task&) const;
+    Suspicion suspicionOf(const Task&, Instant now) const;
     void onWorkerCrashed(const Worker&, const std::vector<LostRun>&, Moment);
     bool isProvenElsewhere(const LostRun&, const Task&) const;
     /// True when a later worker is known to run on the worker's machine, which runs one at a time.
@@ -190,6 +190,8 @@
     /// others.
     Suspicion placementSuspicionOf(const TaskKey&, const Task&, bool isLasting, Instant now) const;
     void quarantineWorkers(std::vector<Candidate>&, Moment);
+    /// Leaves workers that other tasks don't need to suspects that still wait. Returns false if there are none.
+    bool lendIdleWorkers(std::vector<Candidate>&, Moment);
     void logRefusal(const StartRun&, const Ports::WorkerAnswer&);
     void avoidAfterRefusal(Worker&, const Ports::WorkerAnswer&, Instant now);
     void onRunEnded(Worker&, const Ports::EndedTask&, Moment);
@@ -208,6 +210,7 @@
     bool isServing(const TaskKey&, const Task&) const;
     std::vector<WaitingStep> waitingSteps(Moment);
     PlacementRequest requestFor(const WaitingStep&, const std::map<std::string, unsigned>& placed, Moment) const;
+    bool hasSuspects(const WaitingStep&) const;
     bool placeStep(const WaitingStep&, std::vector<Candidate>&, Moment);
     void placeGang(const WaitingStep&, std::vector<Candidate>&, const PlacementRequest&, Moment);
     void placeTask(Job&, const TaskKey&, RunNumber, Candidate&, Moment);
@@ -223,7 +226,8 @@
     std::map<std::string, Worker> m_workers;
     std::set<std::string> m_cordoned;
     CrashHistory m_crashes;
-    std::map<TaskKey, Suspicion> m_suspects; ///< Tasks with suspected crashes. May contain tasks that are done or gone.
+    StartSpacing m_startSpacing;
+    std::set<TaskKey> m_suspects; ///< Tasks with suspected crashes. May contain tasks that are done or gone.
     std::map<TaskKey, Instant> m_suspectsWaitingSince;
     std::set<std::string> m_quarantined; ///< Workers that take only suspects for the time being.
     std::set<TaskKey> m_heldTasks; ///< Tasks with a late start; see LateStart.
--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -11,12 +11,23 @@
 namespace {
 
     constexpr milliseconds provenAfter { 200 }; ///< Age at which a run has outlived its start.
-    constexpr milliseconds recentStart { 50 }; ///< Runs that had started so shortly before a crash are suspected most.
     constexpr milliseconds reliableAfter { 10000 }; ///< Age from which earlier crashes no longer count against the task.
     constexpr milliseconds maximumIsolationWait { 1500 }; ///< The platform allows 3 s without a run where there is capacity.
+    constexpr milliseconds workerReturnTime { 4000 }; ///< About the time from a crash until the machine has a worker again.
     constexpr std::size_t minimumQuarantine = 2;
+    constexpr milliseconds overdueWait { 5000 };
+    constexpr std::size_t overdueDivisor = 2; ///< Instead of the next, once a suspect has waited for so long.
     constexpr std::size_t quarantineDivisor = 3; ///< The rest of the workers is left to tasks that aren't suspected.
 
+    /// Lets the workers take suspects. Where starts aren't spaced, nothing else may have started there a moment ago.
+    void openForSuspects(const std::vector<Candidate*>& workers, bool isSpacing)
+    {
+        for (auto* it : workers) {
+            it->takesStrongSuspects = !it->worker->hasUnprovenRuns();
+            it->takesSuspects = isSpacing || it->takesStrongSuspects;
+        }
+    }
+
     std::string nameOfTask(const TaskKey& key) { return std::to_string(key.step) + "." + std::to_string(key.index); }
 
 } // namespace
@@ -27,16 +38,18 @@
     LostRun lost { key, run.run };
     lost.isProven = run.isProven || (hasStarted && aliveUntil - run.startedBy >= provenAfter);
     lost.isDoubtful = !hasStarted || failingSince == Instant() || failingSince - run.startedBy >= provenAfter;
-    lost.isRecent = !lost.isDoubtful && failingSince - run.startedBy < recentStart;
+    lost.isUnconfirmed = !hasStarted && !run.isInherited && failingSince != Instant() && failingSince - run.orderedAt < provenAfter;
+    if (!lost.isDoubtful)
+        lost.age = std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(failingSince - run.startedBy));
     return lost;
 }
 
-Suspicion PoolCore::suspicionOf(const TaskKey& key, const Task& task) const
+Suspicion PoolCore::suspicionOf(const Task& task, Instant now) const
 {
     if (task.crashTally.suspected == 0)
         return Suspicion::None;
-    const auto it = m_suspects.find(key);
-    return task.crashTally.sinceProven > 1 || (it != m_suspects.end() && it->second == Suspicion::Strong) ? Suspicion::Strong : Suspicion::Some;
+    const bool isSpacing = m_startSpacing.window(now) > milliseconds(0);
+    return task.crashTally.sinceProven > 1 || !isSpacing ? Suspicion::Strong : Suspicion::Some;
 }
 
 void PoolCore::onWorkerCrashed(const Worker& worker, const std::vector<LostRun>& lost, Moment at)
@@ -46,30 +59,39 @@
     for (const auto& it : lost) {
         const auto* task = m_jobs.findTask(it.task);
         if (task && task->state != Task::State::Done)
-            witnesses.push_back({ it.task, task->crashTally, it.isDoubtful || m_crashes.isWitness(machine, it.task), it.isProven || isProvenElsewhere(it, *task), m_jobs.find(it.task.job)->spec().steps[it.task.step].isGang });
+            witnesses.push_back({ it.task, task->crashTally, it.isDoubtful || m_crashes.isWitness(machine, it.task), it.isProven || isProvenElsewhere(it, *task), m_jobs.find(it.task.job)->spec().steps[it.task.step].isGang, it.isUnconfirmed, it.age });
     }
     const bool isByItself = m_crashes.crashedByItself(machine);
-    const auto verdicts = judgeCrash(witnesses, isByItself);
+    const auto window = m_startSpacing.window(at.now);
+    const auto verdicts = judgeCrash(witnesses, isByItself, window);
     CrashHistory::Witnesses growth;
     for (std::size_t n = 0; n < witnesses.size(); ++n) {
         const auto& [before, after] = std::tie(witnesses[n].tally, verdicts[n].tally);
         growth[witnesses[n].task] = { after.unexplained - before.unexplained, verdicts[n].isSuspect ? 1U : 0U, 0 };
     }
     const auto suspects = std::ranges::count_if(verdicts, &CrashVerdict::isSuspect);
-    log("worker-crashed", worker.entry.id, { { "machine", machine }, { "runs", std::to_string(witnesses.size()) }, { "suspects", std::to_string(suspects) }, { "crashedByItself", isByItself ? "yes" : "no" } });
-    m_crashes.add(machine, std::move(growth), at.now);
+    const auto youngest = std::ranges::min_element(witnesses, {}, [](const auto& it) { return it.isProven || it.isDoubtful ? milliseconds::max() : it.age; });
+    const bool isAgeKnown = youngest != witnesses.end() && !youngest->isProven && !youngest->isDoubtful;
+    log("worker-crashed", worker.entry.id, { { "youngestMs", isAgeKnown ? std::to_string(youngest->age.count()) : "unknown" }, { "windowMs", std::to_string(window.count()) }, { "machine", machine }, { "runs", std::to_string(witnesses.size()) }, { "suspects", std::to_string(suspects) }, { "crashedByItself", isByItself ? "yes" : "no" } });
+    const bool isTest = std::ranges::any_of(witnesses, [](const auto& it) { return !it.isProven && it.tally.suspected > 0; });
+    m_crashes.add(machine, std::move(growth), isTest, at.now);
+    if (suspects > 0)
+        m_startSpacing.onCrash(at.now);
     for (std::size_t n = 0; n < witnesses.size(); ++n) {
         const auto& key = witnesses[n].task;
         const auto& tally = verdicts[n].tally;
         record(TaskSuspected { key, tally });
         if (tally.suspected == 0)
             continue;
-        m_suspects[key] = std::ranges::any_of(lost, [&key](const auto& it) { return it.task == key && it.isRecent; }) ? Suspicion::Strong : Suspicion::Some;
+        m_suspects.insert(key);
         log("task-suspected", key.job, { { "task", nameOfTask(key) }, { "worker", worker.entry.id }, { "sinceProven", std::to_string(tally.sinceProven) }, { "unexplained", std::to_string(tally.unexplained) }, { "suspected", std::to_string(tally.suspected) } });
     }
     for (std::size_t n = 0; n < witnesses.size(); ++n) {
-        if (verdicts[n].isGuilty)
-            giveUp(witnesses[n].task, verdicts[n].tally, at);
+        if (!verdicts[n].isGuilty)
+            continue;
+        if (verdicts[n].isExplanation)
+            m_startSpacing.learn(witnesses[n].age);
+        giveUp(witnesses[n].task, verdicts[n].tally, at);
     }
 }
 
@@ -173,13 +195,12 @@
     }
 }
 
-/// Suspects that wait for a worker. Gangs aren't among them: their members may need more workers than are set aside.
+/// Suspects that wait for a worker, the longest waiting first. Gangs aren't among them: their members may need more workers than are set aside.
 std::vector<TaskKey> PoolCore::waitingSuspects(Instant now)
 {
     std::vector<TaskKey> waiting;
     const auto before = std::exchange(m_suspectsWaitingSince, {});
-    std::erase_if(m_suspects, [&](const auto& it) {
-        const auto& key = it.first;
+    std::erase_if(m_suspects, [&](const auto& key) {
         const auto* task = m_jobs.findTask(key);
         if (!task || task->state == Task::State::Done || task->crashTally.suspected == 0)
             return true;
@@ -191,6 +212,7 @@
         const auto it = before.find(key);
         m_suspectsWaitingSince[key] = it == before.end() ? now : it->second;
     }
+    std::ranges::stable_sort(waiting, {}, [this](const auto& key) { return m_suspectsWaitingSince.at(key); });
     return waiting;
 }
 
@@ -198,7 +220,7 @@
 {
     const auto it = m_suspectsWaitingSince.find(key);
     const bool hasWaitedTooLong = isLasting && it != m_suspectsWaitingSince.end() && now - it->second > maximumIsolationWait;
-    return hasWaitedTooLong ? Suspicion::None : suspicionOf(key, task);
+    return hasWaitedTooLong ? Suspicion::None : suspicionOf(task, now);
 }
 
 /// Sets workers aside for suspects, and keeps others away from suspects that haven't outlived their starts. A worker takes its
@@ -209,10 +231,17 @@
     auto previous = std::exchange(m_quarantined, {});
     if (m_suspects.empty())
         return;
-    for (auto& it : candidates)
+    const bool isSpacing = m_startSpacing.window(at.now) > milliseconds(0);
+    for (auto& it : candidates) {
         it.isQuarantined = it.worker->isTestingSuspect();
-    const auto inUse = static_cast<std::size_t>(std::ranges::count_if(candidates, &Candidate::isQuarantined));
-    const auto limit = std::max<std::size_t>(1, std::min(candidates.size() - 1, std::max(minimumQuarantine, candidates.size() / quarantineDivisor)));
+        it.takesSuspects = it.isQuarantined && isSpacing && !it.worker->isTestingAlone();
+    }
+    const auto crashed = m_crashes.countOfTests(at.now - workerReturnTime);
+    const auto inUse = crashed + static_cast<std::size_t>(std::ranges::count_if(candidates, &Candidate::isQuarantined));
+    const auto pool = candidates.size() + crashed;
+    const bool isOverdue = !suspects.empty() && at.now - m_suspectsWaitingSince.at(suspects.front()) > overdueWait;
+    const auto share = pool / (isOverdue ? overdueDivisor : quarantineDivisor);
+    const auto limit = std::max<std::size_t>(1, std::min(pool - 1, std::max(minimumQuarantine, share)));
     std::vector<Candidate*> chosen;
     const auto scoreOf = [&](const Candidate& it) {
         const auto& id = it.worker->entry.id;
@@ -235,8 +264,23 @@
         chosen.push_back(best);
         m_quarantined.insert(best->worker->entry.id);
     }
-    for (auto* it : chosen)
-        it->suspectSlots = it->worker->hasUnprovenRuns() ? 0 : static_cast<unsigned>((suspects.size() + chosen.size() - 1) / chosen.size());
+    openForSuspects(chosen, isSpacing);
+}
+
+bool PoolCore::lendIdleWorkers(std::vector<Candidate>& candidates, Moment at)
+{
+    if (m_suspects.empty() || waitingSuspects(at.now).empty())
+        return false;
+    const bool isSpacing = m_startSpacing.window(at.now) > milliseconds(0);
+    std::vector<Candidate*> lent;
+    for (auto& it : candidates) {
+        if (!it.isQuarantined && !it.isSpaced && (isSpacing || !it.worker->hasUnprovenRuns()))
+            lent.push_back(&it);
+    }
+    for (auto* it : lent)
+        it->isQuarantined = true;
+    openForSuspects(lent, isSpacing);
+    return !lent.empty();
 }
 
 } // namespace Jobs
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -23,20 +23,35 @@
             candidates.push_back(candidateOf(worker));
     }
     m_crashes.forget(at.now);
-    for (auto& it : candidates)
+    const auto spacing = m_startSpacing.at(at.now);
+    for (auto& it : candidates) {
         it.crashesByItself = m_crashes.crashedByItself(it.worker->entry.machine);
+        it.isSpaced = spacing > milliseconds(0) && it.worker->hasStartWithin(spacing, at.now);
+    }
     if (candidates.empty())
         return;
     quarantineWorkers(candidates, at);
+    const auto waiting = waitingSteps(at);
     // Once a step hasn't fitted anywhere, steps that need as much or more won't either.
     std::vector<Resources> unplaceable;
-    for (const auto& it : waitingSteps(at)) {
+    for (const auto& it : waiting) {
         const auto need = reservedBy(it.job->spec().steps[it.step]);
-        const bool hasSuspects = !m_suspects.empty() && std::ranges::any_of(it.job->stepOf({ it.job->accepted.job, it.occurrence, it.step, 0 })->tasks, [](const auto& task) { return task.crashTally.suspected > 0; });
-        const bool mayFit = hasSuspects || std::ranges::none_of(unplaceable, [&need](const auto& failed) { return failed.fitsInto(need); });
+        const bool mayFit = hasSuspects(it) || std::ranges::none_of(unplaceable, [&need](const auto& failed) { return failed.fitsInto(need); });
         if (mayFit && !placeStep(it, candidates, at))
             unplaceable.push_back(need);
     }
+    if (!unplaceable.empty() || !lendIdleWorkers(candidates, at))
+        return;
+    for (const auto& it : waiting) {
+        if (hasSuspects(it))
+            placeStep(it, candidates, at);
+    }
+}
+
+bool PoolCore::hasSuspects(const WaitingStep& it) const
+{
+    const auto& tasks = it.job->stepOf({ it.job->accepted.job, it.occurrence, it.step, 0 })->tasks;
+    return !m_suspects.empty() && std::ranges::any_of(tasks, [](const auto& task) { return task.crashTally.suspected > 0; });
 }
 
 std::optional<Instant> PoolCore::nextDecision(Moment at) const
@@ -50,9 +65,12 @@
         for (const auto& [number, occurrence] : job.occurrences)
             isWaiting = isWaiting || std::ranges::any_of(occurrence.steps, [](const auto& it) { return it.waitingCount() > 0; });
     }
+    const auto spacing = m_startSpacing.at(at.now);
     for (const auto& [id, worker] : m_workers) {
         if (isWaiting && worker.avoidUntil > at.now)
             consider(worker.avoidUntil);
+        if (isWaiting && spacing > milliseconds(0) && worker.hasStartWithin(spacing, at.now))
+            consider(at.now + spacing / 2);
     }
     if (!m_cordoned.empty() && m_previousStopsEndAt > at.now)
         consider(m_previousStopsEndAt);
@@ -268,11 +286,13 @@
     const auto checkpoint = m_jobs.findTask(key)->checkpoint;
     place.room -= reservedBy(spec);
     auto& placed = worker.runs[key] = makeRun(spec, run, at.now);
-    if (const auto suspicion = suspicionOf(key, *m_jobs.findTask(key)); suspicion != Suspicion::None) {
+    if (const auto suspicion = suspicionOf(*m_jobs.findTask(key), at.now); suspicion != Suspicion::None) {
         placed.isSuspect = true;
-        ++place.suspectsPlaced;
-        place.suspectSlots = suspicion == Suspicion::Strong || place.suspectSlots == 0 ? 0 : place.suspectSlots - 1;
+        placed.mustBeAlone = suspicion == Suspicion::Strong;
+        place.takesSuspects = false;
+        place.takesStrongSuspects = false;
     }
+    place.isSpaced = m_startSpacing.at(at.now) > milliseconds(0);
     if (job.state == JobState::Queued) {
         job.firstPlacedAt = at.wall;
         m_output.firstStarts.push_back(at.wall - job.dueAt(key.occurrence));
--- a/Source/Core/Jobs/Decision/Worker.h
+++ b/Source/Core/Jobs/Decision/Worker.h
@@ -50,6 +50,7 @@
     Common::Instant startedBy {}; ///< It had started by then; zero while that isn't known.
     bool isInherited = false; ///< Placed by an earlier owner, so that it may have started at any time, or never.
     bool isSuspect = false; ///< Its task may have crashed workers before; see CrashEvidence.h.
+    bool mustBeAlone = false; ///< No other run may start beside it before it has outlived its start.
     bool isProven = false; ///< It has outlived its start.
     bool hasUnansweredStart = false; ///< An attempt of the start wasn't answered, and may be carried out late.
 };
@@ -68,7 +69,8 @@
     RunNumber run = 0;
     bool isDoubtful = false; ///< Its start wasn't confirmed, or the worker may have been lost long after it.
     bool isProven = false; ///< Had outlived its start.
-    bool isRecent = false; ///< Had started immediately before the worker was lost.
+    bool isUnconfirmed = false; ///< It may have started immediately before the worker was lost, or not at all.
+    milliseconds age { 0 }; ///< From its start to the loss; zero when doubtful.
 };
 
 /// A run of a task of the step, in the phase Ordered.
@@ -105,10 +107,26 @@
     {
         return std::ranges::any_of(runs, [](const auto& it) { return it.second.isSuspect && !it.second.isProven; });
     }
+    /// The same for a run that no other may start beside.
+    bool isTestingAlone() const
+    {
+        return std::ranges::any_of(runs, [](const auto& it) { return it.second.mustBeAlone && !it.second.isProven; });
+    }
     bool hasUnprovenRuns() const
     {
         return std::ranges::any_of(runs, [](const auto& it) { return !it.second.isProven; });
     }
+    /// True while a run started less than `spacing` ago, or may be about to start.
+    bool hasStartWithin(milliseconds spacing, Common::Instant now) const
+    {
+        constexpr milliseconds unconfirmedLimit { 500 }; // After that, the worker isn't answering.
+        return std::ranges::any_of(runs, [&](const auto& entry) {
+            const auto& run = entry.second;
+            if (run.isProven || run.isInherited)
+                return false;
+            return now - run.orderedAt < (run.startedBy == Common::Instant() ? unconfirmedLimit : spacing);
+        });
+    }
     Resources reserved() const
     {
         Resources sum = strays;
--- a/Source/UnitTests/Jobs/CrashingTaskTest.cpp
+++ b/Source/UnitTests/Jobs/CrashingTaskTest.cpp
@@ -336,7 +336,7 @@
     CrashHistory history;
     const TaskKey task { jobId(1), 0, 0, 0 };
     const TaskKey suspect { jobId(2), 0, 0, 0 };
-    history.add("m0", { { suspect, { 1, 1, 0 } }, { task, { 0, 0, 0 } } }, Instant(1h));
+    history.add("m0", { { suspect, { 1, 1, 0 } }, { task, { 0, 0, 0 } } }, false, Instant(1h));
     CHECK(!history.crashedByItself("m0"));
     CHECK(history.acquit(suspect) == std::set<TaskKey> { task });
     CHECK(history.crashedByItself("m0"));
@@ -349,8 +349,8 @@
     CrashHistory history;
     const TaskKey guilty { jobId(1), 0, 0, 0 };
     const TaskKey beside { jobId(2), 0, 0, 0 };
-    history.add("m0", { { guilty, { 1, 1, 0 } }, { beside, { 1, 1, 0 } } }, Instant(1h));
-    history.add("m1", { { beside, { 1, 1, 0 } } }, Instant(1h));
+    history.add("m0", { { guilty, { 1, 1, 0 } }, { beside, { 1, 1, 0 } } }, false, Instant(1h));
+    history.add("m1", { { beside, { 1, 1, 0 } } }, false, Instant(1h));
     const auto excused = history.convict(guilty);
     REQUIRE(excused.contains(beside));
     CHECK(excused.at(beside).suspected == 1);
--- a/Source/UnitTests/Jobs/SuspectsTest.cpp
+++ b/Source/UnitTests/Jobs/SuspectsTest.cpp
@@ -2,6 +2,7 @@
 
 #include "EventLog.h"
 #include "JobFleet.h"
+#include "Jobs/Decision/CrashEvidence.h"
 
 #include <doctest/doctest.h>
 
@@ -13,6 +14,8 @@
 
 /// The platform allows this long without a run where there is capacity.
 constexpr std::chrono::milliseconds longestWait { 3000 };
+/// Jobs are asked for so long after the last one came, by the platform's rules.
+constexpr std::chrono::seconds finishTime { 14 };
 /// From a crash until the worker is known to be lost.
 constexpr std::chrono::milliseconds detectionTime { 1000 };
 
@@ -77,3 +80,61 @@
     fleet.runFor(longestWait);
     CHECK(fleet.runningTasks() == 64);
 }
+
+TEST_CASE("jobs beside many that crash their workers are served, and each of these fails, soon after the last one came")
+{
+    constexpr unsigned jobs = 200;
+    constexpr unsigned maximumCrashes = 5;
+    SuspectsFleet fleet(16);
+    fleet.setRunTime(640ms);
+    for (unsigned n = 1; n <= jobs; n += 4)
+        fleet.runMonitor.crashing.insert({ jobId(n), 0, 0, n % 8 });
+    for (unsigned n = 1; n <= jobs; ++n) {
+        fleet.submit(n, oneStep(8, 640ms));
+        fleet.runFor(100ms);
+    }
+    fleet.runFor(finishTime);
+    for (unsigned n = 1; n <= jobs; ++n)
+        CHECK(fleet.stateOf("host-0", jobId(n)) == (n % 4 == 1 ? JobState::Failed : JobState::Completed));
+    for (const auto& [task, crashes] : fleet.runMonitor.crashes)
+        CHECK(crashes <= maximumCrashes);
+}
+
+TEST_CASE("a crash is put down to the start just before it, once it is known how soon tasks crash their workers")
+{
+    constexpr auto crashAge = 10ms;
+    StartSpacing spacing;
+    CHECK(spacing.at(Instant(1h)) == 0ms);
+    spacing.onCrash(Instant(1h));
+    CHECK(spacing.at(Instant(1h)) > 0ms);
+    CHECK(spacing.window(Instant(1h)) == 0ms);
+    spacing.learn(crashAge);
+    const auto window = spacing.window(Instant(1h));
+    CHECK(window > crashAge);
+    CHECK(spacing.at(Instant(1h)) > window);
+
+    const CrashWitness earlier { { jobId(1), 0, 0, 0 }, {}, false, false, false, false, window + 10ms };
+    const CrashWitness latest { { jobId(2), 0, 0, 0 }, {}, false, false, false, false, crashAge };
+    auto verdicts = judgeCrash({ earlier, latest }, false, window);
+    CHECK(verdicts[0].tally.suspected == 0);
+    CHECK(verdicts[1].tally.suspected == 1);
+    CHECK(verdicts[1].isExplanation);
+    // A start that wasn't confirmed explains the crash as well.
+    const CrashWitness unconfirmed { { jobId(3), 0, 0, 0 }, {}, true, false, false, true };
+    verdicts = judgeCrash({ latest, unconfirmed }, false, window);
+    CHECK(!verdicts[0].isExplanation);
+    // Nothing else explains it.
+    CHECK(judgeCrash({ earlier }, false, window)[0].tally.suspected == 1);
+}
+
+TEST_CASE("starts aren't spaced for tasks that crash their workers late, or long ago")
+{
+    StartSpacing late;
+    late.onCrash(Instant(1h));
+    late.learn(150ms);
+    CHECK(late.at(Instant(1h)) == 0ms);
+    StartSpacing past;
+    past.onCrash(Instant(1h));
+    past.learn(10ms);
+    CHECK(past.at(Instant(1h) + 1min) == 0ms);
+}
