Don't give a task up for a crash of a worker on which it may not have started

Cause: a run whose start wasn't confirmed when its worker crashed counted as one of the two crashes that allow to give its task up; it may never have reached the worker. Such a crash still isolates the task, and counts among the four in a row, but one more that is certain is needed now. The test fails on the code before.

--- a/Source/Core/Jobs/Decision/CrashEvidence.cpp
+++ b/Source/Core/Jobs/Decision/CrashEvidence.cpp
@@ -48,7 +48,7 @@
             ++tally.sinceProven;
             tally.suspected = it.isDoubtful ? std::max(tally.suspected, 1U) : tally.suspected + 1;
             verdict.isExplanation = !it.isDoubtful && isAlone;
-            verdict.isGuilty = (!it.isDoubtful && tally.suspected >= enough) || tally.sinceProven >= guiltySinceProven;
+            verdict.isGuilty = (!it.isDoubtful && tally.suspected >= enough + (it.wasDoubtful ? 1 : 0)) || tally.sinceProven >= guiltySinceProven;
         }
         verdict.isGuilty = verdict.isGuilty || isTooOften(tally);
         verdicts.push_back(verdict);
--- a/Source/Core/Jobs/Decision/CrashEvidence.h
+++ b/Source/Core/Jobs/Decision/CrashEvidence.h
@@ -23,6 +23,7 @@
     bool isProven = false; ///< Had outlived its start there.
     bool isGang = false; ///< Members of a gang start together and are suspected as one.
     bool isUnconfirmed = false; ///< See LostRun.
+    bool wasDoubtful = false; ///< Its tally counts a crash of a worker on which it may not have started.
     milliseconds age { 0 }; ///< From its start to the crash; zero when doubtful.
 };
 
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -228,6 +228,7 @@
     CrashHistory m_crashes;
     StartSpacing m_startSpacing;
     std::set<TaskKey> m_suspects; ///< Tasks with suspected crashes. May contain tasks that are done or gone.
+    std::set<TaskKey> m_doubtfulSuspects; ///< See CrashWitness::wasDoubtful.
     std::map<TaskKey, Instant> m_suspectsWaitingSince;
     std::set<std::string> m_quarantined; ///< Workers that take only suspects for the time being.
     std::set<TaskKey> m_heldTasks; ///< Tasks with a late start; see LateStart.
--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -59,7 +59,7 @@
     for (const auto& it : lost) {
         const auto* task = m_jobs.findTask(it.task);
         if (task && task->state != Task::State::Done)
-            witnesses.push_back({ it.task, task->crashTally, it.isDoubtful || m_crashes.isWitness(machine, it.task), it.isProven || isProvenElsewhere(it, *task), m_jobs.find(it.task.job)->spec().steps[it.task.step].isGang, it.isUnconfirmed, it.age });
+            witnesses.push_back({ it.task, task->crashTally, it.isDoubtful || m_crashes.isWitness(machine, it.task), it.isProven || isProvenElsewhere(it, *task), m_jobs.find(it.task.job)->spec().steps[it.task.step].isGang, it.isUnconfirmed, m_doubtfulSuspects.contains(it.task), it.age });
     }
     const bool isByItself = m_crashes.crashedByItself(machine);
     const auto window = m_startSpacing.window(at.now);
@@ -84,6 +84,8 @@
         if (tally.suspected == 0)
             continue;
         m_suspects.insert(key);
+        if (witnesses[n].isDoubtful && witnesses[n].tally.suspected == 0)
+            m_doubtfulSuspects.insert(key);
         log("task-suspected", key.job, { { "task", nameOfTask(key) }, { "worker", worker.entry.id }, { "sinceProven", std::to_string(tally.sinceProven) }, { "unexplained", std::to_string(tally.unexplained) }, { "suspected", std::to_string(tally.suspected) } });
     }
     for (std::size_t n = 0; n < witnesses.size(); ++n) {
@@ -208,6 +210,7 @@
             waiting.push_back(key);
         return false;
     });
+    std::erase_if(m_doubtfulSuspects, [this](const auto& key) { return !m_suspects.contains(key); });
     for (const auto& key : waiting) {
         const auto it = before.find(key);
         m_suspectsWaitingSince[key] = it == before.end() ? now : it->second;
--- a/Source/UnitTests/Jobs/SuspectsTest.cpp
+++ b/Source/UnitTests/Jobs/SuspectsTest.cpp
@@ -113,8 +113,8 @@
     CHECK(window > crashAge);
     CHECK(spacing.at(Instant(1h)) > window);
 
-    const CrashWitness earlier { { jobId(1), 0, 0, 0 }, {}, false, false, false, false, window + 10ms };
-    const CrashWitness latest { { jobId(2), 0, 0, 0 }, {}, false, false, false, false, crashAge };
+    const CrashWitness earlier { { jobId(1), 0, 0, 0 }, {}, false, false, false, false, false, window + 10ms };
+    const CrashWitness latest { { jobId(2), 0, 0, 0 }, {}, false, false, false, false, false, crashAge };
     auto verdicts = judgeCrash({ earlier, latest }, false, window);
     CHECK(verdicts[0].tally.suspected == 0);
     CHECK(verdicts[1].tally.suspected == 1);
@@ -138,3 +138,18 @@
     past.learn(10ms);
     CHECK(past.at(Instant(1h) + 1min) == 0ms);
 }
+
+TEST_CASE("a task isn't given up for a crash of a worker on which it may not have started")
+{
+    CrashWitness task { { jobId(1), 0, 0, 0 }, {} };
+    const auto crash = [&task](bool isDoubtful) {
+        task.isDoubtful = task.isUnconfirmed = isDoubtful;
+        const auto verdict = judgeCrash({ task }, false, 20ms).front();
+        task.tally = verdict.tally;
+        task.wasDoubtful = task.wasDoubtful || isDoubtful;
+        return verdict.isGuilty;
+    };
+    CHECK(!crash(true));
+    CHECK(!crash(false));
+    CHECK(crash(false));
+}
