Don't repeat a start once a poll has shown its run or its end

A poll showed the end `done`, which was committed and acknowledged; 0.07 to 1.1 s later the start was repeated all the same, as retries only asked whether the run would fit. The worker had crashed by then, the repeated order took 3 s, and the next incarnation carried it out.

Change: before each retry the session asks whether the start is still needed. It isn't once a poll has shown the run, or the run is over.

The test "a start whose answers are lost is logged once and keeps being retried" asserted retries of a run that polls show, for 100 s. It is replaced by two: a start that never arrives keeps being retried for 100 s, is logged once and is carried out in the end; one whose answers are lost isn't repeated after the next poll.

--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -114,6 +114,9 @@
     void onStartAnswer(const StartRun&, const Ports::WorkerAnswer&, Moment);
     /// The run was stopped after the refusal of its start, as an earlier attempt may have started it: it ends once a poll shows so.
     void onStartCancelled(const StartRun&, const Ports::WorkerAnswer& refusal, Moment);
+    /// Whether an unanswered start is to be repeated. Not after a poll has shown the run or its end: an attempt that is carried out late
+    /// would start it again on the worker's next incarnation.
+    bool needsStart(const StartRun&) const;
     /// Whether a start order may still be sent: its worker's capacity may have shrunk since the run was placed.
     bool mayStart(const StartRun&) const;
     /// Whether a stop order may still be sent. The session calls this right before each attempt, since the order may have
--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -109,6 +109,13 @@
         late->second.refusedSince = at.now;
 }
 
+bool PoolCore::needsStart(const StartRun& order) const
+{
+    const auto* worker = findWorker(order.worker);
+    const auto it = worker ? worker->runs.find(order.task) : std::map<TaskKey, WorkerRun>::const_iterator();
+    return worker && it != worker->runs.end() && it->second.run == order.run && it->second.lastSeenPoll == 0;
+}
+
 bool PoolCore::mayStart(const StartRun& order) const
 {
     const auto* worker = findWorker(order.worker);
--- a/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
@@ -41,6 +41,7 @@
             scheduleDecision();
     };
     result.onStartCancelled = [this](const StartRun& run, const Ports::WorkerAnswer& refusal) { core.onStartCancelled(run, refusal, moment()); };
+    result.needsStart = [this](const StartRun& run) { return core.needsStart(run); };
     result.mayStart = [this](const StartRun& run) { return core.mayStart(run); };
     result.mayStop = [this](const StopRun& run) { return core.mayStop(run, moment()); };
     result.onStopAnswer = [this](const StopRun& run, const Ports::WorkerAnswer& answer) { core.onStopAnswer(run, answer, moment()); };
--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -205,6 +205,10 @@
     {
         if (isSettled(attempt))
             return;
+        if (attempt.retries > 0 && !hooks.needsStart(run)) {
+            logOrder("order-obsolete", { "start", run.task, run.run }, attempt);
+            return;
+        }
         // A worker that doesn't answer polls may have restarted under its id: the start would run beside the task's next one.
         const bool mayHaveRestarted = failedPolls > 0;
         if (mayHaveRestarted && attempt.retries == 0)
--- a/Source/Core/Jobs/Runtime/WorkerSession.h
+++ b/Source/Core/Jobs/Runtime/WorkerSession.h
@@ -26,12 +26,13 @@
 /// Used on the loop's thread only.
 class WorkerSession {
 public:
-    /// Callbacks to the owner, which decides. All but `mayStart`, `mayStop`, `mayExtendLease`, `mayOrder`, `needsLatencyPoll` and `hasRuns` report events.
+    /// Callbacks to the owner, which decides. All but `needsStart`, `mayStart`, `mayStop`, `mayExtendLease`, `mayOrder`, `needsLatencyPoll` and `hasRuns` report events.
     struct Hooks {
         std::function<void(const Ports::PollAnswer&, Common::Instant sentAt)> onPollAnswered;
         std::function<void(const StartRun&, const Ports::WorkerAnswer&)> onStartAnswered; ///< Also for each attempt without an answer.
         /// A start was given up and its run stopped, as an earlier attempt may have arrived. The run ends once a poll shows so.
         std::function<void(const StartRun&, const Ports::WorkerAnswer& refusal)> onStartCancelled;
+        std::function<bool(const StartRun&)> needsStart; ///< Asked before each further attempt. False: no more attempts, and no answer is reported.
         std::function<bool(const StartRun&)> mayStart; ///< Asked before each attempt.
         std::function<bool(const StopRun&)> mayStop; ///< Asked before each attempt.
         std::function<void(const StopRun&, const Ports::WorkerAnswer&)> onStopAnswer;
--- a/Source/UnitTests/Jobs/CrashingTaskTest.cpp
+++ b/Source/UnitTests/Jobs/CrashingTaskTest.cpp
@@ -366,11 +366,11 @@
 
 TEST_CASE("a start that arrives late at a worker that has restarted under its id doesn't run beside the task's next run")
 {
-    for (const std::uint64_t seed : { 36, 66, 96, 102, 126, 186 })
+    for (const std::uint64_t seed : { 36, 66, 96, 102, 108, 126, 186 })
         checkBesideFaults(seed);
 }
 
-TEST_CASE("an unanswered start of a run that is done isn't carried out by its worker's next incarnation")
+TEST_CASE("a start of a run that is done isn't repeated, and so not carried out by its worker's next incarnation")
 {
     checkBesideFaults(234);
 }
--- /dev/null
+++ b/Source/UnitTests/Jobs/LateStartTest.cpp
@@ -0,0 +1,54 @@
+/// Tests of starts without an answer that are carried out after their worker has restarted under its id.
+
+#include "JobFleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace Jobs;
+using namespace std::chrono_literals;
+using Ports::JobOutcome;
+using Ports::JobVerb;
+
+namespace {
+
+/// A fleet of one host, whose workers return under their ids.
+struct RestartingFleet : JobFleet {
+    explicit RestartingFleet(unsigned workerCount = 2)
+        : JobFleet(1, workerCount)
+    {
+        keepsWorkerIds = true;
+        settle();
+    }
+
+    FakeWorkerPort& port() { return *hosts.begin()->second->workers; }
+
+    void submit(const JobSpec& spec = oneStep(1))
+    {
+        const auto answer = call("host-0", JobVerb::Submit, jobId(1), spec);
+        REQUIRE(answer);
+        CHECK(answer->outcome == JobOutcome::Accepted);
+    }
+};
+
+} // namespace
+
+TEST_CASE("an unanswered start isn't repeated once a poll has shown the run or its end")
+{
+    for (const auto runTime : { 300ms, 1500ms }) {
+        CAPTURE(runTime.count());
+        RestartingFleet fleet;
+        fleet.setRunTime(runTime);
+        fleet.port().startAnswersToLose = 1;
+        fleet.submit(oneStep(1, runTime));
+        fleet.runFor(100ms);
+        REQUIRE(fleet.runMonitor.starts == 1);
+        auto& worker = fleet.busyWorker();
+        worker.breakConnections(); // The next poll shows the run.
+        fleet.port().startsToDelay = 1;
+        fleet.runFor(runTime);
+        fleet.crashWorker(worker.entry.id);
+        fleet.runFor(8s);
+        CHECK(fleet.runMonitor.duplicateRuns == 0);
+        CHECK(fleet.port().startsToDelay == 1);
+    }
+}
--- a/Source/UnitTests/Jobs/LostTraceTest.cpp
+++ b/Source/UnitTests/Jobs/LostTraceTest.cpp
@@ -55,13 +55,14 @@
     CHECK(log.all("order-abandoned").empty());
 }
 
-TEST_CASE("a start whose answers are lost is logged once and keeps being retried")
+TEST_CASE("a start that no poll shows is logged once and keeps being retried until it is carried out")
 {
     const EventLog log;
     JobFleet fleet(1, 1);
     fleet.setRunTime(200s);
     fleet.settle();
-    fleet.hosts.at("host-0")->workers->startAnswersToLose = 1000;
+    auto& port = *fleet.hosts.at("host-0")->workers;
+    port.startsToLose = 1000;
     submit(fleet, oneStep(1));
     fleet.runFor(100s);
     const auto events = log.all("order-unanswered");
@@ -69,7 +70,27 @@
     CHECK(events[0].id == jobId(1));
     CHECK(events[0].at("order") == "start");
     CHECK(log.all("order-abandoned").empty());
-    CHECK(fleet.hosts.at("host-0")->workers->startAnswersToLose < 950);
+    CHECK(log.all("order-obsolete").empty());
+    CHECK(port.startsToLose < 950);
+    port.startsToLose = 0;
+    fleet.runFor(3s);
+    CHECK(fleet.runMonitor.starts == 1);
+}
+
+TEST_CASE("a start whose answers are lost isn't repeated, or logged as unanswered, once a poll shows the run")
+{
+    const EventLog log;
+    JobFleet fleet(1, 1);
+    fleet.setRunTime(200s);
+    fleet.settle();
+    fleet.hosts.at("host-0")->workers->startAnswersToLose = 1000;
+    submit(fleet, oneStep(1));
+    fleet.runFor(100s);
+    CHECK(log.last("order-obsolete").at("order") == "start");
+    CHECK(log.all("order-unanswered").empty());
+    CHECK(log.all("order-abandoned").empty());
+    CHECK(fleet.hosts.at("host-0")->workers->startAnswersToLose >= 990);
+    CHECK(fleet.runMonitor.starts == 1);
 }
 
 TEST_CASE("an owner that can't read its journal logs the failures until it serves")
