Hold tasks for late starts for 3 s at most

Callers could see: a task that waits for ever beside idle workers, after its start wasn't answered and its worker crashed. Found by reading; the new test shows it.

Cause: a task with a late start is held until the worker's next incarnation has confirmed a stop, or the worker is unlisted or its machine runs another one. None of these comes if the entry stays (the store is down), if the new incarnation is listed but can't be reached by the owner, or if its stops aren't answered.

Change: a hold ends after 3 s, the time in which a waiting task has to be placed. The late start itself isn't forgotten: the worker's first poll answer still sends the stop. A hold names its worker, so that one that settles an old late start doesn't end the hold of a later run elsewhere.

Ruled out: a longer hold, as LOST allows 3 s once 4 s without impairment have passed, in which the loss is known. A start that is carried out later than 3 s after its worker's loss is known, by an incarnation that hasn't answered, can therefore run beside the task's next run.

--- a/Source/Core/Jobs/Decision/PoolCore.cpp
+++ b/Source/Core/Jobs/Decision/PoolCore.cpp
@@ -144,7 +144,7 @@
             continue;
         if (run.isInherited || failingSince == Instant() || run.orderedAt < failingSince)
             lost.push_back(lostRunOf(key, run, worker.aliveUntil, failingSince));
-        holdLateStart(worker, key, run, loss);
+        holdLateStart(worker, key, run, loss, at.now);
         recordEnd({ key, run.run, RunEnd::Lost, run.checkpoint, at.wall });
     }
     worker.mustStopLateStarts = !worker.lateStarts.empty();
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -153,6 +153,10 @@
     bool needsFrequentPolls(const std::string& worker) const;
 
 private:
+    struct HeldTask {
+        std::string worker; ///< Where the late start may arrive.
+        Instant until {}; ///< The task waits no longer than this.
+    };
     struct WaitingStep {
         QueueKey key;
         Job* job = nullptr;
@@ -167,7 +171,10 @@
     std::string submissionError(const JobSpec&) const;
 
     /// Keeps the task of a lost run from being placed again if the run's start may still arrive at the worker.
-    void holdLateStart(Worker&, const TaskKey&, const WorkerRun&, WorkerLoss);
+    void holdLateStart(Worker&, const TaskKey&, const WorkerRun&, WorkerLoss, Instant now);
+    /// Ends the task's wait for that worker, if it does wait.
+    void releaseTask(const TaskKey&, const std::string& worker);
+    void releaseTasksHeldTooLong(Instant now);
     /// Stops the late starts once the worker's new incarnation answers, and releases the tasks of those that it refuses.
     void settleLateStarts(Worker&, const Ports::PollAnswer&, Instant sentAt);
     /// The worker won't return under its id.
@@ -234,7 +241,7 @@
     std::set<TaskKey> m_doubtfulSuspects; ///< See CrashWitness::wasDoubtful.
     std::map<TaskKey, Instant> m_suspectsWaitingSince;
     std::set<std::string> m_quarantined; ///< Workers that take only suspects for the time being.
-    std::set<TaskKey> m_heldTasks; ///< Tasks with a late start; see LateStart.
+    std::map<TaskKey, HeldTask> m_heldTasks; ///< Tasks with a late start; see LateStart.
     Instant m_previousStopsEndAt {}; ///< From then on, polls no longer list runs that a previous owner has stopped.
     PoolOutput m_output;
 };
--- /dev/null
+++ b/Source/Core/Jobs/Decision/PoolCoreLateStarts.cpp
@@ -0,0 +1,71 @@
+/// Starts that may be carried out by a worker's next incarnation.
+
+#include "Jobs/Decision/PoolCore.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Jobs {
+
+namespace {
+
+    /// A waiting task has to be placed within 3 s where there is room, and the worker may never answer.
+    constexpr milliseconds longestHold { 3000 };
+
+} // namespace
+
+void PoolCore::holdLateStart(Worker& worker, const TaskKey& key, const WorkerRun& run, WorkerLoss loss, Instant now)
+{
+    const bool mayArrive = (loss == WorkerLoss::Restarted && run.phase == WorkerRun::Phase::Ordered) || run.hasUnansweredStart;
+    const bool mayReturn = loss == WorkerLoss::Restarted || (loss == WorkerLoss::Crashed && worker.isListed);
+    if (!mayArrive || !mayReturn)
+        return;
+    log("late-start-possible", key.job, { { "task", std::to_string(key.step) + "." + std::to_string(key.index) }, { "run", std::to_string(run.run) }, { "worker", worker.entry.id } });
+    worker.lateStarts[key] = { run.run, run.reserved };
+    m_heldTasks[key] = { worker.entry.id, now + longestHold };
+}
+
+void PoolCore::releaseTask(const TaskKey& key, const std::string& worker)
+{
+    const auto it = m_heldTasks.find(key);
+    if (it != m_heldTasks.end() && it->second.worker == worker)
+        m_heldTasks.erase(it);
+}
+
+void PoolCore::releaseTasksHeldTooLong(Instant now)
+{
+    std::erase_if(m_heldTasks, [&](const auto& entry) {
+        const auto& [key, it] = entry;
+        if (it.until > now)
+            return false;
+        log("hold-expired", key.job, { { "task", std::to_string(key.step) + "." + std::to_string(key.index) }, { "worker", it.worker } });
+        return true;
+    });
+}
+
+void PoolCore::settleLateStarts(Worker& worker, const Ports::PollAnswer& answer, Instant sentAt)
+{
+    if (std::exchange(worker.mustStopLateStarts, false)) {
+        for (auto& [key, it] : worker.lateStarts) {
+            it.refusedSince = Instant::max();
+            m_output.orders.emplace_back(StopRun { key, it.run, worker.entry.id });
+        }
+        return;
+    }
+    std::erase_if(worker.lateStarts, [&](const auto& entry) {
+        const auto& [key, it] = entry;
+        const auto isThis = [&entry](const auto& seen) { return seen.task == entry.first && seen.run == entry.second.run; };
+        if (it.refusedSince >= sentAt || std::ranges::any_of(answer.running, isThis))
+            return false;
+        releaseTask(key, worker.entry.id);
+        return true;
+    });
+}
+
+void PoolCore::releaseLateStarts(Worker& worker)
+{
+    for (const auto& [key, it] : std::exchange(worker.lateStarts, {}))
+        releaseTask(key, worker.entry.id);
+}
+
+} // namespace Jobs
--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -4,7 +4,6 @@
 #include "Jobs/Decision/PoolCore.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace Jobs {
 
@@ -184,42 +183,6 @@
     throttleFillers(worker);
 }
 
-void PoolCore::holdLateStart(Worker& worker, const TaskKey& key, const WorkerRun& run, WorkerLoss loss)
-{
-    const bool mayArrive = (loss == WorkerLoss::Restarted && run.phase == WorkerRun::Phase::Ordered) || run.hasUnansweredStart;
-    const bool mayReturn = loss == WorkerLoss::Restarted || (loss == WorkerLoss::Crashed && worker.isListed);
-    if (!mayArrive || !mayReturn)
-        return;
-    log("late-start-possible", key.job, { { "task", std::to_string(key.step) + "." + std::to_string(key.index) }, { "run", std::to_string(run.run) }, { "worker", worker.entry.id } });
-    worker.lateStarts[key] = { run.run, run.reserved };
-    m_heldTasks.insert(key);
-}
-
-void PoolCore::settleLateStarts(Worker& worker, const Ports::PollAnswer& answer, Instant sentAt)
-{
-    if (std::exchange(worker.mustStopLateStarts, false)) {
-        for (auto& [key, it] : worker.lateStarts) {
-            it.refusedSince = Instant::max();
-            m_output.orders.emplace_back(StopRun { key, it.run, worker.entry.id });
-        }
-        return;
-    }
-    std::erase_if(worker.lateStarts, [&](const auto& entry) {
-        const auto& [key, it] = entry;
-        const auto isThis = [&entry](const auto& seen) { return seen.task == entry.first && seen.run == entry.second.run; };
-        if (it.refusedSince >= sentAt || std::ranges::any_of(answer.running, isThis))
-            return false;
-        m_heldTasks.erase(key);
-        return true;
-    });
-}
-
-void PoolCore::releaseLateStarts(Worker& worker)
-{
-    for (const auto& [key, it] : std::exchange(worker.lateStarts, {}))
-        m_heldTasks.erase(key);
-}
-
 void PoolCore::onRunEnded(Worker& worker, const Ports::EndedTask& end, Moment at)
 {
     if (end.number <= worker.lastEndNumber)
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -15,6 +15,7 @@
 
 void PoolCore::decide(Moment at)
 {
+    releaseTasksHeldTooLong(at.now);
     beginDueOccurrences(at);
     evictLastingTasks(at);
     std::vector<Candidate> candidates;
@@ -72,6 +73,8 @@
         if (isWaiting && spacing > milliseconds(0) && worker.hasStartWithin(spacing, at.now))
             consider(at.now + spacing / 2);
     }
+    for (const auto& [key, it] : m_heldTasks)
+        consider(it.until);
     if (!m_cordoned.empty() && m_previousStopsEndAt > at.now)
         consider(m_previousStopsEndAt);
     return next;
--- a/Source/Core/Jobs/Decision/Worker.h
+++ b/Source/Core/Jobs/Decision/Worker.h
@@ -56,7 +56,7 @@
 };
 
 /// A start of a lost run that may still be carried out if its worker restarts under its id, as the new incarnation can't tell it from
-/// starts of its own. Its task isn't placed again before that is ruled out.
+/// starts of its own. Its task isn't placed again before that is ruled out, or it has waited for too long.
 struct LateStart {
     RunNumber run = 0;
     Resources reserved;
--- a/Source/UnitTests/Jobs/FakeWorkers.cpp
+++ b/Source/UnitTests/Jobs/FakeWorkers.cpp
@@ -51,6 +51,7 @@
     callback = deferWhilePaused(m_hostLoop, std::move(callback));
     if (startsToLose > 0) {
         --startsToLose;
+        delayedWorker = order.target.worker;
         m_loop.after(callTimeout, [alive = m_isAlive, callback] { *alive ? callback({}) : void(); });
         return;
     }
@@ -81,7 +82,7 @@
 {
     callback = deferWhilePaused(m_hostLoop, std::move(callback));
     m_loop.after(networkDelay, [this, alive = m_isAlive, order, callback] {
-        if (auto* worker = findReachable(order.target.worker))
+        if (auto* worker = losesStops ? nullptr : findReachable(order.target.worker))
             worker->stop(order, [this, alive, callback](const WorkerAnswer& answer) { m_loop.after(networkDelay, [alive, callback, answer] { *alive ? callback(answer) : void(); }); });
         else
             m_loop.after(callTimeout, [alive, callback] { *alive ? callback({}) : void(); });
--- a/Source/UnitTests/Jobs/FakeWorkers.h
+++ b/Source/UnitTests/Jobs/FakeWorkers.h
@@ -32,13 +32,14 @@
     std::map<std::string, unsigned> polls; ///< Number of polls sent to each worker.
     /// Number of next starts that are carried out late and not answered.
     unsigned startsToDelay = 0;
-    std::string delayedWorker; ///< Target of the latest delayed start.
+    std::string delayedWorker; ///< Target of the latest start that was delayed or lost.
     /// Starts for an unreachable worker are retransmitted until it is reachable, as by TCP.
     bool retransmitsStarts = false;
     /// Number of next starts that are lost before they reach the worker.
     unsigned startsToLose = 0;
     /// Number of next starts that are carried out, but whose answers are lost.
     unsigned startAnswersToLose = 0;
+    bool losesStops = false; ///< Stops don't reach their workers.
 
 private:
     /// Null for a worker that is unknown, cut off or crashed.
--- a/Source/UnitTests/Jobs/LateStartTest.cpp
+++ b/Source/UnitTests/Jobs/LateStartTest.cpp
@@ -52,3 +52,27 @@
         CHECK(fleet.port().startsToDelay == 1);
     }
 }
+
+TEST_CASE("a task doesn't wait for more than 3 s for a worker that can't refuse its unanswered start")
+{
+    enum class Return { Never,
+        Unreachable,
+        WithoutStops };
+    for (const auto how : { Return::Never, Return::Unreachable, Return::WithoutStops }) {
+        CAPTURE(static_cast<int>(how));
+        RestartingFleet fleet;
+        fleet.downTime = how == Return::Never ? 1h : 1s;
+        fleet.port().startsToLose = 1000;
+        fleet.port().losesStops = how == Return::WithoutStops;
+        fleet.submit();
+        fleet.runFor(800ms);
+        const auto id = fleet.port().delayedWorker;
+        fleet.crashWorker(id);
+        fleet.port().startsToLose = 0;
+        fleet.runFor(1001ms);
+        fleet.workers.at(id)->isPartitioned = how == Return::Unreachable;
+        fleet.runFor(3s); // In which the loss is noticed.
+        fleet.runFor(3s);
+        CHECK(fleet.stateOf("host-0", jobId(1)) == JobState::Completed);
+    }
+}
