Expect starts in flight at a crash at the worker's next incarnation too

Callers could see: a task run twice, or again after it was done, when its worker crashed within 0.7 s of the start, before the call's timeout, and was back under its id before the start was carried out.

A crash that is noticed at once, by a refused connection, hides the timeout: the session settles the order before it.

Ruled out: orders sent after the crash is known (none in the traces).

Change: an ordered run that nothing has confirmed counts as possibly late, whichever way its worker was lost.

--- a/Source/Core/Jobs/Decision/PoolCoreLateStarts.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreLateStarts.cpp
@@ -16,7 +16,7 @@
 
 void PoolCore::holdLateStart(Worker& worker, const TaskKey& key, const WorkerRun& run, WorkerLoss loss, Instant now)
 {
-    const bool mayArrive = (loss == WorkerLoss::Restarted && run.phase == WorkerRun::Phase::Ordered) || run.hasUnansweredStart;
+    const bool mayArrive = run.phase == WorkerRun::Phase::Ordered || run.hasUnansweredStart;
     const bool mayReturn = loss == WorkerLoss::Restarted || (loss == WorkerLoss::Crashed && worker.isListed);
     if (!mayArrive || !mayReturn)
         return;
--- a/Source/UnitTests/Jobs/LateStartTest.cpp
+++ b/Source/UnitTests/Jobs/LateStartTest.cpp
@@ -76,3 +76,20 @@
         CHECK(fleet.stateOf("host-0", jobId(1)) == JobState::Completed);
     }
 }
+
+TEST_CASE("a start that is in flight when its worker's crash is noticed isn't carried out by the next incarnation")
+{
+    for (const auto downTime : { 300ms, 1000ms, 2000ms, 2800ms }) {
+        CAPTURE(downTime.count());
+        RestartingFleet fleet;
+        fleet.workers.at("w0")->closesConnections = fleet.workers.at("w1")->closesConnections = true;
+        fleet.downTime = downTime;
+        fleet.port().startsToDelay = 1;
+        fleet.submit();
+        fleet.runFor(50ms);
+        fleet.crashWorker(fleet.port().delayedWorker);
+        fleet.runFor(8s);
+        CHECK(fleet.stateOf("host-0", jobId(1)) == JobState::Completed);
+        CHECK(fleet.runMonitor.duplicateRuns == 0);
+    }
+}
