Stop unanswered starts of runs that are over at a worker's next incarnation

Callers could see: a task run again after it was done, when the first attempt of its start was carried out only after the run's end (by a second attempt) and a restart of the worker under its id, although the new incarnation had answered polls by then.

Cause: only runs that are lost with the worker leave late starts. The owner forgot the unanswered attempts of runs that had ended there, or were lost when the worker lapsed. The attempt has the owner's own fencing token, so that polls don't make the new incarnation refuse it.

Change: a worker keeps the unanswered starts of runs that are over, for 60 s. When it has crashed or restarted they become late starts, which are stopped upon the first poll answer; only those of lost runs hold their task. While any are open, polls are as frequent as those of watched workers, as the place of a late start counts against the capacity.

What remains: an attempt that arrives before the owner's first call.

--- a/Source/Core/Jobs/Decision/PoolCore.cpp
+++ b/Source/Core/Jobs/Decision/PoolCore.cpp
@@ -137,6 +137,7 @@
     worker.hasStrayOfUnknownSize = false;
     const auto failingSince = std::exchange(worker.failingSince, {});
     std::vector<LostRun> lost = std::exchange(worker.lapsedRuns, {});
+    expectLateStarts(worker, runs, loss, at.now);
     for (const auto& [key, run] : runs) {
         log("run-lost", key.job, { { "task", std::to_string(key.step) + "." + std::to_string(key.index) }, { "run", std::to_string(run.run) }, { "worker", id }, { "reason", nameOf(loss) }, { "ageMs", std::to_string(std::chrono::duration_cast<milliseconds>(at.now - run.orderedAt).count()) }, { "confirmed", run.phase == WorkerRun::Phase::Ordered ? "no" : "yes" }, { "percent", std::to_string(run.percent) } });
         const auto* task = m_jobs.findTask(key);
@@ -144,10 +145,9 @@
             continue;
         if (run.isInherited || failingSince == Instant() || run.orderedAt < failingSince)
             lost.push_back(lostRunOf(key, run, worker.aliveUntil, failingSince));
-        holdLateStart(worker, key, run, loss, at.now);
+        holdLateStart(worker, key, run, at.now);
         recordEnd({ key, run.run, RunEnd::Lost, run.checkpoint, at.wall });
     }
-    worker.mustStopLateStarts = !worker.lateStarts.empty();
     const bool isPlanned = loss == WorkerLoss::Ordered || worker.isCordoned || worker.entry.state == WorkerEntry::State::Draining;
     if (loss == WorkerLoss::Lapsed)
         worker.lapsedRuns = std::move(lost);
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -170,8 +170,12 @@
     void log(const char* event, const std::string& id, std::vector<std::pair<const char*, std::string>> fields);
     std::string submissionError(const JobSpec&) const;
 
+    /// Remembers an unanswered start of a run that is over at the worker.
+    void noteUnansweredStart(Worker&, const TaskKey&, const WorkerRun&, Instant now);
+    /// Makes the unanswered starts of a worker that may return as another incarnation its late starts.
+    void expectLateStarts(Worker&, const std::map<TaskKey, WorkerRun>& lostRuns, WorkerLoss, Instant now);
     /// Keeps the task of a lost run from being placed again if the run's start may still arrive at the worker.
-    void holdLateStart(Worker&, const TaskKey&, const WorkerRun&, WorkerLoss, Instant now);
+    void holdLateStart(const Worker&, const TaskKey&, const WorkerRun&, Instant now);
     /// Ends the task's wait for that worker, if it does wait.
     void releaseTask(const TaskKey&, const std::string& worker);
     void releaseTasksHeldTooLong(Instant now);
--- a/Source/Core/Jobs/Decision/PoolCoreLateStarts.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreLateStarts.cpp
@@ -11,17 +11,44 @@
 
     /// A waiting task has to be placed within 3 s where there is room, and the worker may never answer.
     constexpr milliseconds longestHold { 3000 };
+    constexpr std::chrono::seconds longestDelay { 60 }; ///< Calls without an answer are carried out seconds late.
+
+    /// A stop also makes the worker refuse the task's earlier runs.
+    void keepLatest(std::map<TaskKey, LateStart>& starts, const TaskKey& key, const LateStart& start)
+    {
+        const auto [it, isNew] = starts.try_emplace(key, start);
+        if (!isNew && it->second.run < start.run)
+            it->second = start;
+    }
 
 } // namespace
 
-void PoolCore::holdLateStart(Worker& worker, const TaskKey& key, const WorkerRun& run, WorkerLoss loss, Instant now)
+void PoolCore::noteUnansweredStart(Worker& worker, const TaskKey& key, const WorkerRun& run, Instant now)
+{
+    std::erase_if(worker.unansweredStarts, [now](const auto& it) { return now - it.second.overSince > longestDelay; });
+    keepLatest(worker.unansweredStarts, key, { run.run, run.reserved, now });
+}
+
+void PoolCore::expectLateStarts(Worker& worker, const std::map<TaskKey, WorkerRun>& lostRuns, WorkerLoss loss, Instant now)
+{
+    std::erase_if(worker.unansweredStarts, [now](const auto& it) { return now - it.second.overSince > longestDelay; });
+    for (const auto& [key, run] : lostRuns) {
+        if (run.phase == WorkerRun::Phase::Ordered || run.hasUnansweredStart)
+            noteUnansweredStart(worker, key, run, now);
+    }
+    if (loss == WorkerLoss::Restarted || loss == WorkerLoss::Crashed) {
+        for (const auto& [key, it] : std::exchange(worker.unansweredStarts, {}))
+            keepLatest(worker.lateStarts, key, it);
+    }
+    worker.mustStopLateStarts = !worker.lateStarts.empty();
+}
+
+void PoolCore::holdLateStart(const Worker& worker, const TaskKey& key, const WorkerRun& run, Instant now)
 {
-    const bool mayArrive = run.phase == WorkerRun::Phase::Ordered || run.hasUnansweredStart;
-    const bool mayReturn = loss == WorkerLoss::Restarted || (loss == WorkerLoss::Crashed && worker.isListed);
-    if (!mayArrive || !mayReturn)
+    const auto late = worker.lateStarts.find(key);
+    if (late == worker.lateStarts.end() || late->second.run != run.run)
         return;
     log("late-start-possible", key.job, { { "task", std::to_string(key.step) + "." + std::to_string(key.index) }, { "run", std::to_string(run.run) }, { "worker", worker.entry.id } });
-    worker.lateStarts[key] = { run.run, run.reserved };
     m_heldTasks[key] = { worker.entry.id, now + longestHold };
 }
 
--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -189,8 +189,11 @@
         return;
     worker.lastEndNumber = end.number;
     const auto it = worker.runs.find(end.task);
-    if (it != worker.runs.end() && it->second.run <= end.run)
+    if (it != worker.runs.end() && it->second.run <= end.run) {
+        if (it->second.hasUnansweredStart)
+            noteUnansweredStart(worker, end.task, it->second, at.now);
         worker.runs.erase(it);
+    }
     const auto* task = m_jobs.findTask(end.task);
     const bool isCurrent = isAssignedHere(task, worker, end.run);
     const bool isLateDone = task && task->state == Task::State::Waiting && end.runEnd == RunEnd::Done;
@@ -263,6 +266,8 @@
     }
     for (const auto& [key, run] : missing) {
         log("run-missing", key.job, { { "task", std::to_string(key.step) + "." + std::to_string(key.index) }, { "run", std::to_string(run.run) }, { "worker", worker.entry.id } });
+        if (run.hasUnansweredStart)
+            noteUnansweredStart(worker, key, run, at.now);
         worker.runs.erase(key);
         stopGang(key);
         if (!isAssignedHere(m_jobs.findTask(key), worker, run.run))
@@ -318,7 +323,7 @@
         serves = serves || run.targetLatency > milliseconds(0);
         fills = fills || run.isFiller;
     }
-    return (serves && fills) || m_quarantined.contains(id) || worker->isTestingSuspect();
+    return (serves && fills) || !worker->lateStarts.empty() || m_quarantined.contains(id) || worker->isTestingSuspect();
 }
 
 void PoolCore::orderStop(Worker& worker, const TaskKey& key, WorkerRun& run, bool isOptional)
--- a/Source/Core/Jobs/Decision/Worker.h
+++ b/Source/Core/Jobs/Decision/Worker.h
@@ -55,11 +55,12 @@
     bool hasUnansweredStart = false; ///< An attempt of the start wasn't answered, and may be carried out late.
 };
 
-/// A start of a lost run that may still be carried out if its worker restarts under its id, as the new incarnation can't tell it from
-/// starts of its own. Its task isn't placed again before that is ruled out, or it has waited for too long.
+/// A start that may still be carried out if its worker restarts under its id, as the new incarnation can't tell it from starts of its
+/// own. The task of a run that was lost isn't placed again before that is ruled out, or it has waited for too long.
 struct LateStart {
     RunNumber run = 0;
     Resources reserved;
+    Common::Instant overSince {}; ///< When its run ended or was lost.
     Common::Instant refusedSince = Common::Instant::max(); ///< The new incarnation has confirmed a stop of the run.
 };
 
@@ -92,6 +93,7 @@
     Resources largestCapacity; ///< Largest amounts that the worker has reported; its capacity may shrink and grow.
     Common::Instant failingSince {}; ///< When the first poll since the last answer failed; zero for none.
     Common::Instant aliveUntil {}; ///< While failing: it hadn't crashed before then.
+    std::map<TaskKey, LateStart> unansweredStarts; ///< Of runs that are over here. Late starts once the worker has crashed or restarted.
     std::map<TaskKey, LateStart> lateStarts; ///< At most one of a task.
     bool mustStopLateStarts = false; ///< With the next poll answer, as orders sent before a loss have expired.
     std::vector<LostRun> lapsedRuns; ///< Lost when the lease lapsed; evidence if the worker turns out to have crashed.
