Begin a worker's new incarnation with its entry, not only with its first answer

Callers could see: a task run again after it was done, by a late start that reached a restarted worker up to 1 s after the owner's first poll; and ends of the new incarnation could be acknowledged unseen.

Change: the session forgets the clock, the lease and the ends as soon as the entry shows a later incarnation. The first poll is answered at once then.

--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -79,12 +79,8 @@
 
     void onPollAnswered(const Ports::PollAnswer& poll, Instant sentAt)
     {
-        if (poll.incarnation != 0 && poll.incarnation != incarnation) {
-            if (incarnation != 0)
-                clock.reset(loop.now()); // Its clock and the numbers of its ends restart, and its runs are gone.
-            acknowledgedEnds = 0;
-            incarnation = poll.incarnation;
-        }
+        if (poll.incarnation != 0 && poll.incarnation != incarnation)
+            beginIncarnation(poll.incarnation);
         if (!applyAnswer(poll.answer)) {
             onPollFailed(isBrokenEarly(poll.answer, sentAt));
             return;
@@ -104,6 +100,15 @@
         schedulePoll(newest == acknowledgedEnds ? milliseconds(0) : endStoreWait);
     }
 
+    /// The clock and the numbers of ends restart, and all runs are gone.
+    void beginIncarnation(std::uint64_t number)
+    {
+        if (incarnation != 0)
+            clock.reset(loop.now());
+        acknowledgedEnds = 0;
+        incarnation = number;
+    }
+
     void schedulePoll(milliseconds delay)
     {
         loop.cancel(pollTimer);
@@ -373,9 +378,10 @@
     if (!isNew)
         return;
     state.isGone = false;
-    // A poll that the earlier incarnation held would only time out.
-    if (entry.incarnation != state.incarnation)
-        state.isPolling = false;
+    if (state.incarnation != 0 && entry.incarnation > state.incarnation) {
+        state.beginIncarnation(entry.incarnation);
+        state.isPolling = false; // A poll that the earlier incarnation held would only time out.
+    }
     state.schedulePoll(milliseconds(0));
 }
 
--- a/Source/UnitTests/Jobs/LateStartTest.cpp
+++ b/Source/UnitTests/Jobs/LateStartTest.cpp
@@ -96,16 +96,22 @@
 
 TEST_CASE("an unanswered first attempt of a start isn't carried out after its run's end, once the worker's next incarnation has answered")
 {
-    RestartingFleet fleet;
-    fleet.workers.at("w0")->closesConnections = fleet.workers.at("w1")->closesConnections = true;
-    fleet.downTime = 300ms;
-    fleet.port().startsToDelay = 1;
-    fleet.submit();
-    fleet.runFor(1500ms);
-    REQUIRE(fleet.runMonitor.done.size() == 1);
-    fleet.crashWorker(fleet.port().delayedWorker);
-    fleet.runFor(8s);
-    CHECK(fleet.runMonitor.duplicateRuns == 0);
+    for (const auto crashAfter : { 1500ms, 2400ms }) {
+        for (const bool closesConnections : { false, true }) {
+            CAPTURE(crashAfter.count());
+            CAPTURE(closesConnections);
+            RestartingFleet fleet;
+            fleet.workers.at("w0")->closesConnections = fleet.workers.at("w1")->closesConnections = closesConnections;
+            fleet.downTime = 300ms;
+            fleet.port().startsToDelay = 1;
+            fleet.submit();
+            fleet.runFor(crashAfter);
+            REQUIRE(fleet.runMonitor.done.size() == 1);
+            fleet.crashWorker(fleet.port().delayedWorker);
+            fleet.runFor(8s);
+            CHECK(fleet.runMonitor.duplicateRuns == 0);
+        }
+    }
 }
 
 TEST_CASE("a worker that restarts under its id while it holds a poll is polled as soon as it is listed")
