Remember late starts that an incarnation was told to refuse, for the next one

Callers could see: a task run again after it was done, when its worker restarted under its id twice within the seconds that a start was late.

Change: a settled late start stays with the worker as an unanswered one, for 60 s from its run's end, and is stopped again after each restart.

--- a/Source/Core/Jobs/Decision/PoolCoreLateStarts.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreLateStarts.cpp
@@ -85,6 +85,7 @@
         if (it.refusedSince >= sentAt || std::ranges::any_of(answer.running, isThis))
             return false;
         releaseTask(key, worker.entry.id);
+        keepLatest(worker.unansweredStarts, key, it); // The worker may restart once more.
         return true;
     });
 }
--- a/Source/UnitTests/Jobs/LateStartTest.cpp
+++ b/Source/UnitTests/Jobs/LateStartTest.cpp
@@ -125,3 +125,20 @@
     fleet.runFor(100ms + 20ms);
     CHECK(polls["w0"] >= 1);
 }
+
+TEST_CASE("a start that a worker's next incarnation was told to refuse isn't carried out by the one after it")
+{
+    RestartingFleet fleet;
+    fleet.workers.at("w0")->closesConnections = fleet.workers.at("w1")->closesConnections = true;
+    fleet.downTime = 100ms;
+    fleet.port().startsToDelay = 1;
+    fleet.submit();
+    fleet.runFor(50ms);
+    const auto id = fleet.port().delayedWorker;
+    fleet.crashWorker(id);
+    fleet.runFor(2500ms);
+    fleet.crashWorker(id);
+    fleet.runFor(8s);
+    CHECK(fleet.stateOf("host-0", jobId(1)) == JobState::Completed);
+    CHECK(fleet.runMonitor.duplicateRuns == 0);
+}
