Test, failing: late starts that arrive before the owner's first stop

Why no order can prevent it: a new incarnation holds no fence, no stop and no run, and the header names an id that it shares. What the worker compares are the fence (at least 0), the run (above none) and the lease end (above its clock). An order that the earlier incarnation accepts at its clock C names a lease end above C; the new one refuses it only after running longer than C. Acknowledging an end only once its unanswered attempts can't arrive needs a bound of their delay, which isn't given, and would hold every end behind it.

--- a/Source/UnitTests/Jobs/LateStartTest.cpp
+++ b/Source/UnitTests/Jobs/LateStartTest.cpp
@@ -2,6 +2,7 @@
 
 #include "JobFleet.h"
 
+#include <array>
 #include <doctest/doctest.h>
 
 using namespace Jobs;
@@ -30,6 +31,24 @@
     }
 };
 
+/// Crash times for which the late attempt reaches the next incarnation before the owner's first stop can.
+constexpr std::array beforeFirstStop { 2715ms, 2716ms, 2717ms, 2718ms, 2719ms };
+
+/// The first attempt of a start is late by 3 s, its run is done by the second one, and its worker is back 300 ms after a crash.
+void checkAttemptAfterEnd(milliseconds crashAfter)
+{
+    CAPTURE(crashAfter.count());
+    RestartingFleet fleet;
+    fleet.downTime = 300ms;
+    fleet.port().startsToDelay = 1;
+    fleet.submit();
+    fleet.runFor(crashAfter);
+    REQUIRE(fleet.runMonitor.done.size() == 1);
+    fleet.crashWorker(fleet.port().delayedWorker);
+    fleet.runFor(3s);
+    CHECK(fleet.runMonitor.duplicateRuns == 0);
+}
+
 } // namespace
 
 TEST_CASE("an unanswered start isn't repeated once a poll has shown the run or its end")
@@ -142,3 +161,21 @@
     CHECK(fleet.stateOf("host-0", jobId(1)) == JobState::Completed);
     CHECK(fleet.runMonitor.duplicateRuns == 0);
 }
+
+TEST_CASE("an unanswered first attempt isn't carried out after its run's end when it reaches the next incarnation later than the first stop")
+{
+    for (auto crashAfter = 2600ms; crashAfter < beforeFirstStop.front(); crashAfter += 1ms)
+        checkAttemptAfterEnd(crashAfter);
+}
+
+TEST_CASE("an unanswered first attempt isn't carried out after its run's end when it reaches the crashed worker")
+{
+    for (auto crashAfter = beforeFirstStop.back() + 1ms; crashAfter < 2800ms; crashAfter += 1ms)
+        checkAttemptAfterEnd(crashAfter);
+}
+
+TEST_CASE("an unanswered first attempt isn't carried out after its run's end when it reaches the next incarnation before the first stop")
+{
+    for (const auto crashAfter : beforeFirstStop)
+        checkAttemptAfterEnd(crashAfter);
+}
