One parser of socket addresses; ports out of range connect nowhere

Another writer's worker entry with port 99999 was used, and calls went to port 34463: the number was cut to 16 bits in KeepAliveConnection, which also took "127.0.0.1:80x" for port 80. There were two parsers of addresses and two more of ports.

Common::parseSocketAddress() replaces them.

--- a/Source/Core/Adapters/Peers/Nghttp2Peers.cpp
+++ b/Source/Core/Adapters/Peers/Nghttp2Peers.cpp
@@ -1,7 +1,7 @@
 #include "Adapters/Peers/Nghttp2Peers.h"
 
 #include "Adapters/Peers/PeerLoop.h"
-#include "Adapters/Peers/SocketAddress.h"
+#include "Common/SocketAddress.h"
 
 namespace Adapters {
 
@@ -20,7 +20,7 @@
 {
     if (!isValidHostId(settings.self))
         return Ports::PortError("host id '" + settings.self + "' is not 1 to 64 letters, digits, dots, hyphens or underscores");
-    const auto address = parseSocketAddress(settings.listenAddress);
+    const auto address = Common::parseSocketAddress(settings.listenAddress, Common::AddressUse::Listen);
     if (!address)
         return Ports::PortError("peer listen address '" + settings.listenAddress + "' is not ip:port");
     return std::unique_ptr<Nghttp2Peers>(new Nghttp2Peers(std::make_unique<PeerLoop>(settings, *address, guards)));
--- a/Source/Core/Adapters/Peers/PeerLoop.cpp
+++ b/Source/Core/Adapters/Peers/PeerLoop.cpp
@@ -1,8 +1,8 @@
 #include "Adapters/Peers/PeerLoop.h"
 
 #include "Adapters/Peers/FrameReader.h"
-#include "Adapters/Peers/SocketAddress.h"
 #include "Adapters/Peers/UvHandles.h"
+#include "Common/SocketAddress.h"
 #include "Ports/PortError.h"
 
 #include <csignal>
@@ -244,7 +244,7 @@
 
 bool PeerLoop::isUsable(const Ports::PeerAddress& peer) const
 {
-    return peer.host != m_settings.self && isValidHostId(peer.host) && parseSocketAddress(peer.address);
+    return peer.host != m_settings.self && isValidHostId(peer.host) && Common::parseSocketAddress(peer.address, Common::AddressUse::Connect);
 }
 
 void PeerLoop::applyPeers(std::vector<Ports::PeerAddress> peers)
@@ -275,7 +275,7 @@
         m_outboxes[peer.host] = outbox;
     }
     auto& dialler = m_diallers[peer.host];
-    dialler = { peer, *parseSocketAddress(peer.address), std::move(outbox), nullptr };
+    dialler = { peer, *Common::parseSocketAddress(peer.address, Common::AddressUse::Connect), std::move(outbox), nullptr };
     dial(dialler);
 }
 
--- a/Source/Core/Adapters/Platform/KeepAliveConnection.cpp
+++ b/Source/Core/Adapters/Platform/KeepAliveConnection.cpp
@@ -1,8 +1,9 @@
 #include "Adapters/Platform/KeepAliveConnection.h"
 
+#include "Common/SocketAddress.h"
+
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -15,22 +16,6 @@
     constexpr int keepAliveProbes = 3; ///< Unanswered probes after which the system closes a connection.
     constexpr std::size_t readBytes = 65536; ///< Maximum of one read; a worker's list of a hundred runs has about ten thousand bytes.
 
-    /// Parses "127.0.0.1:80" or "[::1]:80"; host names aren't resolved.
-    bool readAddress(std::string_view text, sockaddr_storage& address)
-    {
-        const auto colon = text.rfind(':');
-        if (colon == std::string_view::npos)
-            return false;
-        int port = 0;
-        const auto digits = text.substr(colon + 1);
-        if (std::from_chars(digits.data(), digits.data() + digits.size(), port).ec != std::errc {})
-            return false;
-        auto host = std::string(text.substr(0, colon));
-        if (host.starts_with('[') && host.ends_with(']'))
-            return uv_ip6_addr(host.substr(1, host.size() - 2).c_str(), port, reinterpret_cast<sockaddr_in6*>(&address)) == 0;
-        return uv_ip4_addr(host.c_str(), port, reinterpret_cast<sockaddr_in*>(&address)) == 0;
-    }
-
     /// All connections of a thread share one buffer, since each read is processed before the next.
     void provideBuffer(uv_handle_t*, std::size_t, uv_buf_t* buf)
     {
@@ -52,12 +37,12 @@
 
 KeepAliveConnection* KeepAliveConnection::connect(uv_loop_t* loop, Owner& owner, const std::string& address, std::chrono::milliseconds peerTimeout)
 {
-    sockaddr_storage peer {};
-    if (!readAddress(address, peer))
+    const auto peer = Common::parseSocketAddress(address, Common::AddressUse::Connect);
+    if (!peer)
         return nullptr;
     auto* connection = new KeepAliveConnection(owner, address);
     uv_tcp_init(loop, &connection->m_socket);
-    if (uv_tcp_connect(&connection->m_connecting, &connection->m_socket, reinterpret_cast<const sockaddr*>(&peer), onConnected) != 0) {
+    if (uv_tcp_connect(&connection->m_connecting, &connection->m_socket, reinterpret_cast<const sockaddr*>(&*peer), onConnected) != 0) {
         connection->close();
         return nullptr;
     }
--- a/Source/Core/Kernel/SettingsFields.cpp
+++ b/Source/Core/Kernel/SettingsFields.cpp
@@ -1,11 +1,11 @@
 #include "Kernel/SettingsFields.h"
 
+#include "Common/SocketAddress.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <cctype>
-#include <charconv>
-#include <cstdint>
 #include <sstream>
 #include <string_view>
 
@@ -32,9 +32,7 @@
 
     bool isPort(std::string_view text)
     {
-        std::uint16_t port = 0;
-        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), port);
-        return ec == std::errc {} && end == text.data() + text.size() && port != 0;
+        return Common::parsePort(text).value_or(0) != 0;
     }
 
     bool isAddress(const std::string& text)
--- a/Source/Core/Objects/Address.cpp
+++ b/Source/Core/Objects/Address.cpp
@@ -1,9 +1,9 @@
 #include "Objects/Address.h"
 
+#include "Common/SocketAddress.h"
+
 #include <arpa/inet.h>
 #include <array>
-#include <charconv>
-#include <cstdint>
 #include <string_view>
 
 namespace Objects {
@@ -23,9 +23,7 @@
 
     bool isPort(std::string_view text)
     {
-        std::uint16_t port = 0;
-        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), port);
-        return ec == std::errc() && end == text.data() + text.size() && text.front() != '0';
+        return Common::parsePort(text) && text.front() != '0';
     }
 
 } // namespace
--- a/Source/UnitTests/Adapters/KeepAliveClientTest.cpp
+++ b/Source/UnitTests/Adapters/KeepAliveClientTest.cpp
@@ -168,6 +168,18 @@
     CHECK(rig.post("not-an-address", "x").get().end == HttpEnd::NotSent);
 }
 
+TEST_CASE("a call to an address with a port that is out of range or followed by other text reaches no server")
+{
+    constexpr std::uint16_t port = 25181;
+    ScriptedServer server(port, echo);
+    Rig rig;
+    for (const auto& text : std::vector<std::string> { std::to_string(0x10000 + port), std::to_string(port) + "x", "0", "-1", "99999", "" }) {
+        CAPTURE(text);
+        CHECK(rig.post("127.0.0.1:" + text, "x", 2000ms).get().end == HttpEnd::NotSent);
+    }
+    CHECK(server.connections() == 0);
+}
+
 TEST_CASE("a call ends as broken if the server closes the connection before or within its answer")
 {
     for (const std::string part : { "", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", "HTTP/1.1 200 OK\r\nContent-Le", "no HTTP at all\r\n\r\n" }) {
