Published entries with a value out of range are left out, the others hold

An entry of another writer was used with what its fields were cut or converted to: a capacity of -1 as 2^64 - 1 of everything, a text or 1e300 as 0, a wave's maxCount of -1 as 4,294,967,295 machines at once, a route's priority, attempts and stretch of -1 or 1e300 as 4,294,967,295. drainRemainingMs, durationS and targetDurationMs of 9e18 overflowed when they were added or multiplied. A label that isn't a text was skipped, so that the rack was read from another position.

A route or service that is unreadable doesn't discard the others of its configuration. Entries, waves and configurations must be UTF-8, a worker's address one to connect to.

Each is logged with the field and the reason (field-unreadable, queue-unreadable, pool-unreadable), at most once a second like other faults; entry-unreadable was written for each heartbeat of such an entry and is limited as well. marigoldstile_unreadable_entries_total counts them, routes and services of a configuration as kind configuration-item.

--- a/Source/Core/Common/SocketAddress.cpp
+++ b/Source/Core/Common/SocketAddress.cpp
@@ -1,5 +1,6 @@
 #include "Common/SocketAddress.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <charconv>
@@ -44,7 +45,7 @@
     const int family = isVersion6 ? AF_INET6 : AF_INET;
     const auto port = parsePort(text.substr(colon + 1));
     const auto bytes = parseHost(family, isVersion6 ? host.substr(1, host.size() - 2) : host);
-    if (!port || !bytes || (use == AddressUse::Connect && (*port == 0 || *bytes == HostBytes())))
+    if (!port || !bytes || (use == AddressUse::Connect && (*port == 0 || std::ranges::all_of(*bytes, [](unsigned char it) { return it == 0; }))))
         return std::nullopt;
 
     sockaddr_storage address {};
--- a/Source/Core/Jobs/Model/FleetTypes.h
+++ b/Source/Core/Jobs/Model/FleetTypes.h
@@ -43,6 +43,7 @@
     std::uint64_t version = 0;
     std::vector<QueueRule> queues;
     std::vector<PoolRule> pools;
+    unsigned itemsLeftOut = 0; ///< Queues and pools of this version that couldn't be read.
 
     /// Null when there is none of that name.
     const QueueRule* findQueue(const std::string& name) const;
--- a/Source/Core/Jobs/Runtime/JobNode.cpp
+++ b/Source/Core/Jobs/Runtime/JobNode.cpp
@@ -73,14 +73,16 @@
 
 void JobNode::State::reportUnreadable(const std::string& kind, const std::string& key)
 {
-    writeEvent("node", { "entry-unreadable", key, { { "kind", kind } } });
+    limiter.write({ "entry-unreadable", key, { { "kind", kind } } }, loop.now());
     metrics->countUnreadable(kind);
 }
 
 void JobNode::State::configure(JobConfiguration newConfiguration)
 {
     configuration = std::move(newConfiguration);
-    writeEvent("node", { "configuration-in-force", std::to_string(configuration.version), { { "queues", std::to_string(configuration.queues.size()) } } });
+    writeEvent("node", { "configuration-in-force", std::to_string(configuration.version), { { "queues", std::to_string(configuration.queues.size()) }, { "leftOut", std::to_string(configuration.itemsLeftOut) } } });
+    for (unsigned n = 0; n < configuration.itemsLeftOut; ++n)
+        metrics->countUnreadable("configuration-item");
     isConfigured = true;
     metrics->setConfigurationVersion(configuration.version);
     std::set<std::string> duties { fleetDuty };
--- a/Source/Core/Jobs/Runtime/JobNodeState.h
+++ b/Source/Core/Jobs/Runtime/JobNodeState.h
@@ -2,6 +2,7 @@
 
 /// Internal state of JobNode.
 
+#include "Jobs/Runtime/EventLimiter.h"
 #include "Jobs/Runtime/FleetDuty.h"
 #include "Jobs/Runtime/JobNode.h"
 #include "Jobs/Runtime/PeerCalls.h"
@@ -69,6 +70,7 @@
     JobNodePorts ports;
     Common::TaskLoop& loop;
     JobNodeSettings settings;
+    EventLimiter limiter { "node" }; ///< For entries and frames that couldn't be read.
     std::unique_ptr<JobMetrics> metrics;
     std::map<std::uint64_t, UnansweredCall> unansweredCalls; ///< In order of arrival. Outlives the owners, which answer calls on destruction.
     std::uint64_t lastCall = 0;
--- a/Source/UnitTests/Platform/JsonTextTest.cpp
+++ b/Source/UnitTests/Platform/JsonTextTest.cpp
@@ -59,6 +59,31 @@
     CHECK((*text)["half"].number() == 2);
 }
 
+TEST_CASE("a number outside a range isn't read as one inside it")
+{
+    const auto text = JsonText::parseObject(R"({"n":7,"half":6.5,"low":-1,"big":18446744073709551615,"next":9223372036854775808,"huge":1e300,"less":-1e300,"text":"7","none":null})");
+    REQUIRE(text);
+    constexpr auto most = std::numeric_limits<std::int64_t>::max();
+    CHECK((*text)["n"].numberIn(0, 7) == 7);
+    CHECK((*text)["half"].numberIn(0, 7) == 6);
+    CHECK_FALSE((*text)["n"].numberIn(0, 6));
+    CHECK_FALSE((*text)["n"].numberIn(8, most));
+    CHECK((*text)["low"].numberIn(-1, 0) == -1);
+    for (const auto* field : { "low", "big", "next", "huge", "less", "text", "none", "missing" }) {
+        CAPTURE(field);
+        CHECK_FALSE((*text)[field].numberIn(0, most));
+    }
+}
+
+TEST_CASE("an entry with bytes that aren't UTF-8 is refused")
+{
+    CHECK(JsonText::parseEntry("{\"a\":\"\xc3\xbc\"}"));
+    for (const std::string bytes : { "\xff", "\xc3", "\xc0\x80", "\xed\xa0\x80", "\xf5\x80\x80\x80" }) {
+        CAPTURE(bytes);
+        CHECK_FALSE(JsonText::parseEntry("{\"a\":\"" + bytes + "\"}"));
+    }
+}
+
 TEST_CASE("control characters and extreme numbers survive writing and reading")
 {
     std::string bytes;
