--- a/Source/UnitTests/Platform/JsonTextTest.cpp
+++ b/Source/UnitTests/Platform/JsonTextTest.cpp
@@ -75,6 +75,23 @@
     }
 }
 
+TEST_CASE("a number too large for a double doesn't make the rest of a body unreadable, but an entry")
+{
+    const std::string body = R"({"a":[1e400,-1.5E+999,2e2,"1e400\"1e400",{"b":1e400,"c":7}],"d":)" + std::string(400, '9') + "}";
+    const auto text = JsonText::parseObject(body);
+    REQUIRE(text);
+    CHECK((*text)["a"].size() == 5);
+    CHECK_FALSE((*text)["a"].at(0).isNumber());
+    CHECK_FALSE((*text)["a"].at(1).isNumber());
+    CHECK((*text)["a"].at(2).number() == 200);
+    CHECK((*text)["a"].at(3).text() == "1e400\"1e400");
+    CHECK((*text)["a"].at(4)["b"].exists());
+    CHECK((*text)["a"].at(4)["c"].number() == 7);
+    CHECK_FALSE((*text)["d"].isNumber());
+    CHECK_FALSE(JsonText::parseEntry(body));
+    CHECK_FALSE(JsonText::parseObject("{\"a\":1e400"));
+}
+
 TEST_CASE("an entry with bytes that aren't UTF-8 is refused")
 {
     CHECK(JsonText::parseEntry("{\"a\":\"\xc3\xbc\"}"));
