Submissions with a value out of range are refused

A job with a count, cpu, maxPerServer or estimate of -1, 1e300 or another type was accepted with what it was cut or converted to; an estimate, interval or firstRunMs of 9e18 overflowed when its critical path, its objective or the times of its occurrences were computed.

--- a/Source/Core/Jobs/Model/JobTypes.cpp
+++ b/Source/Core/Jobs/Model/JobTypes.cpp
@@ -1,7 +1,10 @@
 #include "Jobs/Model/JobTypes.h"
 
+#include "Jobs/Model/ValueRanges.h"
+
 #include <algorithm>
 #include <array>
+#include <limits>
 
 namespace Jobs {
 
@@ -14,6 +17,26 @@
     constexpr std::array<const char*, 7> runEndNames { "done", "failed", "stopped", "lapsed", "broken", "alone", "lost" };
     constexpr std::array<const char*, 5> jobStateNames { "queued", "running", "completed", "failed", "cancelled" };
 
+    bool isAmount(std::uint64_t it) { return it <= static_cast<std::uint64_t>(ValueRanges::maximumAmount); }
+
+    bool isDuration(milliseconds it) { return it >= milliseconds(0) && it <= ValueRanges::maximumDuration; }
+
+    /// True when every occurrence is due between 1970 and ValueRanges::latestTime.
+    bool isScheduleInRange(const JobSpec& spec)
+    {
+        if (spec.firstRun < Common::WallTime() || spec.firstRun > ValueRanges::latestTime || !isDuration(spec.interval))
+            return false;
+        const auto later = spec.repeatCount > 0 ? spec.repeatCount - 1 : 0;
+        return later == 0 || spec.interval <= (ValueRanges::latestTime - spec.firstRun) / later;
+    }
+
+    /// The product, or the largest number when that is smaller.
+    std::uint64_t multiply(std::uint64_t left, std::uint64_t right)
+    {
+        const auto limit = std::numeric_limits<std::uint64_t>::max();
+        return right != 0 && left > limit / right ? limit : left * right;
+    }
+
     std::string validationError(const StepSpec& step, std::size_t number)
     {
         const std::string name = "step " + std::to_string(number);
@@ -21,6 +44,10 @@
             return name + " has no tasks";
         if (step.taskCount > maximumTasksPerStep)
             return name + " has more than " + std::to_string(maximumTasksPerStep) + " tasks";
+        if (!isAmount(step.need.milliCores) || !isAmount(step.need.memoryMb) || !isAmount(step.need.accelerators))
+            return name + " needs more than any worker can have";
+        if (!isDuration(step.estimate) || !isDuration(step.targetLatency) || step.targetLatency > ValueRanges::maximumLatency)
+            return name + " has an estimate or a target out of range";
         const auto isLater = [number](unsigned it) { return it >= number; };
         if (std::ranges::any_of(step.after, isLater))
             return name + " comes after a step that isn't before it";
@@ -63,6 +90,8 @@
     }
     if (spec.repeatCount > 1 && spec.interval <= milliseconds(0))
         return "occurrences repeat without an interval";
+    if (!isScheduleInRange(spec))
+        return "occurrences are due out of range";
     return {};
 }
 
@@ -97,7 +126,7 @@
     constexpr std::uint64_t permille = 1000;
     std::uint64_t work = 0;
     for (const auto& it : spec.steps)
-        work += it.taskCount * it.need.milliCores * static_cast<std::uint64_t>(std::max<std::int64_t>(0, it.estimate.count())) / permille;
+        work += multiply(it.taskCount * it.need.milliCores, static_cast<std::uint64_t>(std::max<std::int64_t>(0, it.estimate.count()))) / permille;
     return work;
 }
 
