--- a/Source/Core/Jobs/Model/FleetTypes.h
+++ b/Source/Core/Jobs/Model/FleetTypes.h
@@ -85,6 +85,7 @@
         Moving,
         Maintenance,
         Down,
+        Unknown, ///< Its item couldn't be read; the name and the worker's id may be empty. Proves nothing about its worker.
     };
     std::string name;
     std::string pool; ///< Pool that the machine currently belongs to.
--- a/Source/Core/Jobs/Runtime/FleetDuty.cpp
+++ b/Source/Core/Jobs/Runtime/FleetDuty.cpp
@@ -79,8 +79,13 @@
         listedAt = loop.now();
         nextListAt = listedAt + listInterval;
         machines.clear();
-        for (auto& it : list)
-            machines[it.name] = std::move(it);
+        hasNamelessMachines = false;
+        for (auto& it : list) {
+            if (it.name.empty())
+                hasNamelessMachines = true;
+            else
+                machines[it.name] = std::move(it);
+        }
     }
 
     void requestLoads()
@@ -131,7 +136,7 @@
         const auto before = std::exchange(cordon, {});
         for (auto it = waves.begin(); it != waves.end();) {
             const auto number = it->first;
-            const bool isCompleted = !machines.empty() && it->second.isCompleted(seen);
+            const bool isCompleted = !machines.empty() && !hasNamelessMachines && it->second.isCompleted(seen);
             ++it;
             if (isCompleted)
                 complete(number);
@@ -455,6 +460,7 @@
     Common::Instant ordersPausedUntil {}; ///< Backoff after orders were cancelled, as the store may be unavailable.
     JobConfiguration configuration;
     std::map<std::string, Machine> machines;
+    bool hasNamelessMachines = false; ///< A machine that isn't listed by name may be one whose item couldn't be read.
     std::map<std::string, PoolLoad> loads;
     std::map<std::uint64_t, WaveRun> waves;
     std::set<std::uint64_t> completedWaves;
--- a/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
@@ -115,6 +115,8 @@
         byName.emplace(it.name, &it);
         byWorker.emplace(it.worker, &it);
     }
+    // A worker that isn't listed may be that of such a machine.
+    const bool hasUnknownWorker = std::ranges::any_of(machines, [](const Machine& it) { return it.state == Machine::State::Unknown && it.worker.empty(); });
     for (const auto& [id, since] : silentBefore) {
         const auto silent = silentWorkers.find(id);
         if (silent == silentWorkers.end() || silent->second != since)
@@ -124,7 +126,7 @@
         const bool isKnown = known != knownMachines.end();
         const auto& index = isKnown ? byName : byWorker;
         const auto machine = index.find(isKnown ? known->second : id);
-        if (isKnown && machine == index.end())
+        if (machine == index.end() && (isKnown || hasUnknownWorker))
             continue;
         checkSilentWorker(id, machine == index.end() ? nullptr : machine->second);
     }
@@ -136,6 +138,8 @@
     const auto session = sessions.find(id);
     if (session == sessions.end())
         return;
+    if (machine && machine->state == Machine::State::Unknown)
+        return;
     if (machine && machine->state == Machine::State::Up && (machine->worker.empty() || machine->worker == id))
         return;
     silentWorkers.erase(id);
--- a/Source/UnitTests/Jobs/SilentWorkersTest.cpp
+++ b/Source/UnitTests/Jobs/SilentWorkersTest.cpp
@@ -99,6 +99,27 @@
     CHECK(fleet.runMonitor.duplicateRuns == 0);
 }
 
+TEST_CASE("a silent worker whose machine's item can't be read isn't taken for gone")
+{
+    JobFleet fleet(1, 2);
+    fleet.setRunTime(20s);
+    fleet.settle();
+    CHECK(fleet.call("host-0", Ports::JobVerb::Submit, jobId(1), oneStep(1, 20s))->outcome == Ports::JobOutcome::Accepted);
+    fleet.runFor(500ms);
+    auto& busy = fleet.busyWorker();
+    auto& machine = fleet.machines.at(busy.entry.machine);
+    machine.state = Machine::State::Unknown;
+    machine.worker.clear();
+    machine.pool.clear();
+    busy.isPartitioned = true;
+    fleet.runFor(3s);
+    CHECK(fleet.runMonitor.starts == 1);
+    busy.isPartitioned = false;
+    fleet.runFor(3s);
+    CHECK(fleet.runMonitor.starts == 1);
+    CHECK(fleet.runMonitor.duplicateRuns == 0);
+}
+
 TEST_CASE("the delay between polls grows with the failures, and more slowly while runs depend on the worker")
 {
     for (unsigned failed = 1; failed < 20; ++failed) {
