Messages of other hosts with values out of range aren't read

A frame with a targetDuration or stretch of any size was followed, and the product overflowed in the job's objective; a fence of 2^64 - 1 in a load call would have made every later cordon an outdated one, and totals of 2^64 - 1 wrapped around when the holder of the fleet duty added them. A member's processor share of -1 was 4,294,967,295.

decodeNodeMessage() refuses such frames, which are logged and counted as unreadable like malformed ones (kind frame); the calls wait for their timeout. A member's share out of range is 1. Journals aren't bounded otherwise: refusing a record would lose the jobs after it.

--- a/Source/Core/Jobs/Model/ValueRanges.h
+++ b/Source/Core/Jobs/Model/ValueRanges.h
@@ -25,4 +25,7 @@
 /// Of sequence numbers, versions and revisions: the largest whole number that every JSON implementation represents exactly.
 constexpr std::int64_t maximumSequence = 9'007'199'254'740'991;
 
+/// Of a total over a pool: the sum of two still fits.
+constexpr std::uint64_t maximumTotal = std::uint64_t { 1 } << 62U;
+
 } // namespace Jobs::ValueRanges
--- a/Source/Core/Jobs/Runtime/JournalLoader.cpp
+++ b/Source/Core/Jobs/Runtime/JournalLoader.cpp
@@ -12,7 +12,8 @@
 
     constexpr milliseconds retryDelay { 100 }; ///< Kept short, as no host serves the pool until the journal is loaded.
 
-    bool parseNumber(std::string_view text, std::uint64_t& number)
+    template<typename T>
+    bool parseNumber(std::string_view text, T& number)
     {
         const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), number);
         return ec == std::errc {} && end == text.data() + text.size();
@@ -21,10 +22,8 @@
     bool parseHead(std::string_view text, JournalHead& head)
     {
         const auto space = text.find(' ');
-        std::uint64_t parts = 0;
-        if (space == std::string_view::npos || !parseNumber(text.substr(0, space), head.firstSegment) || !parseNumber(text.substr(space + 1), parts))
+        if (space == std::string_view::npos || !parseNumber(text.substr(0, space), head.firstSegment) || !parseNumber(text.substr(space + 1), head.parts))
             return false;
-        head.parts = static_cast<unsigned>(parts);
         return true;
     }
 
--- a/Source/Core/Jobs/Runtime/MemberText.cpp
+++ b/Source/Core/Jobs/Runtime/MemberText.cpp
@@ -1,5 +1,7 @@
 #include "Jobs/Runtime/MemberText.h"
 
+#include "Jobs/Model/ValueRanges.h"
+
 #include <algorithm>
 #include <sstream>
 
@@ -23,7 +25,9 @@
     member.host = host;
     std::istringstream stream(text);
     stream >> member.address >> member.dataCentre >> member.processorMilliCores;
-    member.processorMilliCores = std::max(1U, member.processorMilliCores);
+    // A negative number would be read as one near the largest.
+    const bool isInRange = stream && member.processorMilliCores <= ValueRanges::maximumAmount;
+    member.processorMilliCores = isInRange ? std::max(1U, member.processorMilliCores) : 1U;
     member.isLeaving = text.ends_with(leavingSuffix);
     return member;
 }
--- a/Source/Core/Jobs/Runtime/NodeMessages.cpp
+++ b/Source/Core/Jobs/Runtime/NodeMessages.cpp
@@ -1,7 +1,9 @@
 #include "Jobs/Runtime/NodeMessages.h"
 
+#include "Jobs/Model/ValueRanges.h"
 #include "Messages/FlatCodec.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -51,6 +53,28 @@
 
 namespace {
 
+    bool isDuration(milliseconds it) { return it >= milliseconds(0) && it <= ValueRanges::maximumDuration; }
+    bool isFence(Fence it) { return it <= static_cast<Fence>(ValueRanges::maximumSequence); }
+    bool isTotal(std::uint64_t it) { return it <= ValueRanges::maximumTotal; }
+
+    /// The job itself is checked by its pool's owner, which refuses it with a reason.
+    bool isInRange(const PoolCall& it)
+    {
+        constexpr std::int64_t permille = 1000;
+        return it.stretchPermille <= ValueRanges::maximumStretch * permille && isDuration(it.targetDuration);
+    }
+
+    bool isInRange(const PoolCallAnswer& it) { return isDuration(it.retryAfter); }
+
+    bool isInRange(const LoadCall& it) { return isFence(it.fence); }
+
+    bool isInRange(const LoadCallAnswer& it)
+    {
+        const auto isWorkerInRange = [](const WorkerLoad& worker) { return isTotal(worker.lasting.milliCores) && isTotal(worker.lasting.memoryMb) && isTotal(worker.lasting.accelerators); };
+        const auto& load = it.load;
+        return isFence(it.fence) && isTotal(load.waitingMilliCores) && isTotal(load.lateMilliCores) && isTotal(load.busyMilliCores) && isTotal(load.lastingMilliCores) && isTotal(load.capacityMilliCores) && std::ranges::all_of(load.workers, isWorkerInRange);
+    }
+
     using Decoder = std::optional<NodeMessage> (*)(std::string_view);
 
     template<std::size_t index>
@@ -58,7 +82,7 @@
     {
         std::size_t offset = 0;
         auto message = Messages::unpackFields<std::variant_alternative_t<index, NodeMessage>>(text, offset);
-        if (!message || offset != text.size())
+        if (!message || offset != text.size() || !isInRange(*message))
             return std::nullopt;
         return NodeMessage(std::in_place_index<index>, std::move(*message));
     }
--- a/Source/Core/Jobs/Runtime/NodeMessages.h
+++ b/Source/Core/Jobs/Runtime/NodeMessages.h
@@ -57,7 +57,7 @@
 
 /// Encodes the message's index in the variant as one byte, then its fields.
 std::string encodeNodeMessage(const NodeMessage&);
-/// Returns nullopt when the frame is malformed.
+/// Returns nullopt when the frame is malformed or a time, fencing token or total in it is out of range.
 std::optional<NodeMessage> decodeNodeMessage(std::string_view frame);
 
 } // namespace Jobs
--- a/Source/UnitTests/Platform/PollAnswerTest.cpp
+++ b/Source/UnitTests/Platform/PollAnswerTest.cpp
@@ -146,8 +146,11 @@
         check(replaced(machineRow, "\"up\"", value), "m-1");
     for (const std::string field : { "\"desk\"", "\"imlil\"", "\"i-1\"", "[\"std\",\"r1-3\"]" })
         check(replaced(machineRow, field, "7"), "m-1");
-    for (const auto& row : std::vector<std::string> { "7", "null", "{}", "[]", replaced(machineRow, "\"m-1\"", "7"), std::string(100000, '[') + std::string(100000, ']') })
+    for (const auto& row : std::vector<std::string> { "7", "null", "{}", "[]", replaced(machineRow, "\"m-1\"", "7") })
         check(row, "");
+    std::string nested(100000, '[');
+    nested.append(100000, ']');
+    check(nested, "");
 }
 
 TEST_CASE("advice that can't be read isn't taken for advice that allows no worker")
