--- a/Source/UnitTests/Platform/PollAnswerTest.cpp
+++ b/Source/UnitTests/Platform/PollAnswerTest.cpp
@@ -52,6 +52,9 @@
     return R"({"machines":[{"machine":"m-0","state":"down"},)" + row + R"(,{"machine":"m-9","state":"moving","capacity":{"cpu":8000}}]})";
 }
 
+/// True when the text is valid between the brackets of a list.
+bool isList(const std::string& text) { return JsonText::parseObject("{\"i\":[" + text + "]}").has_value(); }
+
 std::string replaced(std::string text, const std::string& from, const std::string& to) { return text.replace(text.find(from), from.size(), to); }
 
 } // namespace
@@ -175,7 +178,7 @@
         CAPTURE(running);
         CAPTURE(ended);
         const auto answer = pollWith(running, ended);
-        const bool areRows = JsonText::parseObject("{\"i\":[" + running + "],\"j\":[" + ended + "]}").has_value();
+        const bool areRows = isList(running) && isList(ended);
         CHECK((areRows || answer.answer.status == WorkerStatus::NoAnswer));
         if (!areRows || answer.answer.status != WorkerStatus::Done)
             continue;
@@ -200,7 +203,7 @@
         const auto row = input.mutate(machineRow);
         CAPTURE(row);
         const auto page = readMachinePage(answered(pageText(row)), "");
-        const bool isRow = JsonText::parseObject("{\"i\":[" + row + "]}").has_value();
+        const bool isRow = isList(row);
         CHECK(page.has_value() == isRow);
         if (!isRow || !page)
             continue;
