A malformed number beside one that is too large isn't read as null

Only bodies that also have a valid number too large for a double were affected: the second pass replaced any run of number characters with an exponent of three digits, such as -1-1e400, and the body was taken for JSON. The fuzz test of polls showed it once its oracle looked at each row by itself.

--- a/Source/UnitTests/Platform/JsonTextTest.cpp
+++ b/Source/UnitTests/Platform/JsonTextTest.cpp
@@ -89,6 +89,10 @@
     CHECK((*text)["a"].at(4)["c"].number() == 7);
     CHECK_FALSE((*text)["d"].isNumber());
     CHECK_FALSE(JsonText::parseEntry(body));
+    for (const std::string number : { "1e400", "-1-1e400", "01e400", "1.e400", "1e400e", "1x400", "--1e400", ".1e400", "1e400.5" }) {
+        CAPTURE(number);
+        CHECK(JsonText::parseObject("{\"a\":1e400,\"b\":" + number + "}").has_value() == (number == "1e400"));
+    }
     CHECK_FALSE(JsonText::parseObject("{\"a\":1e400"));
 }
 
