Null reads as a missing value: the last page of a machine list has "nextToken":null

JsonView::exists() is false for null, so that an optional field has its default and a required one is missing. The tests' lists of odd values no longer hold null; "null reads like a missing field" and the last page replace these. A lease's number may be any of 63 bits, as nothing says that it is a counter.

--- a/Source/UnitTests/Platform/OddEntriesTest.cpp
+++ b/Source/UnitTests/Platform/OddEntriesTest.cpp
@@ -19,8 +19,8 @@
 const std::string routeText = R"({"name":"r-1","host":"a.example","prefix":"/b/","service":"desk","priority":2,"maxAttempts":3,"stretch":1.5,"targetDurationMs":800,"advice":{"decisionMs":5,"periodMs":1,"validityMs":9000}})";
 
 /// What no field of these entries may be.
-const std::vector<std::string> oddNumbers { "-1", "1e18", "1e300", "1e400", "9e18", "9223372036854775807", "9223372036854775808", "18446744073709551615", "18446744073709551616", "\"1\"", "{}", "[]", "true", "null" };
-const std::vector<std::string> oddTexts { "7", "{}", "[]", "true", "null", "\"\xff\"" };
+const std::vector<std::string> oddNumbers { "-1", "1e18", "1e300", "1e400", "9e18", "9223372036854775807", "9223372036854775808", "18446744073709551615", "18446744073709551616", "\"1\"", "{}", "[]", "true" };
+const std::vector<std::string> oddTexts { "7", "{}", "[]", "true", "\"\xff\"" };
 
 std::string nested(std::size_t depth) { return std::string(depth, '[') + std::string(depth, ']'); }
 
@@ -102,6 +102,20 @@
     CHECK(entry->drainRemaining == std::chrono::milliseconds(0));
 }
 
+TEST_CASE("null reads like a missing field")
+{
+    const PublishedEntries entries;
+    for (const std::string field : { "service", "address", "state" })
+        CHECK_FALSE(entries.readWorker("i-1", withField(workerText, field, "null")));
+    CHECK_FALSE(entries.readWorker("i-1", R"({"service":"desk","address":"127.0.0.1:80","state":"ready","capacity":null})"));
+    CHECK_FALSE(entries.readWave(withField(waveText, "wave", "null")));
+    CHECK_FALSE(entries.readConfiguration(withField(configurationText(routeText), "version", "null")));
+    const auto entry = entries.readWorker("i-1", withField(withField(workerText, "drainRemainingMs", "null"), "born", "null"));
+    REQUIRE(entry);
+    CHECK(entry->incarnation == 0);
+    CHECK(entry->drainRemaining == std::chrono::milliseconds(0));
+}
+
 TEST_CASE("a deeply nested entry is left out, or read if no field that is used is nested")
 {
     constexpr std::size_t depth = 1000000;
--- a/Source/UnitTests/Platform/PollAnswerTest.cpp
+++ b/Source/UnitTests/Platform/PollAnswerTest.cpp
@@ -24,7 +24,7 @@
 const std::string runningRow = R"(["5c0e7a21d94b36f8.0.1.17",2,"00000bb8",41,12])";
 const std::string endedRow = R"([58,"5c0e7a21d94b36f8.0.1.9",1,"done",""])";
 const std::string machineRow = R"({"machine":"m-1","pool":"desk","state":"up","zone":"imlil","labels":["std","r1-3"],"capacity":{"cpu":16000,"memMb":64000},"id":"i-1"})";
-const std::vector<std::string> oddNumbers { "-1", "1e18", "1e300", "1e400", "9e18", "9223372036854775807", "9223372036854775808", "18446744073709551615", "\"1\"", "{}", "[]", "true", "null" };
+const std::vector<std::string> oddNumbers { "-1", "1e18", "1e300", "1e400", "9e18", "9223372036854775807", "9223372036854775808", "18446744073709551615", "\"1\"", "{}", "[]", "true" };
 
 HttpOutcome answered(std::string body)
 {
@@ -123,6 +123,10 @@
     }
     CHECK_FALSE(readMachinePage(answered("{\"machines\":" + std::string(2000000, '[')), ""));
     CHECK(readMachinePage(answered(R"({"machines":[],"nextToken":"p2"})"), "")->next == "p2");
+    const auto last = readMachinePage(answered(R"({"machines":[{"machine":"m-1","state":"down","capacity":{"cpu":16000,"gpu":0},"id":null}],"nextToken":null})"), "p2");
+    REQUIRE(last);
+    CHECK(last->next.empty());
+    CHECK(last->machines.at(0).state == State::Down);
 }
 
 TEST_CASE("a machine with an odd field is unknown, and the others are followed")
--- a/Source/UnitTests/Platform/StoreAnswersTest.cpp
+++ b/Source/UnitTests/Platform/StoreAnswersTest.cpp
@@ -104,6 +104,8 @@
         CAPTURE(body);
         CHECK(replyTo(body, grant).status == PlatformStatus::Uncertain);
     }
+    CHECK(readLeaseAnswer(answered(R"({"lease":9223372036854775807,"ttlMs":2000})"), true).lease == 9223372036854775807);
+    CHECK(readLeaseAnswer(answered(R"({"ttlMs":2000})"), false).status == PlatformStatus::Ok);
     CHECK(replyTo(R"({"lease":3,"ttlMs":2000})", grant).timeToLive == std::chrono::seconds(2));
 }
 
--- a/Source/UnitTests/Platform/SubmissionTest.cpp
+++ b/Source/UnitTests/Platform/SubmissionTest.cpp
@@ -54,13 +54,13 @@
 {
     for (const std::string field : { "count", "cpu", "memMb", "gpu", "estimateMs", "maxPerServer", "mayMiss", "targetMs" }) {
         const std::string count = field == "count" ? "" : R"("count":1,)";
-        for (const std::string value : { "-1", "1e18", "1e300", "1e400", "9e18", "9223372036854775807", "9223372036854775808", "18446744073709551615", "\"1\"", "{}", "[]", "true", "null" }) {
+        for (const std::string value : { "-1", "1e18", "1e300", "1e400", "9e18", "9223372036854775807", "9223372036854775808", "18446744073709551615", "\"1\"", "{}", "[]", "true" }) {
             CAPTURE(field);
             CAPTURE(value);
             CHECK_FALSE(faultIn(R"({"steps":[{"count":1},{)" + count + '"' + field + "\":" + value + "}]}").empty());
         }
     }
-    for (const std::string value : { "1", "\"true\"", "null", "[]" }) {
+    for (const std::string value : { "1", "\"true\"", "[]" }) {
         CAPTURE(value);
         CHECK_FALSE(faultIn(R"({"steps":[{"count":1,"gang":)" + value + "}]}").empty());
     }
