--- a/Source/UnitTests/Jobs/SuspectsTest.cpp
+++ b/Source/UnitTests/Jobs/SuspectsTest.cpp
@@ -153,3 +153,18 @@
     CHECK(!crash(false));
     CHECK(crash(false));
 }
+
+TEST_CASE("a task that crashes its workers late is given up in time, also where a later start seems to explain each crash")
+{
+    constexpr unsigned maximumCrashes = 5; // Two starts may follow the third crash.
+    constexpr auto window = 20ms;
+    CrashWitness late { { jobId(1), 0, 0, 0 }, {}, false, false, false, false, false, 60ms };
+    const CrashWitness innocent { { jobId(2), 0, 0, 0 }, {}, false, false, false, false, false, 5ms };
+    unsigned crashes = 0;
+    for (bool isGuilty = false; !isGuilty && crashes < 10; ++crashes) {
+        const auto verdict = judgeCrash({ late, innocent }, false, window).front();
+        late.tally = verdict.tally;
+        isGuilty = verdict.isGuilty;
+    }
+    CHECK(crashes <= maximumCrashes);
+}
