--- a/Source/Core/Jobs/Decision/CrashEvidence.h
+++ b/Source/Core/Jobs/Decision/CrashEvidence.h
@@ -43,8 +43,8 @@
 /// True when so many crashes are left unexplained that the task must not be started again.
 bool isTooOften(const CrashTally&);
 
-/// Learns from the tasks that were given up how soon after their starts tasks crash their workers. Answers with the time between
-/// starts on one worker that leaves a single task to explain a crash.
+/// Estimates how soon after its start a task crashes its worker, from the tasks that were failed for it, and from that the minimum time
+/// between starts on one worker at which a crash has a single suspect.
 class StartSpacing {
 public:
     /// A task was given up that had crashed its worker `age` after its start.
