--- /dev/null
+++ b/Source/UnitTests/Jobs/CrashBacklogTest.cpp
@@ -0,0 +1,85 @@
+/// Tests of pools in which tasks that crash their workers come faster than workers return.
+
+#include "JobFleet.h"
+
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace Jobs;
+using namespace std::chrono_literals;
+using Ports::JobVerb;
+
+namespace {
+
+/// Jobs are asked for so long after the last one came, by the platform's rules.
+constexpr std::chrono::seconds finishTime { 14 };
+/// Starts that may follow the third crash, by the platform's rules.
+constexpr unsigned maximumCrashes = 5;
+/// Crashes after which a task may be given up.
+constexpr unsigned fewestCrashes = 2;
+
+class BacklogFleet : public JobFleet {
+public:
+    explicit BacklogFleet(unsigned workerCount)
+        : JobFleet(3, workerCount, 16)
+    {
+        closesConnections = true;
+        for (auto& [id, worker] : workers)
+            worker->closesConnections = true;
+        setRunTime(640ms);
+        settle();
+    }
+
+    /// Any running host.
+    std::string caller() const { return hosts.begin()->first; }
+
+    /// Submits jobs of eight tasks, of a third of which one task crashes each worker that starts it.
+    void submitJobs(unsigned jobs, std::chrono::milliseconds interval, std::uint64_t seed, std::chrono::seconds ownerKilledAt)
+    {
+        std::mt19937_64 random(seed);
+        const auto begin = loop.now();
+        bool isKilled = false;
+        for (unsigned n = 1; n <= jobs; ++n) {
+            if (random() % 3 == 0)
+                runMonitor.crashing.insert({ jobId(n), 0, 0, static_cast<unsigned>(random() % 8) });
+            call(caller(), JobVerb::Submit, jobId(n), oneStep(8, 640ms, 880));
+            if (!isKilled && ownerKilledAt > 0s && loop.now() - begin > ownerKilledAt && !ownerOf("desk").empty()) {
+                killHost(ownerOf("desk"));
+                isKilled = true;
+            }
+            runFor(interval);
+        }
+    }
+
+    /// Jobs that were accepted and aren't final.
+    unsigned unfinished(unsigned jobs)
+    {
+        unsigned count = 0;
+        for (unsigned n = 1; n <= jobs; ++n) {
+            const auto state = stateOf(caller(), jobId(n));
+            count += state == JobState::Completed || state == JobState::Failed ? 0 : 1;
+        }
+        return count;
+    }
+};
+
+} // namespace
+
+TEST_CASE("each job ends soon after the last one came, also where crashing tasks come faster than workers return")
+{
+    for (const auto ownerKilledAt : { 0s, 8s, 16s }) {
+        for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+            constexpr unsigned jobs = 250;
+            BacklogFleet fleet(12);
+            fleet.submitJobs(jobs, 100ms, seed, ownerKilledAt);
+            fleet.runFor(finishTime);
+            CAPTURE(seed);
+            CAPTURE(ownerKilledAt.count());
+            CHECK(fleet.unfinished(jobs) == 0);
+            for (const auto& [task, crashes] : fleet.runMonitor.crashes) {
+                CHECK(crashes <= maximumCrashes);
+                CHECK((crashes >= fewestCrashes || fleet.stateOf(fleet.caller(), task.job) != JobState::Failed));
+            }
+        }
+    }
+}
