Don't count crashes of idle workers that the owner never saw against their machines

Cause: a new owner finds the entries of workers that crashed before it took over. There three crashes are needed to give a task up instead of two. Each change of the owner while many workers were down made most machines of the pool such.

Change: a crash of a worker that has never answered this owner and has no run to lose says nothing and isn't recorded.

The test failed before: 3 crashes instead of 2.

--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -54,6 +54,9 @@
 
 void PoolCore::onWorkerCrashed(const Worker& worker, const std::vector<LostRun>& lost, Moment at)
 {
+    const bool hasNoEvidence = lost.empty() && worker.pollAnswers == 0; // It may have crashed before this owner knew it.
+    if (hasNoEvidence)
+        return;
     const auto& machine = worker.entry.machine;
     std::vector<CrashWitness> witnesses;
     for (const auto& it : lost) {
--- a/Source/UnitTests/Jobs/CrashingTaskTest.cpp
+++ b/Source/UnitTests/Jobs/CrashingTaskTest.cpp
@@ -162,6 +162,20 @@
     }
 }
 
+TEST_CASE("idle workers that crashed before an owner knew them don't make their machines unreliable")
+{
+    CrashingFleet fleet;
+    fleet.killHost(fleet.ownerOf("desk"));
+    const auto workers = fleet.workers;
+    for (const auto& [id, worker] : workers)
+        fleet.crashWorker(id);
+    fleet.runFor(10s);
+    fleet.submit(1, oneStep(4));
+    fleet.runFor(30s);
+    CHECK(fleet.stateOf(1) == JobState::Failed);
+    CHECK(fleet.crashes() == fewestCrashes);
+}
+
 TEST_CASE("a task that crashes workers which return at once, or under their old ids, is given up")
 {
     for (const auto downTime : { 100ms, 700ms, 3000ms, 9000ms }) {
