Try likely suspects together, and suspects on one worker at a time however many have crashed

Cause: each task that crashes its workers took two crashes of its own, each of which takes a worker for more than 3 s. And the workers that crashed under suspects counted as set aside for them, so that the bound on these left no worker for suspects as long as other tasks waited.

Change: a suspect that was the only explanation of a crash is likely guilty. Once it has waited for 1.5 s it may start together with other such suspects on a worker where nothing else is starting, and one crash counts against all that had started. Two crashes are the fewest after which the platform allows to give a task up. Where the bound leaves no worker, one is set aside for a group, or for suspects that have waited for 5 s, while none is being tried.

Test: each job ends 14 s after the last one came.

--- a/Source/Core/Jobs/Decision/CrashEvidence.cpp
+++ b/Source/Core/Jobs/Decision/CrashEvidence.cpp
@@ -37,7 +37,6 @@
     const auto first = std::ranges::find_if(witnesses, isSuspect);
     const bool isAlone = std::ranges::all_of(witnesses, [&](const auto& it) { return !isSuspect(it) || isSameSuspect(it, *first); });
     const bool blamesBystanders = first == witnesses.end() && !crashesByItself;
-    const auto enough = isAlone && !crashesByItself ? guiltyAlone : guiltySuspected;
     std::vector<CrashVerdict> verdicts;
     verdicts.reserve(witnesses.size());
     for (const auto& it : witnesses) {
@@ -48,6 +47,7 @@
             ++tally.sinceProven;
             tally.suspected = it.isDoubtful ? std::max(tally.suspected, 1U) : tally.suspected + 1;
             verdict.isExplanation = !it.isDoubtful && isAlone;
+            const auto enough = (isAlone || it.isLikely) && !crashesByItself ? guiltyAlone : guiltySuspected;
             verdict.isGuilty = (!it.isDoubtful && tally.suspected >= enough + (it.wasDoubtful ? 1 : 0)) || tally.sinceProven >= guiltySinceProven;
         }
         verdict.isGuilty = verdict.isGuilty || isTooOften(tally);
--- a/Source/Core/Jobs/Decision/CrashEvidence.h
+++ b/Source/Core/Jobs/Decision/CrashEvidence.h
@@ -25,6 +25,7 @@
     bool isUnconfirmed = false; ///< See LostRun.
     bool wasDoubtful = false; ///< Its tally counts a crash of a worker on which it may not have started.
     milliseconds age { 0 }; ///< From its start to the crash; zero when doubtful.
+    bool isLikely = false; ///< Nothing else explained an earlier crash.
 };
 
 /// What follows from a crash for one witness.
@@ -37,7 +38,8 @@
 
 /// One verdict for each witness, in their order. Suspects are those that hadn't outlived their starts. On a worker that is known to
 /// crash by itself more evidence is needed. Where a `window` is known (zero otherwise), only those that may have
-/// started less than that before the crash are suspected, if there are any.
+/// started less than that before the crash are suspected, if there are any. A likely suspect is guilty after two crashes, also when
+/// others were tried together with it.
 std::vector<CrashVerdict> judgeCrash(const std::vector<CrashWitness>&, bool crashesByItself, milliseconds window = milliseconds(0));
 
 /// True when so many crashes are left unexplained that the task must not be started again.
--- a/Source/Core/Jobs/Decision/Placement.cpp
+++ b/Source/Core/Jobs/Decision/Placement.cpp
@@ -30,6 +30,8 @@
     {
         if (suspicion == Suspicion::None)
             return !candidate.isQuarantined;
+        if (suspicion == Suspicion::Grouped)
+            return candidate.takesGroup;
         return suspicion == Suspicion::Some ? candidate.takesSuspects : candidate.takesStrongSuspects;
     }
 
--- a/Source/Core/Jobs/Decision/Placement.h
+++ b/Source/Core/Jobs/Decision/Placement.h
@@ -23,6 +23,7 @@
     bool isQuarantined = false; ///< Takes only suspects.
     bool takesSuspects = false; ///< Of the kind Some.
     bool takesStrongSuspects = false;
+    bool takesGroup = false; ///< Of suspects of the kind Grouped.
     bool isSpaced = false; ///< Takes no more starts in this pass; see StartSpacing.
 };
 
@@ -31,6 +32,7 @@
     None,
     Some, ///< Other starts on the worker must be spaced from its own.
     Strong, ///< No other run may start on its worker before it has outlived its start.
+    Grouped, ///< The same, apart from other such tasks that start there at the same time.
 };
 
 /// A candidate with the worker's current free capacity.
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -200,6 +200,8 @@
     void updateProof(const TaskKey&, WorkerRun&, Moment);
     void clearSuspicion(const TaskKey&, Moment);
     std::vector<TaskKey> waitingSuspects(Instant now);
+    /// True for a likely suspect that has waited too long for a worker of its own: it may start together with others like it.
+    bool isGrouped(const TaskKey&, Instant now) const;
     /// The suspicion that placement has to respect. A lasting suspect that has waited too long for a worker of its own is placed like
     /// others.
     Suspicion placementSuspicionOf(const TaskKey&, const Task&, bool isLasting, Instant now) const;
@@ -243,6 +245,7 @@
     StartSpacing m_startSpacing;
     std::set<TaskKey> m_suspects; ///< Tasks with suspected crashes. May contain tasks that are done or gone.
     std::set<TaskKey> m_doubtfulSuspects; ///< See CrashWitness::wasDoubtful.
+    std::set<TaskKey> m_likelySuspects; ///< See CrashWitness::isLikely.
     std::map<TaskKey, Instant> m_suspectsWaitingSince;
     std::set<std::string> m_quarantined; ///< Workers that take only suspects for the time being.
     std::map<TaskKey, HeldTask> m_heldTasks; ///< Tasks with a late start; see LateStart.
--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -28,6 +28,13 @@
         }
     }
 
+    /// The number of workers that may be set aside for suspects. Those that crashed under suspects count as well.
+    std::size_t quarantineLimit(std::size_t pool, bool isOverdue)
+    {
+        const auto share = pool / (isOverdue ? overdueDivisor : quarantineDivisor);
+        return std::max<std::size_t>(1, std::min(pool - 1, std::max(minimumQuarantine, share)));
+    }
+
     std::string nameOfTask(const TaskKey& key) { return std::to_string(key.step) + "." + std::to_string(key.index); }
 
 } // namespace
@@ -62,7 +69,7 @@
     for (const auto& it : lost) {
         const auto* task = m_jobs.findTask(it.task);
         if (task && task->state != Task::State::Done)
-            witnesses.push_back({ it.task, task->crashTally, it.isDoubtful || m_crashes.isWitness(machine, it.task), it.isProven || isProvenElsewhere(it, *task), m_jobs.find(it.task.job)->spec().steps[it.task.step].isGang, it.isUnconfirmed, m_doubtfulSuspects.contains(it.task), it.age });
+            witnesses.push_back({ it.task, task->crashTally, it.isDoubtful || m_crashes.isWitness(machine, it.task), it.isProven || isProvenElsewhere(it, *task), m_jobs.find(it.task.job)->spec().steps[it.task.step].isGang, it.isUnconfirmed, m_doubtfulSuspects.contains(it.task), it.age, m_likelySuspects.contains(it.task) });
     }
     const bool isByItself = m_crashes.crashedByItself(machine);
     const auto window = m_startSpacing.window(at.now);
@@ -89,6 +96,8 @@
         m_suspects.insert(key);
         if (witnesses[n].isDoubtful && witnesses[n].tally.suspected == 0)
             m_doubtfulSuspects.insert(key);
+        if (verdicts[n].isExplanation && window > milliseconds(0) && !isByItself)
+            m_likelySuspects.insert(key);
         log("task-suspected", key.job, { { "task", nameOfTask(key) }, { "worker", worker.entry.id }, { "sinceProven", std::to_string(tally.sinceProven) }, { "unexplained", std::to_string(tally.unexplained) }, { "suspected", std::to_string(tally.suspected) } });
     }
     for (std::size_t n = 0; n < witnesses.size(); ++n) {
@@ -214,6 +223,7 @@
         return false;
     });
     std::erase_if(m_doubtfulSuspects, [this](const auto& key) { return !m_suspects.contains(key); });
+    std::erase_if(m_likelySuspects, [this](const auto& key) { return !m_suspects.contains(key); });
     for (const auto& key : waiting) {
         const auto it = before.find(key);
         m_suspectsWaitingSince[key] = it == before.end() ? now : it->second;
@@ -222,11 +232,19 @@
     return waiting;
 }
 
+bool PoolCore::isGrouped(const TaskKey& key, Instant now) const
+{
+    const auto it = m_suspectsWaitingSince.find(key);
+    return it != m_suspectsWaitingSince.end() && now - it->second > maximumIsolationWait && m_likelySuspects.contains(key);
+}
+
 Suspicion PoolCore::placementSuspicionOf(const TaskKey& key, const Task& task, bool isLasting, Instant now) const
 {
     const auto it = m_suspectsWaitingSince.find(key);
     const bool hasWaitedTooLong = isLasting && it != m_suspectsWaitingSince.end() && now - it->second > maximumIsolationWait;
-    return hasWaitedTooLong ? Suspicion::None : suspicionOf(task, now);
+    if (hasWaitedTooLong)
+        return Suspicion::None;
+    return isGrouped(key, now) ? Suspicion::Grouped : suspicionOf(task, now);
 }
 
 /// Sets workers aside for suspects, and keeps others away from suspects that haven't outlived their starts. A worker takes its
@@ -246,16 +264,21 @@
     const auto inUse = crashed + static_cast<std::size_t>(std::ranges::count_if(candidates, &Candidate::isQuarantined));
     const auto pool = candidates.size() + crashed;
     const bool isOverdue = !suspects.empty() && at.now - m_suspectsWaitingSince.at(suspects.front()) > overdueWait;
-    const auto share = pool / (isOverdue ? overdueDivisor : quarantineDivisor);
-    const auto limit = std::max<std::size_t>(1, std::min(pool - 1, std::max(minimumQuarantine, share)));
+    const auto limit = quarantineLimit(pool, isOverdue);
+    const bool isTesting = inUse > crashed;
     std::vector<Candidate*> chosen;
+    Candidate* forGroup = nullptr;
     const auto scoreOf = [&](const Candidate& it) {
         const auto& id = it.worker->entry.id;
         return std::tuple(m_crashes.countOf(it.worker->entry.machine), !previous.contains(id), it.worker->hasUnprovenRuns(), it.hasLastingTasks, it.worker->runs.size(), id);
     };
     for (const auto& key : suspects) {
-        if (inUse + chosen.size() >= limit)
-            break;
+        const bool joinsGroup = isGrouped(key, at.now);
+        const auto count = chosen.size() + (forGroup ? 1 : 0);
+        // However many workers have crashed, suspects are tried on one at a time.
+        const bool mustBeTried = (joinsGroup || isOverdue) && !isTesting && count == 0;
+        if ((joinsGroup && forGroup) || (inUse + count >= limit && !mustBeTried))
+            continue;
         const WaitingStep step { {}, m_jobs.find(key.job), key.occurrence, key.step };
         const std::map<std::string, unsigned> none;
         const auto request = requestFor(step, none, at);
@@ -267,10 +290,15 @@
         if (!best)
             continue;
         best->isQuarantined = true;
-        chosen.push_back(best);
         m_quarantined.insert(best->worker->entry.id);
+        if (joinsGroup)
+            forGroup = best;
+        else
+            chosen.push_back(best);
     }
     openForSuspects(chosen, isSpacing);
+    if (forGroup)
+        forGroup->takesGroup = !forGroup->worker->hasUnprovenRuns();
 }
 
 bool PoolCore::lendIdleWorkers(std::vector<Candidate>& candidates, Moment at)
@@ -283,9 +311,11 @@
         if (!it.isQuarantined && !it.isSpaced && (isSpacing || !it.worker->hasUnprovenRuns()))
             lent.push_back(&it);
     }
-    for (auto* it : lent)
-        it->isQuarantined = true;
     openForSuspects(lent, isSpacing);
+    for (auto* it : lent) {
+        it->isQuarantined = true;
+        it->takesGroup = it->takesStrongSuspects;
+    }
     return !lent.empty();
 }
 
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -285,17 +285,19 @@
 void PoolCore::placeTask(Job& job, const TaskKey& key, RunNumber run, Candidate& place, Moment at)
 {
     const auto& spec = job.spec().steps[key.step];
+    const bool startsInGroup = place.takesGroup && isGrouped(key, at.now);
     auto& worker = *place.worker;
     const auto checkpoint = m_jobs.findTask(key)->checkpoint;
     place.room -= reservedBy(spec);
     auto& placed = worker.runs[key] = makeRun(spec, run, at.now);
     if (const auto suspicion = suspicionOf(*m_jobs.findTask(key), at.now); suspicion != Suspicion::None) {
         placed.isSuspect = true;
-        placed.mustBeAlone = suspicion == Suspicion::Strong;
+        placed.mustBeAlone = startsInGroup || suspicion == Suspicion::Strong;
         place.takesSuspects = false;
         place.takesStrongSuspects = false;
+        place.takesGroup = startsInGroup;
     }
-    place.isSpaced = m_startSpacing.at(at.now) > milliseconds(0);
+    place.isSpaced = !startsInGroup && m_startSpacing.at(at.now) > milliseconds(0);
     if (job.state == JobState::Queued) {
         job.firstPlacedAt = at.wall;
         m_output.firstStarts.push_back(at.wall - job.dueAt(key.occurrence));
--- a/Source/Standins/JobWorker.cpp
+++ b/Source/Standins/JobWorker.cpp
@@ -159,6 +159,7 @@
     for (auto& [task, run] : m_runs) {
         m_loop.cancel(run.timer);
         --m_runMonitor.running[task];
+        ++m_runMonitor.crashesUnder[task];
     }
     m_runs.clear();
     m_ended.clear();
--- a/Source/Standins/JobWorker.h
+++ b/Source/Standins/JobWorker.h
@@ -24,6 +24,7 @@
     std::set<Jobs::TaskKey> done; ///< Tasks whose end as done a host has acknowledged.
     std::set<Jobs::TaskKey> crashing; ///< Tasks that crash each worker that starts them.
     std::map<Jobs::TaskKey, unsigned> crashes; ///< Workers that each of these has crashed.
+    std::map<Jobs::TaskKey, unsigned> crashesUnder; ///< Workers that crashed while they ran the task, for any cause.
 };
 
 /// One worker. Used on the loop's thread only; the callbacks run there. A start, stop or poll with a lower fencing token than the
