A new owner doesn't take crashes counted before it for certain

The first start was never confirmed, and its worker had crashed.

Cause: whether a crash counts that the task may not have run in is known to the owner only in which it happened (m_doubtfulSuspects). The next owner gave the task up after one more. It used to be hidden: most machines counted as crashing by themselves, where three crashes are needed.

Change: to a new owner every suspicion that it loads is doubtful, so that one more crash is needed.

The test failed before (the job failed after one crash).

--- a/Source/Core/Jobs/Decision/PoolCore.cpp
+++ b/Source/Core/Jobs/Decision/PoolCore.cpp
@@ -55,8 +55,10 @@
         worker.runs[key] = std::move(run);
     });
     m_jobs.forEachTask([this](const Job&, const TaskKey& key, const Task& task) {
-        if (task.crashTally.suspected > 0)
-            m_suspects.insert(key);
+        if (task.crashTally.suspected == 0)
+            return;
+        m_suspects.insert(key);
+        m_doubtfulSuspects.insert(key); // The journal doesn't tell whether it had started.
     });
     if (!m_suspects.empty())
         m_startSpacing.onCrash(at.now);
--- a/Source/UnitTests/Jobs/CrashingTaskTest.cpp
+++ b/Source/UnitTests/Jobs/CrashingTaskTest.cpp
@@ -176,6 +176,27 @@
     CHECK(fleet.crashes() == fewestCrashes);
 }
 
+TEST_CASE("a task whose first start may not have arrived isn't given up by the next owner after one crash")
+{
+    CrashingFleet fleet(3);
+    fleet.runMonitor.crashing.clear();
+    const auto owner = fleet.ownerOf("desk");
+    fleet.hosts.at(owner)->workers->startsToLose = 1;
+    fleet.submit(1, oneStep(1));
+    fleet.runFor(30ms);
+    REQUIRE(fleet.runMonitor.starts == 0);
+    const auto crashed = fleet.hosts.at(owner)->workers->delayedWorker;
+    fleet.crashWorker(crashed);
+    fleet.runFor(500ms);
+    fleet.killHost(owner);
+    for (unsigned n = 0; n < 1000 && fleet.runMonitor.starts == 0; ++n)
+        fleet.runFor(10ms);
+    REQUIRE(fleet.runMonitor.starts == 1);
+    fleet.crashWorker(fleet.busyWorker().entry.id);
+    fleet.runFor(10s);
+    CHECK(fleet.stateOf(1) == JobState::Completed);
+}
+
 TEST_CASE("a task that crashes workers which return at once, or under their old ids, is given up")
 {
     for (const auto downTime : { 100ms, 700ms, 3000ms, 9000ms }) {
