Set a worker aside for overdue suspects that need one of their own, also while others are being tried

Cause: those that must start alone, or in a group, need a worker on which nothing is being tried, and none was set aside for them while any other suspect was being tried, which under many crashes is always. The others join workers that are being tried on.

Change: one is set aside unless such a suspect is being tried.

--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -266,6 +266,7 @@
     const bool isOverdue = !suspects.empty() && at.now - m_suspectsWaitingSince.at(suspects.front()) > overdueWait;
     const auto limit = quarantineLimit(pool, isOverdue);
     const bool isTesting = inUse > crashed;
+    const bool isTestingAlone = std::ranges::any_of(candidates, [](const auto& it) { return it.worker->isTestingAlone(); });
     std::vector<Candidate*> chosen;
     Candidate* forGroup = nullptr;
     const auto scoreOf = [&](const Candidate& it) {
@@ -274,9 +275,10 @@
     };
     for (const auto& key : suspects) {
         const bool joinsGroup = isGrouped(key, at.now);
+        const bool needsOwnWorker = joinsGroup || suspicionOf(*m_jobs.findTask(key), at.now) == Suspicion::Strong;
         const auto count = chosen.size() + (forGroup ? 1 : 0);
-        // However many workers have crashed, suspects are tried on one at a time.
-        const bool mustBeTried = (joinsGroup || isOverdue) && !isTesting && count == 0;
+        // However many workers have crashed, suspects are tried on one at a time. The others may join it unless it is for one alone.
+        const bool mustBeTried = (joinsGroup || isOverdue) && count == 0 && (needsOwnWorker ? !isTestingAlone : !isTesting);
         if ((joinsGroup && forGroup) || (inUse + count >= limit && !mustBeTried))
             continue;
         const WaitingStep step { {}, m_jobs.find(key.job), key.occurrence, key.step };
