Runs stored but not sent by an earlier owner aren't taken for crashes

Cause: all hosts lose power at 41.4 s, in a peak.

Ruled out, by the same log: no owner or one that doesn't recover (recovered after 0.44 s), a stalled store (commits of the other pools take 8 to 13 ms in these seconds), workers not seen (927 of 928 are candidates), memory (no process ended by itself).

Change: a worker that says it started before the run was placed can't have crashed since. Records of starts have no time; the latest time in the records before one is a lower bound of it. A worker that doesn't say when it started, or started later, is suspected of a crash as before. Where a host's clock is set forward, a crash within that time may go uncounted once.

--- a/Source/Core/Jobs/Decision/JobTable.cpp
+++ b/Source/Core/Jobs/Decision/JobTable.cpp
@@ -68,8 +68,11 @@
     return step && key.index < step->tasks.size() ? &step->tasks[key.index] : nullptr;
 }
 
+void JobTable::noteTime(Common::WallTime at) { m_latestAt = std::max(m_latestAt, at); }
+
 void JobTable::applyRecord(const JobAccepted& record)
 {
+    noteTime(record.acceptedAt);
     if (m_active.contains(record.job) || m_finished.contains(record.job))
         return;
     m_active.emplace(record.job, Job(record));
@@ -77,6 +80,7 @@
 
 void JobTable::applyRecord(const JobCancelled& record)
 {
+    noteTime(record.at);
     finish(record.job, JobState::Cancelled, record.at);
 }
 
@@ -91,12 +95,15 @@
     task->state = Task::State::Placed;
     task->lastRun = std::max(task->lastRun, record.run);
     task->worker = record.worker;
+    // A snapshot isn't in order of time, but its writer would have noticed a restart of the worker before it.
+    task->placedAfter = m_latestAt;
     job->state = JobState::Running;
     ++job->runs;
 }
 
 void JobTable::applyRecord(const RunEnded& record)
 {
+    noteTime(record.at);
     if (!reachTask(record.task))
         return;
     auto* job = find(record.task.job);
@@ -165,6 +172,7 @@
 
 void JobTable::applyRecord(const JobFinished& record)
 {
+    noteTime(record.at);
     m_active.erase(record.job);
     m_finished[record.job] = { record.queue, record.state, record.at };
 }
--- a/Source/Core/Jobs/Decision/JobTable.h
+++ b/Source/Core/Jobs/Decision/JobTable.h
@@ -23,6 +23,7 @@
     unsigned failures = 0; ///< Not used for members of a gang; see StepRun::gangFailures.
     RunNumber lastRun = 0; ///< Number of the newest run; zero before the first.
     std::string worker; ///< While placed.
+    Common::WallTime placedAfter {}; ///< While placed: the run wasn't placed before then.
     std::string checkpoint; ///< Newest one known; empty for none.
     CrashTally crashTally;
 };
@@ -106,6 +107,8 @@
     const JobState* stateOf(const JobId&) const;
 
 private:
+    /// Notes the record's time; those without one don't change it.
+    void noteTime(Common::WallTime);
     void applyRecord(const JobAccepted&);
     void applyRecord(const JobCancelled&);
     void applyRecord(const RunStarted&);
@@ -127,6 +130,7 @@
 
     std::unordered_map<JobId, Job> m_active;
     std::unordered_map<JobId, Finished> m_finished;
+    Common::WallTime m_latestAt {}; ///< Latest time in the records applied so far.
 };
 
 /// Visits the steps that have tasks ready to be placed: waiting tasks whose earlier steps are done. Passes the job, the number
--- a/Source/Core/Jobs/Decision/PoolCore.cpp
+++ b/Source/Core/Jobs/Decision/PoolCore.cpp
@@ -50,6 +50,7 @@
         run.phase = WorkerRun::Phase::Confirmed;
         run.confirmedAt = at.now;
         run.isInherited = true;
+        run.placedAfter = task.placedAfter;
         run.isSuspect = task.crashTally.suspected > 0;
         run.checkpoint = task.checkpoint;
         worker.runs[key] = std::move(run);
--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -22,6 +22,13 @@
         return task && task->state == Task::State::Placed && task->lastRun == run && task->worker == worker.entry.id;
     }
 
+    /// False when the worker had started before the run was placed: the order didn't reach it, or its end isn't known any more.
+    bool mayHaveRestartedSince(const WorkerRun& run, const Worker& worker)
+    {
+        const Common::WallTime startedAt { milliseconds(worker.entry.incarnation) };
+        return worker.entry.incarnation == 0 || startedAt >= run.placedAfter;
+    }
+
     bool isStalled(const WorkerRun& run, Instant now)
     {
         if ((run.isLasting && run.percent >= 100) || run.throttlePercent < 100)
@@ -273,7 +280,7 @@
         if (!isAssignedHere(m_jobs.findTask(key), worker, run.run))
             continue;
         recordEnd({ key, run.run, RunEnd::Lost, run.checkpoint, at.wall });
-        if (run.isInherited && run.startedBy == Instant())
+        if (run.isInherited && run.startedBy == Instant() && mayHaveRestartedSince(run, worker))
             onInheritedRunMissing(worker, key, run.run, at);
     }
 }
--- a/Source/Core/Jobs/Decision/Worker.h
+++ b/Source/Core/Jobs/Decision/Worker.h
@@ -48,6 +48,7 @@
     std::uint64_t measure = 0; ///< See Ports::RunningTask.
     unsigned throttlePercent = 100; ///< Share of full speed that a filler was set to.
     Common::Instant startedBy {}; ///< It had started by then; zero while that isn't known.
+    Common::WallTime placedAfter {}; ///< Of an inherited run: see Task.
     bool isInherited = false; ///< Placed by an earlier owner, so that it may have started at any time, or never.
     bool isSuspect = false; ///< Its task may have crashed workers before; see CrashEvidence.h.
     bool mustBeAlone = false; ///< No other run may start beside it before it has outlived its start.
--- a/Source/Core/Jobs/Model/FleetTypes.h
+++ b/Source/Core/Jobs/Model/FleetTypes.h
@@ -65,7 +65,7 @@
     std::string address; ///< "ip:port".
     std::string dataCentre;
     State state = State::Ready;
-    std::uint64_t incarnation = 0; ///< Increases with each start of the worker; zero when unknown.
+    std::uint64_t incarnation = 0; ///< Unix time in milliseconds of the worker's start; zero when unknown.
     Resources capacity;
     std::vector<std::string> labels;
     std::string rack; ///< Taken from the labels; empty when unknown.
--- a/Source/Core/Ports/WorkerPort.h
+++ b/Source/Core/Ports/WorkerPort.h
@@ -110,7 +110,7 @@
 /// Answer to a poll.
 struct PollAnswer {
     WorkerAnswer answer;
-    std::uint64_t incarnation = 0; ///< Zero if the worker doesn't report it.
+    std::uint64_t incarnation = 0; ///< Unix time in milliseconds of the worker's start; zero if it doesn't report that.
     std::vector<RunningTask> running;
     std::vector<EndedTask> ended;
 };
