Choosing workers for many suspects doesn't take seconds any more

Cause: for each of up to a third of the workers that are set aside, a decision computed two scores of each candidate, and each score counted the machine's crashes in the list of all: suspects x workers x crashes. With 547 crashes, 408 waiting suspects and 927 candidates one decision took 1.34 s, a later one 2.44 s (longestDecisionUs of pool-load). The owner's host does nothing else meanwhile: no polls, renewals or answers. At 50.3 s its lease had lapsed and the next host had the pool (duty-lost, key-removed). The holder of the fleet's duty gets no load from the pool (unreported in fleet-load from 43 to 49.4 s, but for one second), so that its 928 machines stay there, while the pool whose peak comes has 54 to 80 workers and 19,000 waiting tasks until 52 s.

Tasks that crash their workers in large numbers would give the same.

Change: candidates are sorted once a pass, and crashes counted by machine once a decision. Which workers are set aside doesn't change.

--- a/Source/Core/Jobs/Decision/CrashEvidence.cpp
+++ b/Source/Core/Jobs/Decision/CrashEvidence.cpp
@@ -138,6 +138,17 @@
     return static_cast<std::size_t>(std::ranges::count(m_crashes, machine, &Crash::machine));
 }
 
+std::unordered_map<std::string_view, CrashHistory::MachineCrashes> CrashHistory::byMachine() const
+{
+    std::unordered_map<std::string_view, MachineCrashes> result;
+    for (const auto& it : m_crashes) {
+        auto& crashes = result[it.machine];
+        ++crashes.count;
+        crashes.isByItself = crashes.isByItself || (!it.machine.empty() && !it.hasSuspects());
+    }
+    return result;
+}
+
 std::size_t CrashHistory::countOfTests(Common::Instant since) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(m_tests, [since](const auto& it) { return it >= since; }));
--- a/Source/Core/Jobs/Decision/CrashEvidence.h
+++ b/Source/Core/Jobs/Decision/CrashEvidence.h
@@ -11,6 +11,8 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace Jobs {
@@ -77,6 +79,13 @@
     Witnesses convict(const TaskKey&);
     /// Crashes of the machine's workers that no task explains so far.
     std::size_t countOf(const std::string& machine) const;
+    /// Crashes of one machine's workers: what countOf() and crashedByItself() return.
+    struct MachineCrashes {
+        std::size_t count = 0;
+        bool isByItself = false;
+    };
+    /// Of all machines that have crashed, for passes over many workers. The names belong to this object.
+    std::unordered_map<std::string_view, MachineCrashes> byMachine() const;
     /// Crashes since then under tasks that had been suspected before.
     std::size_t countOfTests(Common::Instant since) const;
     /// True when the task is a witness of an earlier crash of the machine's worker.
--- a/Source/Core/Jobs/Decision/Placement.h
+++ b/Source/Core/Jobs/Decision/Placement.h
@@ -19,6 +19,7 @@
     Resources room;
     /// Short tasks prefer such workers. They are rarely moved or switched off, and the others become free for that.
     bool hasLastingTasks = false;
+    std::size_t crashes = 0; ///< Of its machine's workers that no task explains so far.
     bool crashesByItself = false; ///< Tasks that have been lost in a crash prefer others.
     bool isQuarantined = false; ///< Takes only suspects.
     bool takesSuspects = false; ///< Of the kind Some.
--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -3,6 +3,8 @@
 #include "Jobs/Decision/PoolCore.h"
 
 #include <algorithm>
+#include <iterator>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -35,6 +37,23 @@
         return std::max<std::size_t>(1, std::min(pool - 1, std::max(minimumQuarantine, share)));
     }
 
+    /// Candidates that may be set aside, those that the other tasks miss least first.
+    std::vector<Candidate*> byQuarantineCost(std::vector<Candidate>& candidates, const std::set<std::string>& previous)
+    {
+        using Cost = std::tuple<std::size_t, bool, bool, bool, std::size_t, std::string_view>;
+        std::vector<std::pair<Cost, Candidate*>> costs;
+        for (auto& it : candidates) {
+            const auto& worker = *it.worker;
+            if (!it.isQuarantined)
+                costs.emplace_back(Cost(it.crashes, !previous.contains(worker.entry.id), worker.hasUnprovenRuns(), it.hasLastingTasks, worker.runs.size(), worker.entry.id), &it);
+        }
+        std::ranges::sort(costs, {}, &std::pair<Cost, Candidate*>::first);
+        std::vector<Candidate*> result;
+        result.reserve(costs.size());
+        std::ranges::transform(costs, std::back_inserter(result), &std::pair<Cost, Candidate*>::second);
+        return result;
+    }
+
     std::string nameOfTask(const TaskKey& key) { return std::to_string(key.step) + "." + std::to_string(key.index); }
 
 } // namespace
@@ -269,10 +288,7 @@
     const bool isTestingAlone = std::ranges::any_of(candidates, [](const auto& it) { return it.worker->isTestingAlone(); });
     std::vector<Candidate*> chosen;
     Candidate* forGroup = nullptr;
-    const auto scoreOf = [&](const Candidate& it) {
-        const auto& id = it.worker->entry.id;
-        return std::tuple(m_crashes.countOf(it.worker->entry.machine), !previous.contains(id), it.worker->hasUnprovenRuns(), it.hasLastingTasks, it.worker->runs.size(), id);
-    };
+    auto available = byQuarantineCost(candidates, previous);
     for (const auto& key : suspects) {
         const bool joinsGroup = isGrouped(key, at.now);
         const bool needsOwnWorker = joinsGroup || suspicionOf(*m_jobs.findTask(key), at.now) == Suspicion::Strong;
@@ -284,19 +300,16 @@
         const WaitingStep step { {}, m_jobs.find(key.job), key.occurrence, key.step };
         const std::map<std::string, unsigned> none;
         const auto request = requestFor(step, none, at);
-        Candidate* best = nullptr;
-        for (auto& it : candidates) {
-            if (!it.isQuarantined && couldRunOn(*it.worker, request) && (!best || scoreOf(it) < scoreOf(*best)))
-                best = &it;
-        }
-        if (!best)
+        const auto best = std::ranges::find_if(available, [&request](const auto* it) { return couldRunOn(*it->worker, request); });
+        if (best == available.end())
             continue;
-        best->isQuarantined = true;
-        m_quarantined.insert(best->worker->entry.id);
+        (*best)->isQuarantined = true;
+        m_quarantined.insert((*best)->worker->entry.id);
         if (joinsGroup)
-            forGroup = best;
+            forGroup = *best;
         else
-            chosen.push_back(best);
+            chosen.push_back(*best);
+        available.erase(best);
     }
     openForSuspects(chosen, isSpacing);
     if (forGroup)
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -25,8 +25,12 @@
     }
     m_crashes.forget(at.now);
     const auto spacing = m_startSpacing.at(at.now);
+    const auto crashes = m_crashes.byMachine();
     for (auto& it : candidates) {
-        it.crashesByItself = m_crashes.crashedByItself(it.worker->entry.machine);
+        if (const auto found = crashes.find(it.worker->entry.machine); found != crashes.end()) {
+            it.crashes = found->second.count;
+            it.crashesByItself = found->second.isByItself;
+        }
         it.isSpaced = spacing > milliseconds(0) && it.worker->hasStartWithin(spacing, at.now);
     }
     if (candidates.empty())
--- a/Source/UnitTests/Jobs/InheritedRunsTest.cpp
+++ b/Source/UnitTests/Jobs/InheritedRunsTest.cpp
@@ -114,3 +114,25 @@
     CHECK(log.all("worker-crashed").empty());
     CHECK(log.all("task-suspected").empty());
 }
+
+// The same day: one decision took 1.3 s and another one 2.4 s, and the owner lost its lease meanwhile.
+TEST_CASE("a decision in a pool of a thousand workers stays short while hundreds of tasks are suspected")
+{
+    constexpr unsigned workers = 1000;
+    constexpr unsigned suspects = 600;
+    std::vector<JobRecord> records;
+    for (unsigned n = 0; n < suspects; ++n) {
+        records.emplace_back(acceptedJob(n, acceptedAt));
+        records.emplace_back(RunStarted { taskOf(n), 1, workerId(n) });
+    }
+    InheritedPool pool(records, workers);
+    for (unsigned n = 0; n < workers; ++n)
+        pool.answerWithoutRuns(n, acceptedAt + 1s);
+    REQUIRE(pool.suspicionsRecorded() == suspects);
+    const auto before = std::chrono::steady_clock::now();
+    pool.core.decide(pool.at());
+    const auto took = std::chrono::steady_clock::now() - before;
+    CHECK(std::chrono::duration_cast<milliseconds>(took).count() < 100);
+    const auto output = pool.core.takeOutput();
+    CHECK(std::ranges::count_if(output.orders, [](const auto& it) { return std::holds_alternative<StartRun>(it); }) == suspects);
+}
