--- a/Source/UnitTests/Jobs/CrashBacklogTest.cpp
+++ b/Source/UnitTests/Jobs/CrashBacklogTest.cpp
@@ -51,6 +51,9 @@
                 killHost(ownerOf("desk"));
                 isKilled = true;
             }
+            const auto machine = machines.at("m" + std::to_string(random() % machines.size())).worker;
+            if (crashInterval > 0ms && n % static_cast<unsigned>(crashInterval / interval) == 0 && !machine.empty() && !workers.at(machine)->isCrashed)
+                crashWorker(machine);
             runFor(interval);
         }
     }
@@ -61,6 +64,7 @@
     }
 
     std::vector<JobId> accepted;
+    std::chrono::milliseconds crashInterval { 0 }; ///< Of workers that crash by themselves; zero for none.
 };
 
 } // namespace
@@ -93,3 +97,22 @@
         }
     }
 }
+
+TEST_CASE("jobs without a crashing task aren't given up beside many with one, also where workers crash by themselves")
+{
+    for (const auto ownerKilledAt : { 0s, 8s, 16s, 19s }) {
+        for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+            CAPTURE(seed);
+            CAPTURE(ownerKilledAt.count());
+            BacklogFleet fleet(12);
+            fleet.crashInterval = 4s;
+            fleet.submitJobs(200, 100ms, seed, ownerKilledAt);
+            fleet.runFor(finishTime);
+            const auto isWronglyFailed = [&fleet](const auto& job) { return !fleet.isCrashing(job) && fleet.stateOf(fleet.caller(), job) == JobState::Failed; };
+            CHECK(std::ranges::count_if(fleet.accepted, isWronglyFailed) == 0);
+            CHECK(fleet.runMonitor.duplicateRuns == 0);
+            for (const auto& [task, crashes] : fleet.runMonitor.crashes)
+                CHECK(crashes <= maximumCrashes);
+        }
+    }
+}
