--- /dev/null
+++ b/Source/UnitTests/Jobs/CrashReviewTest.cpp
@@ -0,0 +1,206 @@
+/// Tests of the decision core alone: which tasks suspected of crashing their workers wait, and which are given up.
+
+#include "JobFleet.h"
+#include "Jobs/Decision/PoolCore.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace Jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A core whose workers answer at once. Tasks listed as crashing crash their workers 10 ms after each start.
+class CoreRig {
+public:
+    struct RigWorker {
+        WorkerEntry entry;
+        std::map<TaskKey, std::pair<RunNumber, Instant>> running;
+        std::vector<Ports::EndedTask> ended;
+        std::uint64_t endNumber = 0;
+        Instant crashAt = Instant::max();
+    };
+
+    void addWorker(const std::string& machine, std::uint64_t cores, std::uint64_t accelerators = 0)
+    {
+        RigWorker worker;
+        worker.entry.id = machine + "-" + std::to_string(++m_incarnations);
+        worker.entry.machine = machine;
+        worker.entry.address = "10.0.0.1:1";
+        worker.entry.incarnation = m_incarnations;
+        worker.entry.capacity = { cores * 1000, 100000, accelerators };
+        core.onWorkerListed(worker.entry, at);
+        workers[worker.entry.id] = worker;
+    }
+
+    void submit(unsigned number, const JobSpec& spec, milliseconds objective = 3000ms)
+    {
+        QueueRule queue;
+        queue.name = "bookings";
+        queue.stretchPermille = 0;
+        queue.targetDuration = objective;
+        REQUIRE(core.submit(jobId(number), queue, spec, at).outcome == Ports::JobOutcome::Accepted);
+    }
+
+    void crash(const std::string& worker) { workers.at(worker).crashAt = at.now; }
+
+    void runFor(milliseconds time)
+    {
+        for (const auto end = at.now + time; at.now < end;)
+            tick();
+    }
+
+    bool isRunning(const TaskKey& task) const
+    {
+        return std::ranges::any_of(workers, [&](const auto& it) { return it.second.running.contains(task); });
+    }
+
+    /// The worker that runs the task; empty for none.
+    std::string workerOf(const TaskKey& task) const
+    {
+        for (const auto& [id, worker] : workers) {
+            if (worker.running.contains(task))
+                return id;
+        }
+        return {};
+    }
+
+    JobState stateOf(unsigned number) const { return core.show(jobId(number)).state; }
+
+    PoolCore core { PoolLimits {} };
+    Moment at { Instant(1h), Common::WallTime(1000h) };
+    std::map<std::string, RigWorker> workers;
+    std::set<TaskKey> crashing;
+    std::set<TaskKey> unanswered; ///< Their first starts aren't confirmed.
+    std::map<TaskKey, unsigned> starts;
+    std::vector<LogEvent> log;
+    milliseconds downTime { 3300 };
+
+private:
+    static constexpr milliseconds step { 10 };
+    static constexpr milliseconds pollInterval { 100 };
+
+    void tick()
+    {
+        at.now += step;
+        at.wall += step;
+        for (auto it = workers.begin(); it != workers.end();) {
+            const bool hasCrashed = it->second.crashAt <= at.now;
+            if (hasCrashed) {
+                core.onWorkerFailing(it->first, it->second.crashAt, at);
+                core.onWorkerUnlisted(it->first, at);
+                core.onWorkerLost(it->first, WorkerLoss::Crashed, at);
+                m_returns.emplace_back(at.now + downTime, it->second.entry);
+            }
+            it = hasCrashed ? workers.erase(it) : std::next(it);
+        }
+        for (const auto& [when, entry] : std::exchange(m_returns, {})) {
+            if (when <= at.now)
+                addWorker(entry.machine, entry.capacity.milliCores / 1000, entry.capacity.accelerators);
+            else
+                m_returns.emplace_back(when, entry);
+        }
+        for (auto& [id, worker] : workers) {
+            for (auto it = worker.running.begin(); it != worker.running.end();) {
+                const auto* job = core.jobs().find(it->first.job);
+                const bool isDone = job && at.now - it->second.second >= job->spec().steps[it->first.step].estimate;
+                if (isDone)
+                    worker.ended.push_back({ ++worker.endNumber, it->first, it->second.first, RunEnd::Done, {} });
+                it = isDone ? worker.running.erase(it) : std::next(it);
+            }
+            if (at.now.time_since_epoch() % pollInterval == 0us || !worker.ended.empty())
+                poll(id, worker);
+        }
+        core.decide(at);
+        carryOut();
+    }
+
+    void poll(const std::string& id, RigWorker& worker)
+    {
+        Ports::PollAnswer answer;
+        answer.answer.status = Ports::WorkerStatus::Done;
+        answer.incarnation = worker.entry.incarnation;
+        for (const auto& [task, run] : worker.running) {
+            if (!unanswered.contains(task) || starts[task] > 1)
+                answer.running.push_back({ task, run.first, {}, static_cast<unsigned>((at.now - run.second) / 1ms % 97), 0 });
+        }
+        answer.ended = std::exchange(worker.ended, {});
+        core.onPollAnswer(id, answer, at.now, at);
+    }
+
+    void carryOut()
+    {
+        auto output = core.takeOutput();
+        std::ranges::move(output.log, std::back_inserter(log));
+        for (const auto& order : output.orders) {
+            if (const auto* start = std::get_if<StartRun>(&order)) {
+                auto& worker = workers.at(start->worker);
+                worker.running[start->task] = { start->run, at.now };
+                ++starts[start->task];
+                if (crashing.contains(start->task))
+                    worker.crashAt = std::min(worker.crashAt, at.now + step);
+                if (!unanswered.contains(start->task) || starts[start->task] > 1)
+                    core.onStartAnswer(*start, { Ports::WorkerStatus::Done, Ports::WorkerRefusal::None, {} }, at);
+            } else if (const auto* stop = std::get_if<StopRun>(&order); stop && workers.contains(stop->worker)) {
+                auto& worker = workers.at(stop->worker);
+                if (worker.running.erase(stop->task) > 0)
+                    worker.ended.push_back({ ++worker.endNumber, stop->task, stop->run, RunEnd::Stopped, {} });
+                core.onStopAnswer(*stop, { Ports::WorkerStatus::Done, Ports::WorkerRefusal::None, {} }, at);
+            }
+        }
+    }
+
+    std::uint64_t m_incarnations = 0;
+    std::vector<std::pair<Instant, WorkerEntry>> m_returns;
+};
+
+TaskKey firstTask(unsigned job) { return { jobId(job), 0, 0, 0 }; }
+
+/// Lets the core learn how soon after their starts tasks crash workers, from a job that is given up.
+void learnWindow(CoreRig& rig, unsigned job)
+{
+    rig.crashing.insert(firstTask(job));
+    rig.submit(job, oneStep(1));
+    for (unsigned n = 0; n < 1000 && rig.stateOf(job) != JobState::Failed; ++n)
+        rig.runFor(10ms);
+    REQUIRE(rig.stateOf(job) == JobState::Failed);
+    rig.runFor(rig.downTime + 100ms);
+}
+
+} // namespace
+
+TEST_CASE("a worker set aside for the suspect that has waited longest takes that one first, also when its job is late")
+{
+    CoreRig rig;
+    constexpr unsigned oldest = 1;
+    constexpr unsigned younger = 2;
+    constexpr unsigned firstLong = 3;
+    const auto accept = [&](unsigned job, const JobSpec& spec, milliseconds age, milliseconds objective) {
+        JobAccepted accepted { jobId(job), "bookings", 0, 1, objective, rig.at.wall - age, spec };
+        rig.core.load({ accepted });
+    };
+    accept(oldest, oneStep(1, 500ms), 10s, 1s);
+    accept(younger, oneStep(1, 20s, 16000), 0s, 120s);
+    accept(firstLong, oneStep(1, 7s, 16000), 0s, 120s);
+    accept(firstLong + 1, oneStep(1, 60s, 16000), 0s, 120s);
+    rig.core.load({ TaskSuspected { firstTask(oldest), { 1, 1, 1 } } });
+    const std::map<unsigned, std::string> places { { younger, "m0-1" }, { firstLong, "m1-2" }, { firstLong + 1, "m2-3" } };
+    for (const auto& [job, worker] : places)
+        rig.core.load({ RunStarted { firstTask(job), 1, worker } });
+    rig.core.finishLoad(rig.at);
+    for (const auto* machine : { "m0", "m1", "m2" })
+        rig.addWorker(machine, 16);
+    for (const auto& [job, worker] : places)
+        rig.workers.at(worker).running[firstTask(job)] = { 1, rig.at.now };
+    rig.downTime = 1h;
+    rig.runFor(100ms);
+    rig.crash("m0-1"); // Makes the younger one a suspect.
+    rig.runFor(6s);
+    REQUIRE(rig.starts[firstTask(oldest)] == 0);
+    REQUIRE(rig.starts[firstTask(younger)] == 0);
+    REQUIRE(rig.core.jobs().find(jobId(younger)) != nullptr);
+    rig.runFor(2s); // The first of the long ones ends.
+    CHECK(rig.starts[firstTask(younger)] == 0);
+    CHECK(rig.starts[firstTask(oldest)] == 1);
+}
