--- a/Source/UnitTests/Jobs/CrashReviewTest.cpp
+++ b/Source/UnitTests/Jobs/CrashReviewTest.cpp
@@ -170,6 +170,41 @@
 
 } // namespace
 
+TEST_CASE("likely suspects don't wait beside idle workers for one of them that needs what another task uses")
+{
+    CoreRig rig;
+    for (const auto* machine : { "m0", "m1", "m2", "m3" })
+        rig.addWorker(machine, 16);
+    learnWindow(rig, 1);
+    rig.addWorker("g0", 16, 1);
+    auto spec = oneStep(1, 40s, 16000);
+    spec.steps.front().need.accelerators = 1;
+    rig.submit(3, spec); // Uses the only GPU for long.
+    rig.runFor(500ms);
+    REQUIRE(rig.isRunning(firstTask(3)));
+    rig.addWorker("g1", 16, 1);
+    spec.steps.front().estimate = 500ms;
+    spec.steps.front().need.milliCores = 1000;
+    rig.crashing.insert(firstTask(2));
+    rig.downTime = 1h; // Which doesn't return.
+    rig.submit(2, spec); // Crashes the worker with the other one,
+    rig.runFor(200ms);
+    rig.downTime = 3300ms;
+    REQUIRE(rig.starts[firstTask(2)] == 1);
+    REQUIRE(rig.isRunning(firstTask(3)));
+    rig.submit(4, spec); // for which this one waits as well.
+    for (unsigned n = 5; n <= 8; ++n) {
+        rig.crashing.insert(firstTask(n));
+        rig.submit(n, oneStep(1, 500ms));
+        rig.runFor(200ms);
+    }
+    rig.runFor(10s);
+    for (unsigned n = 5; n <= 8; ++n) {
+        CAPTURE(n);
+        CHECK(rig.starts[firstTask(n)] >= 2);
+    }
+}
+
 TEST_CASE("a worker set aside for the suspect that has waited longest takes that one first, also when its job is late")
 {
     CoreRig rig;
