--- a/Source/UnitTests/Jobs/CrashReviewTest.cpp
+++ b/Source/UnitTests/Jobs/CrashReviewTest.cpp
@@ -239,3 +239,21 @@
     CHECK(rig.starts[firstTask(younger)] == 0);
     CHECK(rig.starts[firstTask(oldest)] == 1);
 }
+
+TEST_CASE("a worker that crashes under a task of a cancelled job doesn't make its machine one that crashes by itself")
+{
+    CoreRig rig;
+    rig.addWorker("m0", 16);
+    rig.runFor(200ms);
+    rig.crashing.insert(firstTask(1));
+    rig.submit(1, oneStep(1));
+    rig.runFor(10ms);
+    REQUIRE(rig.starts[firstTask(1)] == 1);
+    rig.core.cancel(jobId(1), rig.at);
+    rig.runFor(4s);
+    rig.crashing.insert(firstTask(2));
+    rig.submit(2, oneStep(1));
+    rig.runFor(30s);
+    CHECK(rig.stateOf(2) == JobState::Failed);
+    CHECK(rig.starts[firstTask(2)] == 2);
+}
