Hold the runs of the graceful stop's test until it releases them

Cause: the test. It needs all callers to start within one run time, less the time between two polls. Its caller threads start further apart beside load.

Ruled out: queues, connections and claims of the product in both traced runs (15 and 17 of the 18 had started by 0.032 and 0.048, each late one at most 16 ms after it was sent), too few slots (24, six or seven of eight busy), another process_tests on the same ports (none ran).

Change: executor stand-ins can hold runs until the mode changes. The test holds all 18, stops the host, waits until that host isn't ready and waits for requests in flight past its grace, checks that all 18 still run, then releases them. All checks of before stay. The requests have a deadline of 2 minutes in place of 4 s, since they wait for the test; callers wait 2 s longer than the deadline, as before. The host logs "waiting for requests in flight" each second while it does.

Stricter than before: runs of 0.5 s ended within the grace of 1 s, so that a host that doesn't wait passed.

--- a/Source/Core/Kernel/EntryHost.cpp
+++ b/Source/Core/Kernel/EntryHost.cpp
@@ -7,6 +7,7 @@
 #include "Ports/OperatorPort.h"
 #include "Ports/PortError.h"
 
+#include <algorithm>
 #include <exception>
 #include <random>
 #include <thread>
@@ -21,6 +22,7 @@
     constexpr milliseconds requestTickInterval { 20 }; ///< Answers at deadlines are at most this late.
     constexpr milliseconds controlTickInterval { 100 };
     constexpr milliseconds balancerGrace { 1000 }; ///< Time for the balancer and the peers to notice that this host isn't ready.
+    constexpr milliseconds drainReportInterval { 1000 };
     constexpr milliseconds leaveTimeout { 3000 };
     constexpr unsigned connectionsPerUpstream = 64;
     constexpr unsigned maximumEntryHosts = 8; ///< Entry hosts that share an upstream's connections.
@@ -46,6 +48,7 @@
     explicit Private(Settings hostSettings);
     void serve(const std::atomic<bool>& stopRequested);
     void drain();
+    void waitForRequests();
     void tickUntil(Common::Instant, const std::function<bool()>& done);
     void tick(Common::Instant now);
     void stopPorts();
@@ -122,12 +125,23 @@
     tickUntil(Common::Instant::max(), [&] { return stopRequested.load(); });
 }
 
+void EntryHost::Private::waitForRequests()
+{
+    const auto until = Common::BootClock::now() + settings.limits.drainLimit;
+    const auto isDone = [&] { return requests->inFlight() == 0 && callers->unanswered() == 0; };
+    for (auto now = Common::BootClock::now(); now < until && !isDone(); now = Common::BootClock::now()) {
+        Logging::write(LogLevel::Info, "kernel", "waiting for requests in flight",
+            { {}, {}, {}, { { "requests", std::to_string(requests->inFlight()) }, { "unanswered", std::to_string(callers->unanswered()) } } });
+        tickUntil(std::min(until, now + drainReportInterval), isDone);
+    }
+}
+
 void EntryHost::Private::drain()
 {
     Logging::write(LogLevel::Info, "kernel", "draining");
     control->beginDrain();
     tickUntil(Common::BootClock::now() + balancerGrace, [] { return false; });
-    tickUntil(Common::BootClock::now() + settings.limits.drainLimit, [&] { return requests->inFlight() == 0 && callers->unanswered() == 0; });
+    waitForRequests();
     if (requests->inFlight() > 0)
         Logging::write(LogLevel::Warn, "kernel", "the drain limit has passed; stopping with requests in flight");
     control->leave();
--- a/Source/Standins/ExecutorStandin.cpp
+++ b/Source/Standins/ExecutorStandin.cpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <random>
 #include <utility>
+#include <vector>
 
 namespace Standins {
 
@@ -35,6 +36,7 @@
         { "fail-fast", ExecutorFaultMode::FailFast },
         { "truncate", ExecutorFaultMode::Truncate },
         { "hang", ExecutorFaultMode::Hang },
+        { "hold", ExecutorFaultMode::Hold },
         { "wrong-id", ExecutorFaultMode::WrongId },
         { "slow", ExecutorFaultMode::Slow },
         { "crash-on-body", ExecutorFaultMode::CrashOnBody },
@@ -85,10 +87,23 @@
             (this->*it->second)(exchange);
     }
 
+    void setFault(const ExecutorFault& fault)
+    {
+        m_fault = fault;
+        if (fault.mode == ExecutorFaultMode::Hold)
+            return;
+        std::vector<TaskId> held;
+        for (const auto& [id, task] : m_tasks) {
+            if (task.fault == ExecutorFaultMode::Hold)
+                held.push_back(id);
+        }
+        for (const auto id : held)
+            finish(id);
+    }
+
     Adapters::EventLoop& m_loop;
     const ExecutorSettings m_settings;
     std::unique_ptr<HttpServer> m_server;
-    ExecutorFault m_fault;
     ExecutorStats m_stats;
     std::map<std::string, std::uint64_t> m_runsByBody; ///< Number of runs by the body's hash.
 
@@ -145,7 +160,7 @@
     {
         const TaskId id = ++m_lastTask;
         m_stats.maximumRunning = std::max(m_stats.maximumRunning, ++m_stats.running);
-        if (task.fault != ExecutorFaultMode::Hang)
+        if (task.fault != ExecutorFaultMode::Hang && task.fault != ExecutorFaultMode::Hold)
             task.timer = m_loop.after(runTimeOf(task), [this, id] { finish(id); });
         m_tasks[id] = std::move(task);
     }
@@ -227,11 +242,12 @@
             return;
         }
         const Json::Value& marker = (*body)["marker"];
-        m_fault = { it->mode, std::chrono::milliseconds(jsonNumber((*body)["delayMs"])), marker.isString() ? marker.asString() : "" };
+        setFault({ it->mode, std::chrono::milliseconds(jsonNumber((*body)["delayMs"])), marker.isString() ? marker.asString() : "" });
         exchange->reply({});
     }
 
     std::mt19937_64 m_random;
+    ExecutorFault m_fault;
     std::map<std::string, std::uint64_t> m_runsById;
     std::map<TaskId, Task> m_tasks;
     TaskId m_lastTask = 0;
@@ -263,7 +279,7 @@
 
 void ExecutorStandin::setFault(const ExecutorFault& fault)
 {
-    m_private->m_fault = fault;
+    m_private->setFault(fault);
 }
 
 ExecutorStats ExecutorStandin::stats() const
--- a/Source/Standins/ExecutorStandin.h
+++ b/Source/Standins/ExecutorStandin.h
@@ -19,6 +19,7 @@
     FailFast, ///< Starts each task and fails it immediately with 500.
     Truncate, ///< Runs the task, then sends half of the response body and closes the connection.
     Hang, ///< Starts the task and never finishes it.
+    Hold, ///< Starts the task and finishes it when the mode changes.
     WrongId, ///< Answers with the id of another request.
     Slow, ///< Adds the delay to each run time.
     CrashOnBody, ///< Exits the process when a body contains the marker.
@@ -58,7 +59,7 @@
     ~ExecutorStandin();
 
     unsigned port() const;
-    /// Applies to tasks that start from now on.
+    /// Applies to tasks that start from now on; any mode except Hold also finishes the tasks that Hold has started.
     void setFault(const ExecutorFault&);
     ExecutorStats stats() const;
     /// How many times a task with this body was started.
--- a/Source/UnitTests/Process/EntryHostProcessTest.cpp
+++ b/Source/UnitTests/Process/EntryHostProcessTest.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr std::chrono::minutes heldRequestTimeout { 2 };
+
 const std::vector<RequestKind> mixedKinds { { "lesson-booking", false, 50 }, { "roster-reading", true, 50 }, { "roster-reading", false, 50 } };
 
 bool inView(const FleetHost& viewer, const std::string& host)
@@ -78,13 +80,22 @@
 {
     Fleet fleet({ .basePort = 28200 });
     FleetHost& stopped = fleet.ownerOf("desk");
-    const std::vector<RequestKind> kinds(18, { "lesson-booking", false, 500 });
+    // Runs end when the test lets them, because callers may start further apart than any fixed run time.
+    const std::vector<RequestKind> kinds(18, { "lesson-booking", false, 50, heldRequestTimeout });
     bool everReady = false;
     std::optional<int> code;
+    fleet.setRunFault("hold");
     const auto records = sendAtOnce(fleet.allHosts(), kinds, [&](const auto&) {
         CHECK(eventually([&] { return fleet.runningTotal() == kinds.size(); }, std::chrono::seconds(10)));
         stopped.process.signal(SIGTERM);
         CHECK(eventually([&] { return !fleet.ready(stopped); }));
+        // A host that doesn't wait exits before it logs a second event.
+        CHECK(eventually([&] {
+            everReady = fleet.ready(stopped) || everReady;
+            return fleet.logCount(stopped, "waiting for requests in flight") > 1;
+        }));
+        CHECK(fleet.runningTotal() == kinds.size());
+        fleet.setRunFault("none");
         std::thread watcher([&] { code = stopped.process.exitCode(); });
         while (get(stopped.url("/ready")).complete)
             everReady = fleet.ready(stopped) || everReady;
--- a/Source/UnitTests/Process/Fleet.cpp
+++ b/Source/UnitTests/Process/Fleet.cpp
@@ -243,6 +243,12 @@
     REQUIRE(post(admin("/fault"), R"({"mode":")" + mode + "\"}").status == 200);
 }
 
+void Fleet::setRunFault(const std::string& mode) const
+{
+    for (const auto& it : m_upstreams)
+        REQUIRE(post("http://" + it.address + "/fault", R"({"mode":")" + mode + "\"}").status == 200);
+}
+
 void Fleet::publishHostList(const std::string& leaving) const
 {
     std::vector<std::string> hosts;
@@ -260,6 +266,15 @@
     return incarnations;
 }
 
+std::size_t Fleet::logCount(const FleetHost& host, const std::string& message) const
+{
+    std::size_t n = 0;
+    std::ifstream log(file(host.name + ".log"));
+    for (std::string line; std::getline(log, line);)
+        n += line.find("\"message\": \"" + message + "\"") != std::string::npos;
+    return n;
+}
+
 std::string Fleet::poolAndStateOf(const FleetHost& host, const std::string& upstream) const
 {
     for (const auto& it : get(host.operatorUrl("/v1/pools")).json()) {
--- a/Source/UnitTests/Process/Fleet.h
+++ b/Source/UnitTests/Process/Fleet.h
@@ -76,10 +76,14 @@
 
     /// `mode` is one of the platform stand-in's: up, down, slow or late-after-effect.
     void setStoreFault(const std::string& mode) const;
+    /// Sets a fault mode of the executor stand-ins, all of which must be running.
+    void setRunFault(const std::string& mode) const;
     /// Publishes the host list with all upstreams live, except the one named, which is leaving.
     void publishHostList(const std::string& upstream) const;
     /// Incarnations of the upstreams in the host list, by name; a rebooting upstream isn't listed.
     std::map<std::string, std::uint64_t> listedIncarnations() const;
+    /// Number of events with this message in the host's log.
+    std::size_t logCount(const FleetHost&, const std::string& message) const;
     /// Pool and state of an upstream as an entry host reports them, for instance "desk draining"; empty when it doesn't know it.
     std::string poolAndStateOf(const FleetHost&, const std::string& upstream) const;
 
--- a/Source/UnitTests/Process/FleetLoad.cpp
+++ b/Source/UnitTests/Process/FleetLoad.cpp
@@ -12,6 +12,7 @@
 
     constexpr std::size_t maximumAttempts = 8;
     constexpr std::chrono::milliseconds retryPause { 100 };
+    constexpr std::chrono::milliseconds answerMargin { 2000 }; ///< For which a caller waits after the deadline.
 
     /// A UUID of version 7 with the current time; unique within this process by the number, and across processes by a random part.
     std::string newKey(unsigned number)
@@ -40,8 +41,9 @@
 HttpReply TestRequest::send(const FleetHost& host) const
 {
     return post(host.url("/v1/services/" + m_kind.service), m_body,
-        { "Marigold-Team: families", "Marigold-Priority: normal", "Marigold-Timeout-Ms: 4000", "Content-Type: application/json",
-            "Connection: close", "Idempotency-Key: \"" + m_key + "\"", std::string("Marigold-Idempotent: ") + (m_kind.idempotent ? "true" : "false") });
+        { "Marigold-Team: families", "Marigold-Priority: normal", "Marigold-Timeout-Ms: " + std::to_string(m_kind.timeout.count()), "Content-Type: application/json",
+            "Connection: close", "Idempotency-Key: \"" + m_key + "\"", std::string("Marigold-Idempotent: ") + (m_kind.idempotent ? "true" : "false") },
+        m_kind.timeout + answerMargin);
 }
 
 std::string TestRequest::bodyHash() const
--- a/Source/UnitTests/Process/FleetLoad.h
+++ b/Source/UnitTests/Process/FleetLoad.h
@@ -17,6 +17,7 @@
     std::string service = "lesson-booking";
     bool idempotent = false;
     unsigned runMilliseconds = 50;
+    std::chrono::milliseconds timeout { 4000 }; ///< Until the deadline, from arrival.
 };
 
 /// A request with a unique body and idempotency key; every attempt sends the same bytes.
--- a/Source/UnitTests/Process/HttpCalls.cpp
+++ b/Source/UnitTests/Process/HttpCalls.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-    constexpr long callBoundMilliseconds = 6000;
-
     std::size_t appendBody(char* data, std::size_t size, std::size_t n, void* reply)
     {
         static_cast<HttpReply*>(reply)->body.append(data, size * n);
@@ -21,7 +19,7 @@
         return curl_easy_header(easy, name, 0, CURLH_HEADER, -1, &header) == CURLHE_OK ? header->value : "";
     }
 
-    HttpReply call(const std::string& url, const std::string* body, const std::vector<std::string>& headers)
+    HttpReply call(const std::string& url, const std::string* body, const std::vector<std::string>& headers, std::chrono::milliseconds bound)
     {
         const std::unique_ptr<CURL, void (*)(CURL*)> easy(curl_easy_init(), curl_easy_cleanup);
         curl_slist* list = curl_slist_append(nullptr, "Expect:");
@@ -31,7 +29,7 @@
         HttpReply reply;
         curl_easy_setopt(easy.get(), CURLOPT_URL, url.c_str());
         curl_easy_setopt(easy.get(), CURLOPT_NOSIGNAL, 1L);
-        curl_easy_setopt(easy.get(), CURLOPT_TIMEOUT_MS, callBoundMilliseconds);
+        curl_easy_setopt(easy.get(), CURLOPT_TIMEOUT_MS, static_cast<long>(bound.count()));
         curl_easy_setopt(easy.get(), CURLOPT_HTTPHEADER, list);
         curl_easy_setopt(easy.get(), CURLOPT_WRITEFUNCTION, appendBody);
         curl_easy_setopt(easy.get(), CURLOPT_WRITEDATA, &reply);
@@ -58,12 +56,12 @@
 
 HttpReply get(const std::string& url)
 {
-    return call(url, nullptr, {});
+    return call(url, nullptr, {}, callBound);
 }
 
-HttpReply post(const std::string& url, const std::string& body, const std::vector<std::string>& headers)
+HttpReply post(const std::string& url, const std::string& body, const std::vector<std::string>& headers, std::chrono::milliseconds bound)
 {
-    return call(url, &body, headers);
+    return call(url, &body, headers, bound);
 }
 
 } // namespace ProcessTests
--- a/Source/UnitTests/Process/HttpCalls.h
+++ b/Source/UnitTests/Process/HttpCalls.h
@@ -1,7 +1,8 @@
 #pragma once
 
-/// Blocking HTTP calls for tests. Each uses its own connection and fails after 6 s.
+/// Blocking HTTP calls for tests. Each uses its own connection and fails after a bound.
 
+#include <chrono>
 #include <json/json.h>
 #include <string>
 #include <vector>
@@ -23,8 +24,10 @@
     Json::Value json() const;
 };
 
+constexpr std::chrono::milliseconds callBound { 6000 };
+
 HttpReply get(const std::string& url);
 /// Headers have the form "Name: value".
-HttpReply post(const std::string& url, const std::string& body, const std::vector<std::string>& headers = {});
+HttpReply post(const std::string& url, const std::string& body, const std::vector<std::string>& headers = {}, std::chrono::milliseconds bound = callBound);
 
 } // namespace ProcessTests
--- a/Source/UnitTests/Standins/ExecutorTest.cpp
+++ b/Source/UnitTests/Standins/ExecutorTest.cpp
@@ -52,6 +52,22 @@
     CHECK(stats.maximumRunning == 1);
 }
 
+TEST_CASE("an executor finishes held tasks when the mode changes, not before and once each")
+{
+    ExecutorFixture fixture(settingsWith(shortRun, 8));
+    fixture.setFault({ .mode = ExecutorFaultMode::Hold });
+    auto first = fixture.startTask("r1");
+    auto second = fixture.startTask("r2");
+    fixture.setFault({ .mode = ExecutorFaultMode::Hold });
+    fixture.call("DELETE", "/run/r2", "", "").get();
+    CHECK(second.get().status == 499);
+    CHECK(fixture.stats().running == 1);
+    fixture.setFault({});
+    CHECK(first.get().body.starts_with("ran r1 "));
+    CHECK(fixture.stats().running == 0);
+    CHECK(fixture.call("POST", "/run/desk", "r3", "later").get().status == 200);
+}
+
 TEST_CASE("injected faults of an executor reach the client")
 {
     ExecutorFixture fixture(settingsWith(shortRun, 8));
