Lend suspects the idle workers that no waiting task could use, also when one task fits nowhere

Callers would see: jobs with a suspect wait beside idle workers, as long as some other task waits for an accelerator, or for more memory than most workers have.

Cause: idle workers were lent to suspects only in passes that left no task without a place for lack of room. One task that needs what the idle workers don't have at all stopped lending for as long as it waited.

Change: a worker isn't lent if its capacity, apart from what lasting tasks reserve there, could hold one of these tasks. All other idle workers are.

Test: 60 tasks are suspects while a task waits for the only accelerator, or the only large memory. 4 s after the crash 61 of 61 tasks run; 19 did before. Another test keeps workers for tasks that are only waiting for one of them to become free; it passed before as well.

--- a/Source/Core/Jobs/Decision/Placement.cpp
+++ b/Source/Core/Jobs/Decision/Placement.cpp
@@ -83,14 +83,19 @@
     return need;
 }
 
-bool couldRunOn(const Worker& worker, const PlacementRequest& request)
+bool couldHold(const Worker& worker, const Resources& need)
 {
     auto room = worker.entry.capacity;
     for (const auto& [key, run] : worker.runs) {
         if (run.isLasting)
             room -= run.reserved;
     }
-    return reservedBy(*request.step).fitsInto(room) && meetsConstraints(worker, request);
+    return need.fitsInto(room);
+}
+
+bool couldRunOn(const Worker& worker, const PlacementRequest& request)
+{
+    return couldHold(worker, reservedBy(*request.step)) && meetsConstraints(worker, request);
 }
 
 Candidate candidateOf(Worker& worker)
--- a/Source/Core/Jobs/Decision/Placement.h
+++ b/Source/Core/Jobs/Decision/Placement.h
@@ -60,6 +60,9 @@
 /// Resources reserved for a task of the step; none of the cores for a filler.
 Resources reservedBy(const StepSpec&);
 
+/// Whether the worker has that much capacity, apart from what short tasks occupy now.
+bool couldHold(const Worker&, const Resources& need);
+
 /// Whether the worker may ever run the task, apart from what short tasks occupy now and from quarantine.
 bool couldRunOn(const Worker&, const PlacementRequest&);
 
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -206,8 +206,9 @@
     /// others.
     Suspicion placementSuspicionOf(const TaskKey&, const Task&, bool isLasting, Instant now) const;
     void quarantineWorkers(std::vector<Candidate>&, Moment);
-    /// Leaves workers that other tasks don't need to suspects that still wait. Returns false if there are none.
-    bool lendIdleWorkers(std::vector<Candidate>&, Moment);
+    /// Leaves workers to suspects that still wait, apart from workers that could hold one of the other waiting tasks, given by what
+    /// they need. Returns false if there are none.
+    bool lendIdleWorkers(std::vector<Candidate>&, const std::vector<Resources>& needs, Moment);
     void logRefusal(const StartRun&, const Ports::WorkerAnswer&);
     void avoidAfterRefusal(Worker&, const Ports::WorkerAnswer&, Instant now);
     void onRunEnded(Worker&, const Ports::EndedTask&, Moment);
--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -316,14 +316,15 @@
         forGroup->takesGroup = !forGroup->worker->hasUnprovenRuns();
 }
 
-bool PoolCore::lendIdleWorkers(std::vector<Candidate>& candidates, Moment at)
+bool PoolCore::lendIdleWorkers(std::vector<Candidate>& candidates, const std::vector<Resources>& needs, Moment at)
 {
     if (m_suspects.empty() || waitingSuspects(at.now).empty())
         return false;
     const bool isSpacing = m_startSpacing.window(at.now) > milliseconds(0);
     std::vector<Candidate*> lent;
     for (auto& it : candidates) {
-        if (!it.isQuarantined && !it.isSpaced && (isSpacing || !it.worker->hasUnprovenRuns()))
+        const bool isNeeded = std::ranges::any_of(needs, [&it](const auto& need) { return couldHold(*it.worker, need); });
+        if (!isNeeded && !it.isQuarantined && !it.isSpaced && (isSpacing || !it.worker->hasUnprovenRuns()))
             lent.push_back(&it);
     }
     openForSuspects(lent, isSpacing);
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -45,7 +45,7 @@
         if (mayFit && !placeStep(it, candidates, at))
             unplaceable.push_back(need);
     }
-    if (!unplaceable.empty() || !lendIdleWorkers(candidates, at))
+    if (!lendIdleWorkers(candidates, unplaceable, at))
         return;
     for (const auto& it : waiting) {
         if (hasSuspects(it))
