Keep what crashes have shown for the next owner: how soon tasks crash their workers, and the grades of suspects

Callers would see: after a change of the owner, jobs beside crashing tasks are suspected and tried one by one.

Cause: the ages of the crashes of tasks that were given up, and which suspects are doubtful or likely, were only in memory.

Change: two new kinds of records, SuspicionGraded and CrashAgesLearnt, stored last in their segment, where hosts of earlier versions stop reading.

Test: the owner is killed after 80 of 160 jobs, of which each fourth has a crashing task.

--- a/Source/Core/Jobs/Decision/CrashEvidence.h
+++ b/Source/Core/Jobs/Decision/CrashEvidence.h
@@ -7,6 +7,7 @@
 #include "Common/Time.h"
 #include "Jobs/Model/JobRecords.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <set>
@@ -53,8 +54,12 @@
 public:
     /// A task was given up that had crashed its worker `age` after its start.
     void learn(milliseconds age);
+    /// Replaces what was learnt by what an earlier owner had.
+    void restore(const std::vector<milliseconds>& ages) { m_ages.assign(ages.begin(), ages.end()); }
+    /// What was learnt, the oldest first.
+    std::vector<milliseconds> ages() const { return { m_ages.begin(), m_ages.end() }; }
     /// A worker has crashed, and tasks are suspected.
-    void onCrash(Common::Instant now) { m_latestCrash = now; }
+    void onCrash(Common::Instant at) { m_latestCrash = std::max(m_latestCrash, at); }
     /// Zero when starts needn't be spaced: there was no such crash lately, or tasks crash their workers too late for that.
     milliseconds at(Common::Instant now) const;
     /// Tasks that started longer before a crash don't explain it. Zero while that isn't known, or starts aren't spaced.
@@ -62,7 +67,7 @@
 
 private:
     std::deque<milliseconds> m_ages; ///< Of the latest tasks given up.
-    Common::Instant m_latestCrash {};
+    Common::Instant m_latestCrash {}; ///< May be an earlier owner's.
 };
 
 /// Remembers recent crashes by machine, and whether a task explains them. Bounded; forgets crashes after ten minutes.
--- a/Source/Core/Jobs/Decision/JobTable.h
+++ b/Source/Core/Jobs/Decision/JobTable.h
@@ -115,6 +115,8 @@
     void applyRecord(const RunEnded&);
     void applyRecord(const JobFinished&);
     void applyRecord(const TaskSuspected&);
+    static void applyRecord(const SuspicionGraded&) { } ///< PoolCore keeps these.
+    static void applyRecord(const CrashAgesLearnt&) { }
     /// Like findTask(), but begins the occurrences up to the task's if they haven't begun.
     Task* reachTask(const TaskKey&);
     void endTask(Job&, StepRun&, const RunEnded&);
--- a/Source/Core/Jobs/Decision/PoolCore.cpp
+++ b/Source/Core/Jobs/Decision/PoolCore.cpp
@@ -29,8 +29,10 @@
 
 void PoolCore::load(const std::vector<JobRecord>& records)
 {
-    for (const auto& it : records)
+    for (const auto& it : records) {
         m_jobs.apply(it);
+        restoreEvidence(it);
+    }
 }
 
 void PoolCore::finishLoad(Moment at)
@@ -61,6 +63,9 @@
         m_suspects.insert(key);
         m_doubtfulSuspects.insert(key); // The journal doesn't tell whether it had started.
     });
+    forgetGrades();
+    if (!m_crashAges.ages.empty())
+        m_startSpacing.onCrash(at.now - std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(at.wall - m_crashAges.at)));
     if (!m_suspects.empty())
         m_startSpacing.onCrash(at.now);
 }
@@ -250,6 +255,7 @@
 std::vector<JobRecord> PoolCore::snapshot(Moment at)
 {
     m_jobs.forgetFinished(at.wall - m_limits.retention);
+    recordEvidence();
     return m_jobs.snapshot();
 }
 
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -143,7 +143,8 @@
     PoolLoad loadReport(Moment) const;
     /// Current load with the reasons that limit placement, for logs and metrics.
     PoolPressure pressure(Moment) const;
-    /// Returns records that restore the jobs. Drops final jobs whose retention time is over.
+    /// Returns records that restore the jobs. Drops final jobs whose retention time is over. The evidence of crashes isn't among
+    /// them, since earlier versions couldn't load them; it is recorded again.
     std::vector<JobRecord> snapshot(Moment);
     /// The pool's jobs, for reading only.
     const JobTable& jobs() const { return m_jobs; }
@@ -193,6 +194,12 @@
     bool hasSuccessor(const Worker&) const;
     /// Judges the lapsed runs of the machine's earlier worker.
     void onMachineRestarted(const WorkerEntry& newWorker, Moment);
+    void restoreEvidence(const JobRecord&);
+    void recordEvidence();
+    void gradeSuspicion(const TaskKey&, bool isDoubtful, bool isLikely);
+    SuspicionGraded gradeOf(const TaskKey&) const;
+    /// Drops the grades of tasks that aren't suspects.
+    void forgetGrades();
     /// Fails the job of a task that crashes its workers.
     void giveUp(const TaskKey&, const CrashTally&, Moment);
     /// Another task has turned out to explain crashes that count against this one.
@@ -244,6 +251,7 @@
     std::set<std::string> m_cordoned;
     CrashHistory m_crashes;
     StartSpacing m_startSpacing;
+    CrashAgesLearnt m_crashAges; ///< As last recorded.
     std::set<TaskKey> m_suspects; ///< Tasks with suspected crashes. May contain tasks that are done or gone.
     std::set<TaskKey> m_doubtfulSuspects; ///< See CrashWitness::wasDoubtful.
     std::set<TaskKey> m_likelySuspects; ///< See CrashWitness::isLikely.
--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -113,21 +113,69 @@
         if (tally.suspected == 0)
             continue;
         m_suspects.insert(key);
-        if (witnesses[n].isDoubtful && witnesses[n].tally.suspected == 0)
-            m_doubtfulSuspects.insert(key);
-        if (verdicts[n].isExplanation && window > milliseconds(0) && !isByItself)
-            m_likelySuspects.insert(key);
+        gradeSuspicion(key, witnesses[n].isDoubtful && witnesses[n].tally.suspected == 0, verdicts[n].isExplanation && window > milliseconds(0) && !isByItself);
         log("task-suspected", key.job, { { "task", nameOfTask(key) }, { "worker", worker.entry.id }, { "sinceProven", std::to_string(tally.sinceProven) }, { "unexplained", std::to_string(tally.unexplained) }, { "suspected", std::to_string(tally.suspected) } });
     }
     for (std::size_t n = 0; n < witnesses.size(); ++n) {
         if (!verdicts[n].isGuilty)
             continue;
-        if (verdicts[n].isExplanation)
+        if (verdicts[n].isExplanation) {
             m_startSpacing.learn(witnesses[n].age);
+            m_crashAges = { m_startSpacing.ages(), at.wall };
+            record(m_crashAges);
+        }
         giveUp(witnesses[n].task, verdicts[n].tally, at);
     }
 }
 
+void PoolCore::gradeSuspicion(const TaskKey& key, bool isDoubtful, bool isLikely)
+{
+    const bool isNewlyDoubtful = isDoubtful && m_doubtfulSuspects.insert(key).second;
+    const bool isNewlyLikely = isLikely && m_likelySuspects.insert(key).second;
+    if (isNewlyDoubtful || isNewlyLikely)
+        record(gradeOf(key));
+}
+
+SuspicionGraded PoolCore::gradeOf(const TaskKey& key) const
+{
+    return { key, m_doubtfulSuspects.contains(key), m_likelySuspects.contains(key) };
+}
+
+void PoolCore::forgetGrades()
+{
+    std::erase_if(m_doubtfulSuspects, [this](const auto& key) { return !m_suspects.contains(key); });
+    std::erase_if(m_likelySuspects, [this](const auto& key) { return !m_suspects.contains(key); });
+}
+
+void PoolCore::restoreEvidence(const JobRecord& record)
+{
+    const auto restore = [this](const TaskKey& task, bool isDoubtful, bool isLikely) {
+        m_doubtfulSuspects.erase(task);
+        m_likelySuspects.erase(task);
+        if (isDoubtful)
+            m_doubtfulSuspects.insert(task);
+        if (isLikely)
+            m_likelySuspects.insert(task);
+    };
+    if (const auto* learnt = std::get_if<CrashAgesLearnt>(&record)) {
+        m_crashAges = *learnt;
+        m_startSpacing.restore(learnt->ages);
+    } else if (const auto* grade = std::get_if<SuspicionGraded>(&record))
+        restore(grade->task, grade->isDoubtful, grade->isLikely);
+    else if (const auto* tally = std::get_if<TaskSuspected>(&record); tally && tally->tally.suspected == 0)
+        restore(tally->task, false, false);
+}
+
+void PoolCore::recordEvidence()
+{
+    if (!m_crashAges.ages.empty())
+        record(m_crashAges);
+    auto graded = m_doubtfulSuspects;
+    graded.insert(m_likelySuspects.begin(), m_likelySuspects.end());
+    for (const auto& key : graded)
+        record(gradeOf(key));
+}
+
 void PoolCore::onInheritedRunMissing(const Worker& worker, const TaskKey& key, RunNumber run, Moment at)
 {
     LostRun lost { key, run };
@@ -241,8 +289,7 @@
             waiting.push_back(key);
         return false;
     });
-    std::erase_if(m_doubtfulSuspects, [this](const auto& key) { return !m_suspects.contains(key); });
-    std::erase_if(m_likelySuspects, [this](const auto& key) { return !m_suspects.contains(key); });
+    forgetGrades();
     for (const auto& key : waiting) {
         const auto it = before.find(key);
         m_suspectsWaitingSince[key] = it == before.end() ? now : it->second;
--- a/Source/Core/Jobs/Model/JobFields.h
+++ b/Source/Core/Jobs/Model/JobFields.h
@@ -70,6 +70,18 @@
     v(m.task, m.tally);
 }
 
+template<typename V, MaybeConst<SuspicionGraded> M>
+void visitFields(V& v, M& m)
+{
+    v(m.task, m.isDoubtful, m.isLikely);
+}
+
+template<typename V, MaybeConst<CrashAgesLearnt> M>
+void visitFields(V& v, M& m)
+{
+    v(m.ages, m.at);
+}
+
 template<typename V, MaybeConst<JobFinished> M>
 void visitFields(V& v, M& m)
 {
--- a/Source/Core/Jobs/Model/JobRecords.h
+++ b/Source/Core/Jobs/Model/JobRecords.h
@@ -58,8 +58,24 @@
     CrashTally tally;
 };
 
+/// Replaces what is known of a suspect beside its tally.
+struct SuspicionGraded {
+    TaskKey task;
+    bool isDoubtful = false; ///< Its tally counts a crash of a worker on which it may not have started.
+    bool isLikely = false; ///< Nothing else explained a crash.
+};
+
+/// Replaces the times from their starts to the crashes of the latest tasks that were given up, the oldest first.
+struct CrashAgesLearnt {
+    std::vector<milliseconds> ages;
+    Common::WallTime at {}; ///< Of the latest of these crashes.
+};
+
 /// The kind is stored as the index, so new ones go to the end. Earlier versions can't read the kinds that they don't know.
-using JobRecord = std::variant<JobAccepted, JobCancelled, RunStarted, RunEnded, JobFinished, TaskSuspected>;
+using JobRecord = std::variant<JobAccepted, JobCancelled, RunStarted, RunEnded, JobFinished, TaskSuspected, SuspicionGraded, CrashAgesLearnt>;
+
+/// True for kinds that versions since TaskSuspected don't know. They can't load snapshots with such records.
+inline bool isEvidence(const JobRecord& record) { return std::holds_alternative<SuspicionGraded>(record) || std::holds_alternative<CrashAgesLearnt>(record); }
 
 /// Appends the encoded record to `out`.
 void appendRecord(std::string& out, const JobRecord&);
--- a/Source/Core/Jobs/Runtime/Journal.cpp
+++ b/Source/Core/Jobs/Runtime/Journal.cpp
@@ -22,7 +22,17 @@
 struct Journal::State : std::enable_shared_from_this<Journal::State> {
     struct Batch {
         std::string records;
-        std::string tallies; ///< Records of TaskSuspected. Stored last: versions that don't know them stop reading there.
+        std::string tallies; ///< Records of TaskSuspected. Stored after the others: versions that don't know them stop reading there.
+        std::string evidence; ///< See isEvidence(). Stored last for the same reason.
+
+        std::string text() const { return records + tallies + evidence; }
+        std::size_t size() const { return records.size() + tallies.size() + evidence.size(); }
+        std::string& textFor(const JobRecord& record)
+        {
+            if (isEvidence(record))
+                return evidence;
+            return std::holds_alternative<TaskSuspected>(record) ? tallies : records;
+        }
         std::vector<Effect> effects;
     };
 
@@ -60,7 +70,7 @@
         waiting.pop_front();
         // The fence makes the segment's text unique to this owner. By it, resolveCommit() recognizes a commit that was
         // carried out.
-        segment = std::to_string(settings.fence) + '\n' + inFlight->records + inFlight->tallies;
+        segment = std::to_string(settings.fence) + '\n' + inFlight->text();
         lastCommit = loop.now();
         // A snapshot covers the state up to this segment: it mustn't contain records that wait for a later one.
         if (waiting.empty() && nextSegment - snapshotSegment >= settings.segmentsPerSnapshot && !snapshots.isBusy())
@@ -124,10 +134,9 @@
     void append(const std::vector<JobRecord>& records)
     {
         for (const auto& it : records) {
-            if (waiting.empty() || waiting.back().records.size() + waiting.back().tallies.size() >= StoreKeys::valueBytes)
+            if (waiting.empty() || waiting.back().size() >= StoreKeys::valueBytes)
                 waiting.emplace_back();
-            auto& batch = waiting.back();
-            appendRecord(std::holds_alternative<TaskSuspected>(it) ? batch.tallies : batch.records, it);
+            appendRecord(waiting.back().textFor(it), it);
         }
     }
 
--- a/Source/UnitTests/Jobs/SuspectPlacementTest.cpp
+++ b/Source/UnitTests/Jobs/SuspectPlacementTest.cpp
@@ -2,8 +2,12 @@
 
 #include "EventLog.h"
 #include "JobFleet.h"
+#include "Jobs/Decision/PoolCore.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <string>
+#include <vector>
 
 using namespace Jobs;
 using namespace std::chrono_literals;
@@ -109,3 +113,73 @@
     fleet.runFor(detectionTime + longestWait);
     CHECK(fleet.runningTasks(jobId(5)) >= 4);
 }
+
+TEST_CASE("a new owner knows how soon tasks crash their workers")
+{
+    const EventLog log;
+    JobFleet fleet(2, 12, 16);
+    fleet.closesConnections = true;
+    for (auto& [id, worker] : fleet.workers)
+        worker->closesConnections = true;
+    fleet.setRunTime(640ms);
+    fleet.settle();
+    std::size_t crashesBefore = 0;
+    for (unsigned n = 1; n <= 160; ++n) {
+        if (n % 4 == 1)
+            fleet.runMonitor.crashing.insert({ jobId(n), 0, 0, n % 8 });
+        fleet.call(fleet.hosts.begin()->first, JobVerb::Submit, jobId(n), oneStep(8, 640ms));
+        fleet.runFor(100ms);
+        if (n != 80)
+            continue;
+        crashesBefore = log.all("worker-crashed").size();
+        REQUIRE(log.last("worker-crashed").number("windowMs") > 0);
+        fleet.killHost(fleet.ownerOf("desk"));
+    }
+    unsigned crashes = 0;
+    long suspects = 0;
+    unsigned withoutWindow = 0;
+    const auto events = log.all("worker-crashed");
+    for (auto n = crashesBefore; n < events.size(); ++n) {
+        if (events[n].number("suspects") == 0)
+            continue;
+        ++crashes;
+        suspects += events[n].number("suspects");
+        withoutWindow += events[n].number("windowMs") == 0 ? 1 : 0;
+    }
+    MESSAGE(crashes, " crashes, ", suspects, " suspects");
+    CHECK(crashes > 0);
+    CHECK(withoutWindow == 0);
+}
+
+// Hosts of earlier versions can't load a snapshot with records that they don't know.
+TEST_CASE("what crashes have shown survives encoding and snapshots, which don't hold it")
+{
+    const TaskKey task { jobId(1), 0, 0, 1 };
+    JobAccepted job;
+    job.job = task.job;
+    job.spec = oneStep(2);
+    std::vector<JobRecord> records { job, TaskSuspected { task, { 1, 1, 1 } }, SuspicionGraded { task, true, false }, SuspicionGraded { { jobId(1), 0, 0, 0 }, false, true }, CrashAgesLearnt { { 7ms, 12ms }, Common::WallTime(30min) } };
+    for (unsigned round = 0; round < 3; ++round) {
+        CAPTURE(round);
+        std::string text;
+        for (const auto& it : records)
+            appendRecord(text, it);
+        std::vector<JobRecord> read;
+        REQUIRE(readRecords(text, read));
+        PoolCore core { PoolLimits {} };
+        core.load(read);
+        const Common::Moment at { Common::Instant(1h), Common::WallTime(1h) };
+        core.finishLoad(at);
+        records = core.snapshot(at);
+        CHECK(std::ranges::none_of(records, isEvidence));
+        const auto output = core.takeOutput().records;
+        // The task that isn't a suspect has no grade any more.
+        REQUIRE(output.size() == 2);
+        CHECK(std::get<CrashAgesLearnt>(output[0]).ages == std::vector<std::chrono::milliseconds> { 7ms, 12ms });
+        CHECK(std::get<CrashAgesLearnt>(output[0]).at == Common::WallTime(30min));
+        CHECK(std::get<SuspicionGraded>(output[1]).task == task);
+        CHECK(std::get<SuspicionGraded>(output[1]).isDoubtful);
+        CHECK(!std::get<SuspicionGraded>(output[1]).isLikely);
+        records.insert(records.end(), output.begin(), output.end());
+    }
+}
