Suspect a task that crashes again and again, also where a later start explains each crash

Cause: where it is known how soon tasks crash their workers, a crash counted only for tasks that had started within that time, if there were any. A task that crashes its workers later than that, beside fresh starts, was counted for none.

Change: sinceProven counts all crashes that the task's confirmed starts didn't outlive, as its description says. At the third in a row the task is suspected beside those that the window presumes, and must be alone; the next crash under it alone is the last. Where others explain the latest crash too, it takes five instead of four. What counts against the presumed tasks is as before. Without repeated suspicion a task must be alone from the third such crash instead of the second, so that tasks tried beside each other don't wait longer.

--- a/Source/Core/Jobs/Decision/CrashEvidence.cpp
+++ b/Source/Core/Jobs/Decision/CrashEvidence.cpp
@@ -12,6 +12,8 @@
     constexpr unsigned guiltyAlone = 2; ///< Suspected, the latest time as the only one.
     constexpr unsigned guiltySuspected = 3; ///< Suspected, whoever else was.
     constexpr unsigned guiltySinceProven = 4; ///< The platform allows two starts after the third crash.
+    constexpr unsigned repeatedSinceProven = 3; ///< Suspected as well, though others explain each crash.
+    constexpr unsigned guiltyThoughExplained = 5; ///< In place of guiltySinceProven, where another task explains the latest crash.
     constexpr unsigned guiltyUnexplained = 5; ///< The same, for tasks that crash workers later than just after their start.
     constexpr milliseconds timingError { 12 }; ///< Of the times of starts and crashes, as their owner sees them.
     constexpr milliseconds unlearntSpacing { 50 };
@@ -33,22 +35,24 @@
 {
     const auto isRecent = [&](const CrashWitness& it) { return !it.isProven && (it.isDoubtful ? it.isUnconfirmed && window > milliseconds(0) : it.age < window); };
     const bool hasRecent = std::ranges::any_of(witnesses, isRecent);
-    const auto isSuspect = [&](const CrashWitness& it) { return hasRecent ? isRecent(it) : !it.isProven; };
-    const auto first = std::ranges::find_if(witnesses, isSuspect);
-    const bool isAlone = std::ranges::all_of(witnesses, [&](const auto& it) { return !isSuspect(it) || isSameSuspect(it, *first); });
+    const auto isCrashedAgain = [](const CrashWitness& it) { return !it.isProven && !it.isDoubtful && it.tally.sinceProven + 1 >= repeatedSinceProven; };
+    const auto isPresumed = [&](const CrashWitness& it) { return hasRecent ? isRecent(it) : !it.isProven; };
+    const auto first = std::ranges::find_if(witnesses, isPresumed);
+    const bool isAlone = std::ranges::all_of(witnesses, [&](const auto& it) { return !isPresumed(it) || isSameSuspect(it, *first); });
     const bool blamesBystanders = first == witnesses.end() && !crashesByItself;
     std::vector<CrashVerdict> verdicts;
     verdicts.reserve(witnesses.size());
     for (const auto& it : witnesses) {
-        CrashVerdict verdict { it.tally, isSuspect(it), false };
+        const bool isExplained = hasRecent && !isRecent(it);
+        CrashVerdict verdict { it.tally, isPresumed(it) || (isExplained && isCrashedAgain(it)), false };
         auto& tally = verdict.tally;
         tally.unexplained += verdict.isSuspect || blamesBystanders ? 1 : 0;
+        tally.sinceProven += verdict.isSuspect || (isExplained && !it.isProven && !it.isDoubtful) ? 1 : 0;
         if (verdict.isSuspect) {
-            ++tally.sinceProven;
             tally.suspected = it.isDoubtful ? std::max(tally.suspected, 1U) : tally.suspected + 1;
-            verdict.isExplanation = !it.isDoubtful && isAlone;
-            const auto enough = (isAlone || it.isLikely) && !crashesByItself ? guiltyAlone : guiltySuspected;
-            verdict.isGuilty = (!it.isDoubtful && tally.suspected >= enough + (it.wasDoubtful ? 1 : 0)) || tally.sinceProven >= guiltySinceProven;
+            verdict.isExplanation = !it.isDoubtful && isAlone && !isExplained;
+            const auto enough = ((isAlone && !isExplained) || it.isLikely) && !crashesByItself ? guiltyAlone : guiltySuspected;
+            verdict.isGuilty = (!it.isDoubtful && tally.suspected >= enough + (it.wasDoubtful ? 1 : 0)) || tally.sinceProven >= (isExplained ? guiltyThoughExplained : guiltySinceProven);
         }
         verdict.isGuilty = verdict.isGuilty || isTooOften(tally);
         verdicts.push_back(verdict);
--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -75,7 +75,7 @@
     if (task.crashTally.suspected == 0)
         return Suspicion::None;
     const bool isSpacing = m_startSpacing.window(now) > milliseconds(0);
-    return task.crashTally.sinceProven > 1 || !isSpacing ? Suspicion::Strong : Suspicion::Some;
+    return task.crashTally.suspected > 1 || task.crashTally.sinceProven > 2 || !isSpacing ? Suspicion::Strong : Suspicion::Some;
 }
 
 void PoolCore::onWorkerCrashed(const Worker& worker, const std::vector<LostRun>& lost, Moment at)
--- a/Source/UnitTests/Jobs/SuspectsTest.cpp
+++ b/Source/UnitTests/Jobs/SuspectsTest.cpp
@@ -168,3 +168,24 @@
     }
     CHECK(crashes <= maximumCrashes);
 }
+
+TEST_CASE("a task whose crashes others explain is isolated after the third, and given up only if it crashes a worker alone")
+{
+    constexpr auto window = 20ms;
+    CrashWitness task { { jobId(1), 0, 0, 0 }, {}, false, false, false, false, false, 60ms };
+    const CrashWitness culprit { { jobId(2), 0, 0, 0 }, {}, false, false, false, false, false, 5ms };
+    for (const auto suspected : { 0U, 0U, 1U }) {
+        const auto verdicts = judgeCrash({ task, culprit }, false, window);
+        CHECK(verdicts[0].tally.suspected == suspected);
+        CHECK(!verdicts[0].isGuilty);
+        CHECK(verdicts[1].isExplanation);
+        task.tally = verdicts[0].tally;
+    }
+    // It was started together with others all the same.
+    CHECK(!judgeCrash({ task, culprit }, false, window)[0].isGuilty);
+    CHECK(judgeCrash({ task }, false, window)[0].isGuilty);
+    // A start that may not have been carried out isn't counted.
+    CrashWitness doubtful = task;
+    doubtful.isDoubtful = true;
+    CHECK(judgeCrash({ doubtful, culprit }, false, window)[0].tally == task.tally);
+}
