--- a/Source/Core/Jobs/Decision/JobTable.cpp
+++ b/Source/Core/Jobs/Decision/JobTable.cpp
@@ -36,7 +36,7 @@
 
 void JobTable::apply(const JobRecord& record)
 {
-    std::visit([this](const auto& it) { applyRecord(it); }, record);
+    std::visit([&](const auto& it) { applyRecord(it); }, record);
 }
 
 void JobTable::beginOccurrence(Job& job)
