--- a/Source/Core/Jobs/Model/JobRecords.h
+++ b/Source/Core/Jobs/Model/JobRecords.h
@@ -58,7 +58,7 @@
     CrashTally tally;
 };
 
-/// Replaces what is known of a suspect beside its tally.
+/// Replaces what is known about a suspect in addition to its tally.
 struct SuspicionGraded {
     TaskKey task;
     bool isDoubtful = false; ///< Its tally counts a crash of a worker on which it may not have started.
