--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,11 +1,13 @@
 #!/bin/bash
-# Runs a case of the review that is a script: run-case.sh DIRECTORY CASE. Starts the stand-in of build.sh and three hosts with the
-# command and the settings template of the deploy file, on loopback addresses. Writes DIRECTORY/record.txt. Exits with 1 if the rule was broken,
-# 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out. HOST_LOGS names a directory for the logs of the hosts.
+# Runs a case of the review that is a script: run-case.sh CASE TROUBLE RECORD. Starts the stand-in of build.sh and three hosts with the command and
+# the settings template of the deploy file, on loopback addresses. Writes what was sent, answered and run to the file RECORD. Exits with 1 if the
+# rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE is 0 to leave the disruption out. HOST_LOGS names a directory for the
+# logs of the hosts.
 set -uo pipefail
 
-directory=$(cd "$1" && pwd)
-case=$2
+case=$1
+trouble=$2
+record=$3
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 program=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/system.toml)
 temporary=$(mktemp -d)
@@ -36,7 +38,7 @@
 }
 
 [ -x review/build/review_standin ] && [ -x "$program" ] || exit 2
-timeout 115 review/build/review_standin --case "$case" --hosts "${hosts%,}" --dir "$temporary" --record "$directory/record.txt" --trouble "${TROUBLE:-1}" &
+timeout 115 review/build/review_standin --case "$case" --hosts "${hosts%,}" --dir "$temporary" --record "$record" --trouble "$trouble" &
 standin=$!
 for _ in $(seq 50); do
     [ -s "$temporary/machines" ] && break
