Acknowledge ends only to the incarnation that listed them

Cause: the owner keeps the worker's id and the number of its newest end until they are committed. If the worker restarts meanwhile, the number reaches the session of the next incarnation, whose ends are numbered from 1 again. From then on each poll acknowledges ends that were never listed; their runs count as missing.

Ruled out: lapsed leases and a change of owner, of which the case has none; orders, as no two incarnations share a run's number.

Change: an acknowledgement carries the incarnation that listed the ends; one of another incarnation is dropped and logged. Same cause nearby: a delayed answer to a poll from an earlier incarnation made that one the session's current incarnation; it is ignored now.

--- a/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
@@ -157,13 +157,14 @@
     for (const auto& it : answer.ended)
         newest = std::max(newest, it.number);
     flush();
-    if (newest > 0) {
+    const auto session = sessions.find(id);
+    if (newest > 0 && session != sessions.end()) {
         // Acknowledged to the worker only once they are committed, together with the decisions that follow from them.
-        journal.append({}, [self = weak_from_this(), id, newest] {
+        journal.append({}, [self = weak_from_this(), id, incarnation = session->second->incarnation(), newest] {
             const auto state = self.lock();
             const auto it = state ? state->sessions.find(id) : std::map<std::string, std::unique_ptr<WorkerSession>>::iterator();
             if (state && it != state->sessions.end())
-                it->second->acknowledgeEnds(newest);
+                it->second->acknowledgeEnds(incarnation, newest);
         });
     }
     scheduleDecision();
--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -79,6 +79,10 @@
 
     void onPollAnswered(const Ports::PollAnswer& poll, Instant sentAt)
     {
+        if (poll.incarnation != 0 && poll.incarnation < incarnation) {
+            schedulePoll(endStoreWait); // Delayed answer of an earlier incarnation: its clock and its ends say nothing about the current one.
+            return;
+        }
         if (poll.incarnation != 0 && poll.incarnation != incarnation)
             beginIncarnation(poll.incarnation);
         if (!applyAnswer(poll.answer)) {
@@ -404,14 +408,20 @@
     });
 }
 
-void WorkerSession::acknowledgeEnds(std::uint64_t number)
+void WorkerSession::acknowledgeEnds(std::uint64_t incarnation, std::uint64_t number)
 {
     auto& state = *m_state;
+    if (incarnation != state.incarnation) {
+        writeEvent("session", { "acknowledgement-obsolete", state.entry.id, { { "end", std::to_string(number) }, { "incarnation", std::to_string(incarnation) }, { "current", std::to_string(state.incarnation) } } });
+        return;
+    }
     state.acknowledgedEnds = std::max(state.acknowledgedEnds, number);
     if (!state.isPolling && state.failedPolls == 0)
         state.schedulePoll(milliseconds(0));
 }
 
+std::uint64_t WorkerSession::incarnation() const { return m_state->incarnation; }
+
 void WorkerSession::confirmGone(WorkerLoss loss)
 {
     auto& state = *m_state;
--- a/Source/Core/Jobs/Runtime/WorkerSession.h
+++ b/Source/Core/Jobs/Runtime/WorkerSession.h
@@ -61,8 +61,11 @@
     void stop(const StopRun&);
     /// Retried once only; a failure is logged.
     void throttle(const ThrottleRun&);
-    /// Ends up to this number are committed: acknowledges them with the next poll, at once if none is pending.
-    void acknowledgeEnds(std::uint64_t number);
+    /// Ends up to this number that the incarnation has listed are committed: acknowledges them with the next poll, at once if none is
+    /// pending. Ignored when another incarnation answers by now, as its ends have the same numbers.
+    void acknowledgeEnds(std::uint64_t incarnation, std::uint64_t number);
+    /// The incarnation that gave the last answer to a poll; zero until one has told it.
+    std::uint64_t incarnation() const;
     /// The worker has ended: treats the lease as lapsed at once, and polls rarely until its entry changes. `loss` is passed to onLapsed.
     void confirmGone(WorkerLoss loss);
 
--- /dev/null
+++ b/Source/UnitTests/Jobs/WorkerEndsTest.cpp
@@ -0,0 +1,163 @@
+/// Tests of the ends that workers list, and of what is acknowledged to which incarnation.
+
+#include "JobFleet.h"
+#include "Jobs/Runtime/WorkerSession.h"
+
+#include <doctest/doctest.h>
+#include <utility>
+
+using namespace Jobs;
+using namespace std::chrono_literals;
+using Ports::JobOutcome;
+using Ports::JobVerb;
+
+namespace {
+
+/// Small tasks, so that a worker runs hundreds of them.
+JobSpec smallTasks(unsigned count)
+{
+    auto spec = oneStep(count, 300ms, 5);
+    spec.steps.front().need.memoryMb = 1;
+    return spec;
+}
+
+/// A fleet whose workers close their connections at a crash and return under their ids. Its tasks take 300 ms.
+struct EndsFleet : JobFleet {
+    explicit EndsFleet(unsigned hostCount, unsigned workerCount, unsigned coresPerWorker = 4)
+        : JobFleet(hostCount, workerCount, coresPerWorker)
+    {
+        setRunTime(300ms);
+        keepsWorkerIds = true;
+        closesConnections = true;
+        for (const auto& [id, worker] : workers)
+            worker->closesConnections = true;
+        settle();
+    }
+
+    void submit(unsigned number, const JobSpec& spec)
+    {
+        const auto answer = call("host-0", JobVerb::Submit, jobId(number), spec);
+        REQUIRE(answer);
+        CHECK(answer->outcome == JobOutcome::Accepted);
+    }
+};
+
+/// Keeps polls until the test answers them.
+class HeldPolls final : public Ports::WorkerPort {
+public:
+    void start(const Ports::StartOrder&, Ports::WorkerCallback) override { }
+    void stop(const Ports::StopOrder&, Ports::WorkerCallback) override { }
+    void throttle(const Ports::ThrottleOrder&, Ports::WorkerCallback) override { }
+    void poll(const Ports::PollOrder& order, Ports::PollCallback callback) override
+    {
+        ++polls;
+        last = order;
+        m_callback = std::move(callback);
+    }
+
+    /// Answers as that incarnation, with ends of those numbers.
+    void answer(std::uint64_t incarnation, std::uint64_t firstEnd, std::uint64_t lastEnd)
+    {
+        Ports::PollAnswer answer;
+        answer.answer = { Ports::WorkerStatus::Done, Ports::WorkerRefusal::None, 1000ms };
+        answer.incarnation = incarnation;
+        for (auto number = firstEnd; number <= lastEnd; ++number)
+            answer.ended.push_back({ number, { jobId(1), 0, 0, static_cast<unsigned>(number) }, 1, RunEnd::Done, "" });
+        std::exchange(m_callback, nullptr)(answer);
+    }
+
+    unsigned polls = 0;
+    Ports::PollOrder last;
+
+private:
+    Ports::PollCallback m_callback;
+};
+
+/// A session with a worker whose polls the test answers.
+struct PolledSession {
+    PolledSession()
+    {
+        WorkerSession::Hooks hooks;
+        hooks.onPollAnswered = [this](const Ports::PollAnswer& answer, Common::Instant) { listed = answer.ended.size(); };
+        hooks.mayExtendLease = [] { return true; };
+        hooks.needsLatencyPoll = [] { return false; };
+        hooks.hasRuns = [] { return true; };
+        entry.id = "w0";
+        entry.address = "w0:1";
+        entry.incarnation = 1;
+        session = std::make_unique<WorkerSession>(loop, port, SessionLimits {}, 1, entry, hooks);
+        session->begin();
+    }
+
+    /// The worker's entry shows that it has restarted under its id.
+    void restart()
+    {
+        ++entry.incarnation;
+        session->entryChanged(entry);
+    }
+
+    VirtualLoop loop;
+    HeldPolls port;
+    std::size_t listed = 0;
+    WorkerEntry entry;
+    std::unique_ptr<WorkerSession> session;
+};
+
+} // namespace
+
+// Acknowledged ends that were never listed count as runs that are missing: their tasks ran again after they had ended as done.
+TEST_CASE("ends that a worker's earlier incarnation has listed aren't acknowledged to the next one")
+{
+    for (const auto crashAfter : { 400ms, 900ms }) {
+        for (const auto downTime : { 100ms, 400ms }) {
+            CAPTURE(crashAfter.count());
+            CAPTURE(downTime.count());
+            EndsFleet fleet(1, 1);
+            fleet.downTime = downTime;
+            fleet.submit(1, smallTasks(60));
+            fleet.runFor(100ms);
+            fleet.store.isDown = true;
+            fleet.runFor(crashAfter);
+            fleet.crashWorker("w0");
+            fleet.runFor(1400ms - crashAfter);
+            fleet.store.isDown = false;
+            fleet.runFor(1s);
+            for (unsigned n = 2; n < 150; ++n)
+                fleet.submit(n, smallTasks(2));
+            fleet.runFor(30s); // The tasks of the crash are tried apart from each other.
+            CHECK(fleet.stateOf("host-0", jobId(1)) == JobState::Completed);
+            CHECK(fleet.stateOf("host-0", jobId(149)) == JobState::Completed);
+            CHECK(fleet.runMonitor.duplicateRuns == 0);
+        }
+    }
+}
+
+TEST_CASE("a session ignores the acknowledgement of ends that another incarnation has listed")
+{
+    PolledSession it;
+    it.port.answer(1, 1, 240);
+    const auto listedBy = it.session->incarnation();
+    CHECK(listedBy == 1);
+    it.restart();
+    it.loop.runFor(10ms);
+    it.port.answer(2, 1, 3);
+    it.session->acknowledgeEnds(listedBy, 240);
+    it.session->acknowledgeEnds(2, 3);
+    it.loop.runFor(10ms);
+    CHECK(it.port.last.acknowledgedThrough == 3);
+}
+
+// Its ends would be acknowledged to the incarnation that is polled next.
+TEST_CASE("a delayed answer of a worker's earlier incarnation doesn't make it the current one")
+{
+    PolledSession it;
+    it.port.answer(1, 1, 0);
+    it.loop.runFor(10ms);
+    it.restart();
+    it.port.answer(1, 1, 240);
+    CHECK(it.listed == 0);
+    CHECK(it.session->incarnation() == 2);
+    const auto polls = it.port.polls;
+    it.loop.runFor(1s);
+    CHECK(it.port.polls == polls + 1);
+}
