Don't take runs for missing while a worker has more ends than it lists at once

Cause: a worker lists at most 500 ends at a time, the oldest that aren't acknowledged. While the store is down none is, and the runs of the others are in neither list of a poll: PoolCore::handleMissingRuns() took them for lost and placed their tasks again. Nothing in the poll's answer said that the list wasn't complete. A takeover with more than 500 ends leads there too.

Ruled out: lapsed leases (none in the case) and restarts (the worker keeps its incarnation).

Change: PollAnswer::hasMoreEnds, which platform/ sets for a list of 500 rows; no run counts as missing then. Same cause nearby: such a run looked stalled, so that it was stopped and its worker avoided; a late start was settled by a list that may lack its end. The stand-in worker lists 500 ends at a time.

--- a/Source/Core/Jobs/Decision/PoolCoreLateStarts.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreLateStarts.cpp
@@ -79,6 +79,8 @@
         }
         return;
     }
+    if (answer.hasMoreEnds)
+        return; // A late start may have been carried out, and its run may have ended.
     std::erase_if(worker.lateStarts, [&](const auto& entry) {
         const auto& [key, it] = entry;
         const auto isThis = [&entry](const auto& seen) { return seen.task == entry.first && seen.run == entry.second.run; };
--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -185,7 +185,8 @@
     for (const auto& it : answer.running)
         onRunReported(worker, it, at);
     settleLateStarts(worker, answer, sentAt);
-    handleMissingRuns(worker, sentAt, at);
+    if (!answer.hasMoreEnds)
+        handleMissingRuns(worker, sentAt, at);
     stopStalledRuns(worker, at);
     throttleFillers(worker);
 }
@@ -263,7 +264,7 @@
     updateProof(seen.task, run, at);
 }
 
-/// A confirmed run that is neither running nor ended according to a later poll is lost.
+/// A confirmed run that is neither running nor ended according to a later poll, which has listed all ends, is lost.
 void PoolCore::handleMissingRuns(Worker& worker, Instant sentAt, Moment at)
 {
     std::vector<std::pair<TaskKey, WorkerRun>> missing;
@@ -289,7 +290,8 @@
 void PoolCore::stopStalledRuns(Worker& worker, Moment at)
 {
     for (auto& [key, run] : worker.runs) {
-        if (run.phase != WorkerRun::Phase::Confirmed || !isStalled(run, at.now))
+        const bool isRunning = run.lastSeenPoll == worker.pollAnswers; // Else its end may not be listed yet.
+        if (run.phase != WorkerRun::Phase::Confirmed || !isRunning || !isStalled(run, at.now))
             continue;
         log("run-stalled", key.job, { { "task", std::to_string(key.step) + "." + std::to_string(key.index) }, { "run", std::to_string(run.run) }, { "worker", worker.entry.id }, { "percent", std::to_string(run.percent) } });
         orderStop(worker, key, run, run.isLasting);
--- a/Source/Core/Ports/WorkerPort.h
+++ b/Source/Core/Ports/WorkerPort.h
@@ -112,7 +112,8 @@
     WorkerAnswer answer;
     std::uint64_t incarnation = 0; ///< Unix time in milliseconds of the worker's start; zero if it doesn't report that.
     std::vector<RunningTask> running;
-    std::vector<EndedTask> ended;
+    std::vector<EndedTask> ended; ///< In the order of their numbers, from the oldest that isn't acknowledged.
+    bool hasMoreEnds = false; ///< There may be ends after these, so that a run in neither list may have ended.
 };
 
 using WorkerCallback = std::function<void(WorkerAnswer)>;
--- a/Source/Standins/JobWorker.cpp
+++ b/Source/Standins/JobWorker.cpp
@@ -143,7 +143,8 @@
 
 Ports::PollAnswer JobWorker::pollAnswer() const
 {
-    Ports::PollAnswer answer { { WorkerStatus::Done, WorkerRefusal::None, clock() }, entry.incarnation, {}, m_ended };
+    const auto listed = std::min(m_ended.size(), endsPerAnswer);
+    Ports::PollAnswer answer { { WorkerStatus::Done, WorkerRefusal::None, clock() }, entry.incarnation, {}, { m_ended.begin(), m_ended.begin() + static_cast<std::ptrdiff_t>(listed) }, listed == endsPerAnswer };
     const auto fullTime = std::max(startup.count() > 0 ? startup : runTime, milliseconds(1));
     for (const auto& [task, run] : m_runs) {
         const auto age = std::chrono::duration_cast<milliseconds>(m_loop.now() - run.startedAt);
--- a/Source/Standins/JobWorker.h
+++ b/Source/Standins/JobWorker.h
@@ -60,6 +60,7 @@
     std::chrono::milliseconds stopTime { 0 }; ///< From a stop order to the end of its run.
     std::uint64_t milliCoresEach = 1000; ///< Taken by each run.
     std::function<void(std::uint64_t milliCores)> onStarted; ///< Called after each start with the cores that all runs take.
+    std::size_t endsPerAnswer = 500; ///< Ends that an answer to a poll lists at most, the oldest first.
     bool hangs = false; ///< While set, new runs never end and all runs report no progress.
 
 private:
--- a/Source/UnitTests/Jobs/FakeStore.cpp
+++ b/Source/UnitTests/Jobs/FakeStore.cpp
@@ -1,5 +1,6 @@
 #include "FakeStore.h"
 
+#include <algorithm>
 #include <utility>
 
 using Ports::PlatformCallback;
@@ -68,6 +69,10 @@
         answer({ PlatformStatus::NotSent, 0, {}, 0, {} }, callback);
         return;
     }
+    if (!m_store.losesWritesUnder.empty() && std::ranges::any_of(transaction.puts, [this](const auto& it) { return it.key.starts_with(m_store.losesWritesUnder); })) {
+        leaveUnanswered(callback);
+        return;
+    }
     call(
         true, [this, transaction = std::move(transaction)] { return m_store.state.transact(transaction, m_store.loop.now()); }, callback);
 }
--- a/Source/UnitTests/Jobs/WorkerEndsTest.cpp
+++ b/Source/UnitTests/Jobs/WorkerEndsTest.cpp
@@ -1,5 +1,6 @@
-/// Tests of the ends that workers list, and of what is acknowledged to which incarnation.
+/// Tests of the ends that workers list: what is acknowledged to which incarnation, and lists that don't hold all ends.
 
+#include "EventLog.h"
 #include "JobFleet.h"
 #include "Jobs/Runtime/WorkerSession.h"
 
@@ -161,3 +162,70 @@
     it.loop.runFor(1s);
     CHECK(it.port.polls == polls + 1);
 }
+
+namespace {
+
+/// Submits so many tasks, as jobs of 100, which a fleet with one worker then runs at the same time.
+unsigned submitTasks(EndsFleet& fleet, unsigned taskCount)
+{
+    constexpr unsigned tasksPerJob = 100;
+    const auto jobs = taskCount / tasksPerJob;
+    for (unsigned n = 1; n <= jobs; ++n)
+        fleet.submit(n, smallTasks(tasksPerJob));
+    fleet.runFor(100ms);
+    return jobs;
+}
+
+void checkEachRanOnce(EndsFleet& fleet, const std::string& host, unsigned jobs)
+{
+    for (unsigned n = 1; n <= jobs; ++n) {
+        CAPTURE(n);
+        CHECK(fleet.stateOf(host, jobId(n)) == JobState::Completed);
+    }
+    CHECK(fleet.runMonitor.duplicateRuns == 0);
+    CHECK(fleet.runMonitor.starts == fleet.runMonitor.running.size());
+}
+
+} // namespace
+
+// Workers list 500 ends at a time. The tasks of the others were placed again, although they had ended as done.
+TEST_CASE("runs don't count as missing while their worker has more ends than it lists at once")
+{
+    for (const unsigned tasks : { 400U, 500U, 600U, 1200U, 1800U }) {
+        CAPTURE(tasks);
+        EndsFleet fleet(1, 1, 16);
+        const auto jobs = submitTasks(fleet, tasks);
+        fleet.store.isDown = true;
+        fleet.runFor(1400ms);
+        fleet.store.isDown = false;
+        fleet.runFor(4s);
+        checkEachRanOnce(fleet, "host-0", jobs);
+    }
+}
+
+TEST_CASE("a new owner takes no run for missing while its worker has more ends than it lists at once")
+{
+    for (const unsigned tasks : { 400U, 1200U, 1800U }) {
+        CAPTURE(tasks);
+        EndsFleet fleet(2, 1, 16);
+        const auto jobs = submitTasks(fleet, tasks);
+        const auto owner = fleet.ownerOf("desk");
+        fleet.killHost(owner);
+        fleet.runFor(8s);
+        checkEachRanOnce(fleet, owner == "host-0" ? "host-1" : "host-0", jobs);
+    }
+}
+
+TEST_CASE("a run whose end isn't listed yet doesn't count as stalled")
+{
+    EndsFleet fleet(1, 1, 16);
+    const EventLog log;
+    const auto jobs = submitTasks(fleet, 1200);
+    // The worker's ends stay unacknowledged for longer than a run may make no progress; the owner keeps its lease.
+    fleet.store.losesWritesUnder = "/marigold/jobs/";
+    fleet.runFor(4s);
+    fleet.store.losesWritesUnder.clear();
+    fleet.runFor(4s);
+    CHECK(log.all("run-stalled").empty());
+    checkEachRanOnce(fleet, "host-0", jobs);
+}
--- a/Source/UnitTests/Platform/PollAnswerTest.cpp
+++ b/Source/UnitTests/Platform/PollAnswerTest.cpp
@@ -89,6 +89,30 @@
     }
 }
 
+// A run that isn't in such a list may have ended all the same.
+TEST_CASE("a poll that lists 500 ends, the most of an answer, doesn't count as one that lists all")
+{
+    const auto pollOf = [](unsigned ends) {
+        std::string rows;
+        for (unsigned n = 1; n <= ends; ++n)
+            rows += (n > 1 ? ",[" : "[") + std::to_string(n) + R"(,"5c0e7a21d94b36f8.0.1.)" + std::to_string(n) + R"(",1,"done",""])";
+        return poll(R"("clockMs":482113,"born":1786644770994,"running":[],"finished":[)" + rows + "]");
+    };
+    CHECK_FALSE(pollOf(0).hasMoreEnds);
+    CHECK_FALSE(pollOf(499).hasMoreEnds);
+    CHECK(pollOf(500).ended.size() == 500);
+    CHECK(pollOf(500).hasMoreEnds);
+    // A row that can't be read counts as well.
+    const auto odd = poll(R"("clockMs":1,"finished":[)" + [] {
+        std::string rows = "[]";
+        for (unsigned n = 1; n < 500; ++n)
+            rows += ",[]";
+        return rows;
+    }() + "]");
+    CHECK(odd.ended.empty());
+    CHECK(odd.hasMoreEnds);
+}
+
 TEST_CASE("an end whose number is odd doesn't acknowledge the ends to come")
 {
     for (const auto& value : oddNumbers) {
