Take a worker's clock only from answers to calls of its current incarnation

Not seen by callers so far.

Cause: the answer to an order that was sent to a worker's earlier incarnation was read before it was known to be of an earlier epoch, so its time became the clock of the next incarnation, which starts anew. The owner then asked for leases that end minutes later, which workers shorten to 6 s, and counted on 5 s: it might take a silent worker's tasks for ended while they run. Later times of the real clock were ignored.

--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -85,7 +85,7 @@
         }
         if (poll.incarnation != 0 && poll.incarnation != incarnation)
             beginIncarnation(poll.incarnation);
-        if (!applyAnswer(poll.answer)) {
+        if (!applyAnswer(poll.answer, clock.epoch())) {
             onPollFailed(isBrokenEarly(poll.answer, sentAt));
             return;
         }
@@ -169,8 +169,9 @@
         hooks.onLapsed(loss);
     }
 
-    /// Handles what every answer contains: the worker's clock and a refusal by fence. True if the call was carried out.
-    bool applyAnswer(const WorkerAnswer& answer)
+    /// Handles what every answer contains: the worker's clock and a refusal by fence. True if the call was carried out. The answer to a call of
+    /// an earlier epoch may come from an earlier incarnation, whose clock is another one.
+    bool applyAnswer(const WorkerAnswer& answer, std::uint64_t epoch)
     {
         if (answer.refusal == WorkerRefusal::Fence) {
             const auto fenced = hooks.onFenced;
@@ -178,7 +179,7 @@
             return false;
         }
         const bool isAnswer = answer.status == WorkerStatus::Done || answer.status == WorkerStatus::Refused;
-        if (isAnswer && answer.clock.count() > 0)
+        if (isAnswer && answer.clock.count() > 0 && epoch == clock.epoch())
             clock.recordAnswer(loop.now(), answer.clock);
         return answer.status == WorkerStatus::Done;
     }
@@ -240,7 +241,7 @@
         port.start(order, [self = shared_from_this(), run, attempt](const WorkerAnswer& answer) {
             if (self->isClosed)
                 return;
-            self->applyAnswer(answer);
+            self->applyAnswer(answer, attempt.epoch);
             if (self->isSettled(attempt))
                 return;
             const bool isUncertain = answer.status == WorkerStatus::NoAnswer || (answer.status == WorkerStatus::NotSent && attempt.retries > 0);
@@ -269,7 +270,7 @@
         port.stop({ target(), run.task, run.run, fence }, [self = shared_from_this(), run, refusal, attempt](const WorkerAnswer& answer) {
             if (self->isClosed)
                 return;
-            self->applyAnswer(answer);
+            self->applyAnswer(answer, attempt.epoch);
             if (self->isSettled(attempt))
                 return;
             if (answer.status == WorkerStatus::Done)
@@ -294,7 +295,7 @@
         port.stop({ target(), run.task, run.run, fence }, [self = shared_from_this(), run, attempt, resend](const WorkerAnswer& answer) mutable {
             if (self->isClosed)
                 return;
-            self->applyAnswer(answer);
+            self->applyAnswer(answer, attempt.epoch);
             if (self->isSettled(attempt))
                 return;
             attempt.mayHaveArrived = attempt.mayHaveArrived || answer.status == WorkerStatus::NoAnswer;
--- a/Source/UnitTests/Jobs/WorkerEndsTest.cpp
+++ b/Source/UnitTests/Jobs/WorkerEndsTest.cpp
@@ -46,7 +46,7 @@
 /// Keeps polls until the test answers them.
 class HeldPolls final : public Ports::WorkerPort {
 public:
-    void start(const Ports::StartOrder&, Ports::WorkerCallback) override { }
+    void start(const Ports::StartOrder&, Ports::WorkerCallback callback) override { startCallback = std::move(callback); }
     void stop(const Ports::StopOrder&, Ports::WorkerCallback) override { }
     void throttle(const Ports::ThrottleOrder&, Ports::WorkerCallback) override { }
     void poll(const Ports::PollOrder& order, Ports::PollCallback callback) override
@@ -69,6 +69,7 @@
 
     unsigned polls = 0;
     Ports::PollOrder last;
+    Ports::WorkerCallback startCallback; ///< Of the last start.
 
 private:
     Ports::PollCallback m_callback;
@@ -83,6 +84,8 @@
         hooks.mayExtendLease = [] { return true; };
         hooks.needsLatencyPoll = [] { return false; };
         hooks.hasRuns = [] { return true; };
+        hooks.mayOrder = [] { return true; };
+        hooks.mayStart = [](const StartRun&) { return true; };
         entry.id = "w0";
         entry.address = "w0:1";
         entry.incarnation = 1;
@@ -163,6 +166,26 @@
     CHECK(it.port.polls == polls + 1);
 }
 
+// The next incarnation's clock starts anew: its lease would be requested, and counted, from a time that its clock hasn't reached.
+TEST_CASE("the answer to an order for a worker's earlier incarnation doesn't set the clock of the next one")
+{
+    PolledSession it;
+    it.port.answer(1, 1, 0);
+    it.loop.runFor(10ms);
+    StartRun run;
+    run.task = { jobId(1), 0, 0, 0 };
+    run.run = 1;
+    run.worker = "w0";
+    it.session->start(run);
+    it.restart();
+    it.port.startCallback({ Ports::WorkerStatus::Done, Ports::WorkerRefusal::None, 500s });
+    it.loop.runFor(10ms);
+    it.port.answer(2, 1, 0);
+    it.loop.runFor(10ms);
+    CHECK(it.port.last.leaseUntil > 0ms);
+    CHECK(it.port.last.leaseUntil <= 1s + SessionLimits().leaseTime + 10ms);
+}
+
 namespace {
 
 /// Submits so many tasks, as jobs of 100, which a fleet with one worker then runs at the same time.
