Send the number of acknowledged ends no more once the worker has it

A worker that restarts under its id between two polls isn't noticed before the second one, which still carried the number of the earlier incarnation: ends of the new one up to that number were forgotten unseen, and their tasks would run again. The number was repeated with every poll; now only until a poll with it has been answered, so that little is left of that time.

Evidence: the new case of WorkerEndsTest fails before (240 sent again after it was received) and passes now.

--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -60,35 +60,38 @@
             return;
         isPolling = true;
         loop.cancel(pollTimer);
-        // A worker that failed polls may have restarted: the number would acknowledge ends of its new incarnation.
-        const auto acknowledged = failedPolls == 0 ? acknowledgedEnds : 0;
+        // The worker may have restarted, and the number would acknowledge ends of its new incarnation: it is sent no longer than it has to be.
+        const auto acknowledged = failedPolls == 0 && acknowledgedEnds > forgottenEnds ? acknowledgedEnds : 0;
         Ports::PollOrder order { target(), fence, acknowledged, extendLease(), milliseconds(0) };
         // The first poll, and one after a failure, return at once, to show whether the worker is reachable.
         if (clock.isKnown() && failedPolls == 0)
             order.wait = hooks.needsLatencyPoll() ? limits.latencyPollWait : limits.pollWait;
         const auto sentAt = loop.now();
         pollLength = order.wait + shortestPollMargin;
-        port.poll(order, [self = shared_from_this(), sentAt, number = ++lastPoll](const Ports::PollAnswer& answer) {
+        port.poll(order, [self = shared_from_this(), sentAt, acknowledged, number = ++lastPoll](const Ports::PollAnswer& answer) {
             if (number != self->lastPoll)
                 return; // Of an earlier incarnation.
             self->isPolling = false;
             if (!self->isClosed)
-                self->onPollAnswered(answer, sentAt);
+                self->onPollAnswered(answer, sentAt, acknowledged);
         });
     }
 
-    void onPollAnswered(const Ports::PollAnswer& poll, Instant sentAt)
+    void onPollAnswered(const Ports::PollAnswer& poll, Instant sentAt, std::uint64_t acknowledged)
     {
         if (poll.incarnation != 0 && poll.incarnation < incarnation) {
             schedulePoll(endStoreWait); // Delayed answer of an earlier incarnation: its clock and its ends say nothing about the current one.
             return;
         }
-        if (poll.incarnation != 0 && poll.incarnation != incarnation)
+        if (poll.incarnation != 0 && poll.incarnation != incarnation) {
             beginIncarnation(poll.incarnation);
+            acknowledged = 0;
+        }
         if (!applyAnswer(poll.answer, clock.epoch())) {
             onPollFailed(isBrokenEarly(poll.answer, sentAt));
             return;
         }
+        forgottenEnds = std::max(forgottenEnds, acknowledged);
         failedPolls = 0;
         isGone = false;
         isSilent = false;
@@ -110,6 +113,7 @@
         if (incarnation != 0)
             clock.reset(loop.now());
         acknowledgedEnds = 0;
+        forgottenEnds = 0;
         incarnation = number;
     }
 
@@ -341,6 +345,7 @@
     WorkerClock clock;
     std::uint64_t incarnation = 0;
     std::uint64_t acknowledgedEnds = 0; ///< Number of the newest end that is committed.
+    std::uint64_t forgottenEnds = 0; ///< The newest of these numbers that the worker has received.
     unsigned failedPolls = 0; ///< Consecutive polls that failed.
     milliseconds pollLength { 0 }; ///< Time after which the poll in flight may have timed out.
     std::uint64_t lastPoll = 0; ///< Number of the newest poll; answers to earlier ones are ignored.
--- a/Source/UnitTests/Jobs/WorkerEndsTest.cpp
+++ b/Source/UnitTests/Jobs/WorkerEndsTest.cpp
@@ -166,6 +166,23 @@
     CHECK(it.port.polls == polls + 1);
 }
 
+// A restart between two polls isn't noticed before the second one: the number would acknowledge ends that nobody has seen.
+TEST_CASE("ends are acknowledged no more once the worker has received the acknowledgement")
+{
+    PolledSession it;
+    it.port.answer(1, 1, 240);
+    it.session->acknowledgeEnds(1, 240);
+    it.loop.runFor(10ms);
+    REQUIRE(it.port.last.acknowledgedThrough == 240);
+    it.port.answer(1, 241, 242);
+    it.loop.runFor(1s);
+    CHECK(it.port.last.acknowledgedThrough == 0);
+    it.port.answer(2, 1, 3);
+    it.session->acknowledgeEnds(2, 3);
+    it.loop.runFor(10ms);
+    CHECK(it.port.last.acknowledgedThrough == 3);
+}
+
 // The next incarnation's clock starts anew: its lease would be requested, and counted, from a time that its clock hasn't reached.
 TEST_CASE("the answer to an order for a worker's earlier incarnation doesn't set the clock of the next one")
 {
