Find the jobs of a queue that has been given another pool

Cause: a host sends a call to the owner of the pool that the queue has in the newest configuration, while a job is known only in the pool where it was accepted, and nothing recorded which pool that was. Ruled out: that the job is forgotten (its tasks work on), and the new name of the route (the same name in one version fails as well). DELETE and the count of pending jobs failed for the same cause.

Change: the pools that may hold jobs of a queue are recorded in the store, by the queue's URL (QueueHomes). A pool is recorded before its owner accepts a job and the others are read after that, so that of two owners at least one sees the other. The owner of the queue's pool asks the other homes before it denies a job, accepts an unknown id, cancels, or counts the backlog; one that can't be asked leads to a refusal. Homes are deleted once their pool has lost the queue and holds none of its jobs. The cost: a read by each owner for each version.

--- a/Source/Core/Jobs/Decision/JobTable.cpp
+++ b/Source/Core/Jobs/Decision/JobTable.cpp
@@ -210,6 +210,11 @@
     std::erase_if(m_finished, [before](const auto& it) { return it.second.at < before; });
 }
 
+bool JobTable::hasJobOf(const std::string& queue) const
+{
+    return std::ranges::any_of(m_active, [&queue](const auto& it) { return it.second.accepted.queue == queue; }) || std::ranges::any_of(m_finished, [&queue](const auto& it) { return it.second.queue == queue; });
+}
+
 namespace {
 
     /// Appends the records that bring a task of a new occurrence to its current state.
--- a/Source/Core/Jobs/Decision/JobTable.h
+++ b/Source/Core/Jobs/Decision/JobTable.h
@@ -103,6 +103,8 @@
     void forgetFinished(Common::WallTime before);
     /// Returns records that restore this state when applied to an empty table.
     std::vector<JobRecord> snapshot() const;
+    /// True if an active or retained final job was accepted under that name of a queue.
+    bool hasJobOf(const std::string& queue) const;
     /// State of an active or retained final job; null when the job is unknown.
     const JobState* stateOf(const JobId&) const;
 
--- a/Source/Core/Jobs/Runtime/JobNode.cpp
+++ b/Source/Core/Jobs/Runtime/JobNode.cpp
@@ -113,6 +113,10 @@
             }
         });
     };
+    hooks.askPool = [this](PoolCall call, Ports::JobReply reply) {
+        constexpr milliseconds timeout { 700 }; // The caller's call to this host times out after 1.5 s.
+        callPool(std::move(call), timeout, std::move(reply));
+    };
     hooks.mayExtendLease = [this] { return ownership.isLeaseValid() || loop.now() - ownership.lastContact() < storeOutageLimit; };
     hooks.mayOrder = [this] { return ownership.isLeaseValid(); };
     OwnerContext context { loop, ports.platform, ports.workers, ports.machines, *metrics, settings.pool, settings.session };
--- a/Source/Core/Jobs/Runtime/JobNodeCalls.cpp
+++ b/Source/Core/Jobs/Runtime/JobNodeCalls.cpp
@@ -80,6 +80,20 @@
         return makeAnswer(JobOutcome::Refused, reason, retryAfter);
     }
 
+    PoolRequest requestOf(PoolCall call)
+    {
+        PoolRequest request { call.verb, std::move(call.job), {}, std::move(call.spec), call.configuration };
+        request.queue.name = std::move(call.queue);
+        request.queue.host = std::move(call.queueHost);
+        request.queue.prefix = std::move(call.queuePrefix);
+        request.queue.pool = std::move(call.pool);
+        request.queue.priority = call.priority;
+        request.queue.maximumAttempts = call.maximumAttempts;
+        request.queue.stretchPermille = call.stretchPermille;
+        request.queue.targetDuration = call.targetDuration;
+        return request;
+    }
+
 } // namespace
 
 void JobNode::State::handleCall(JobCall call, JobReply reply)
@@ -132,29 +146,27 @@
 
 void JobNode::State::routeCall(const QueueRule& queue, const JobId& id, JobCall call, JobReply reply)
 {
-    const auto ownPool = owners.find(queue.pool);
-    if (ownPool != owners.end() && ownership.owns(queue.pool)) {
-        PoolRequest request { call.verb, id, queue, {} };
-        if (call.spec)
-            request.spec = std::move(*call.spec);
-        ownPool->second->handle(std::move(request), guardReply(std::move(reply)));
-        return;
-    }
-    const auto* owner = ownership.ownerOf(queue.pool);
-    if (!owner || owner->host == settings.ownership.self.host)
-        reply(refusal("no-owner", noOwnerRetryAfter));
-    else
-        forwardToPeer(owner->host, queue, id, std::move(call), std::move(reply));
-}
-
-void JobNode::State::forwardToPeer(const std::string& host, const QueueRule& queue, const JobId& id, JobCall call, JobReply reply)
-{
-    PoolCall message { 0, queue.pool, call.verb, id, queue.name, queue.priority, queue.maximumAttempts, queue.stretchPermille, queue.targetDuration, {} };
+    PoolCall message { 0, queue.pool, call.verb, id, queue.name, queue.priority, queue.maximumAttempts, queue.stretchPermille, queue.targetDuration, {}, queue.host, queue.prefix, configuration.version };
     if (call.spec)
         message.spec = std::move(*call.spec);
     const auto callerTimeout = call.callerTimeout > milliseconds(0) ? call.callerTimeout : defaultPatience;
-    const auto timeout = std::min(maximumPeerTimeout, callerTimeout * 3 / 4);
-    peerCalls.call(host, std::move(message), timeout, [verb = call.verb, reply = std::move(reply)](PeerStatus status, const NodeMessage& frame) {
+    callPool(std::move(message), std::min(maximumPeerTimeout, callerTimeout * 3 / 4), std::move(reply));
+}
+
+void JobNode::State::callPool(PoolCall message, milliseconds timeout, JobReply reply)
+{
+    const auto ownPool = owners.find(message.pool);
+    if (ownPool != owners.end() && ownership.owns(message.pool)) {
+        ownPool->second->handle(requestOf(std::move(message)), guardReply(std::move(reply)));
+        return;
+    }
+    const auto* owner = ownership.ownerOf(message.pool);
+    if (!owner || owner->host == settings.ownership.self.host) {
+        reply(refusal("no-owner", noOwnerRetryAfter));
+        return;
+    }
+    const auto verb = message.verb;
+    peerCalls.call(owner->host, std::move(message), timeout, [verb, reply = std::move(reply)](PeerStatus status, const NodeMessage& frame) {
         const auto* answer = std::get_if<PoolCallAnswer>(&frame);
         if (status == PeerStatus::Answered && answer)
             reply({ answer->outcome, answer->state, answer->backlog, answer->retryAfter, answer->reason });
@@ -176,14 +188,7 @@
         reply(refusal("not-owner", peerRetryAfter));
         return;
     }
-    PoolRequest request { call.verb, call.job, {}, std::move(call.spec) };
-    request.queue.name = call.queue;
-    request.queue.pool = call.pool;
-    request.queue.priority = call.priority;
-    request.queue.maximumAttempts = call.maximumAttempts;
-    request.queue.stretchPermille = call.stretchPermille;
-    request.queue.targetDuration = call.targetDuration;
-    ownPool->second->handle(std::move(request), guardReply(std::move(reply)));
+    ownPool->second->handle(requestOf(std::move(call)), guardReply(std::move(reply)));
 }
 
 } // namespace Jobs
--- a/Source/Core/Jobs/Runtime/JobNodeState.h
+++ b/Source/Core/Jobs/Runtime/JobNodeState.h
@@ -65,7 +65,8 @@
     void logUnanswered() const;
     void handleCall(Ports::JobCall, Ports::JobReply);
     void routeCall(const QueueRule&, const JobId&, Ports::JobCall, Ports::JobReply);
-    void forwardToPeer(const std::string& host, const QueueRule&, const JobId&, Ports::JobCall, Ports::JobReply);
+    /// Hands the call to the pool's owner, on this host or on a peer.
+    void callPool(PoolCall, milliseconds timeout, Ports::JobReply);
 
     JobNodePorts ports;
     Common::TaskLoop& loop;
--- a/Source/Core/Jobs/Runtime/NodeMessages.cpp
+++ b/Source/Core/Jobs/Runtime/NodeMessages.cpp
@@ -18,7 +18,7 @@
 template<typename V, MaybeConst<PoolCall> M>
 void visitFields(V& v, M& m)
 {
-    v(m.call, m.pool, m.verb, m.job, m.queue, m.priority, m.maximumAttempts, m.stretchPermille, m.targetDuration, m.spec);
+    v(m.call, m.pool, m.verb, m.job, m.queue, m.priority, m.maximumAttempts, m.stretchPermille, m.targetDuration, m.spec, m.queueHost, m.queuePrefix, m.configuration);
 }
 
 template<typename V, MaybeConst<PoolCallAnswer> M>
@@ -61,7 +61,7 @@
     bool isInRange(const PoolCall& it)
     {
         constexpr std::int64_t permille = 1000;
-        return it.stretchPermille <= ValueRanges::maximumStretch * permille && isDuration(it.targetDuration);
+        return it.stretchPermille <= ValueRanges::maximumStretch * permille && isDuration(it.targetDuration) && it.configuration <= static_cast<std::uint64_t>(ValueRanges::maximumSequence);
     }
 
     bool isInRange(const PoolCallAnswer& it) { return isDuration(it.retryAfter); }
--- a/Source/Core/Jobs/Runtime/NodeMessages.h
+++ b/Source/Core/Jobs/Runtime/NodeMessages.h
@@ -13,7 +13,8 @@
 
 namespace Jobs {
 
-/// A caller's request, forwarded to the owner of the pool.
+/// A caller's request, forwarded to the owner of the pool; or, without the queue's URL, the question of another pool's owner about a job
+/// or a backlog, which the owner answers from its own pool alone.
 struct PoolCall {
     std::uint64_t call = 0; ///< Number that the sender gave to the call; echoed in the answer.
     std::string pool;
@@ -25,6 +26,9 @@
     unsigned stretchPermille = 1000;
     milliseconds targetDuration { 0 };
     JobSpec spec;
+    std::string queueHost;
+    std::string queuePrefix;
+    std::uint64_t configuration = 0; ///< Version by which the sender chose the pool.
 };
 
 /// The owner's answer to a PoolCall.
--- a/Source/Core/Jobs/Runtime/PoolOwner.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwner.cpp
@@ -42,6 +42,7 @@
     , ownedSince(ownerContext.loop.now())
     , core(ownerContext.poolLimits)
     , journal(ownerContext.loop, ownerContext.platform, { pool, Ownership::keyOf(pool), fence }, journalHooks())
+    , queueHomes(ownerContext.loop, ownerContext.platform, pool, { Ownership::keyOf(pool), static_cast<std::int64_t>(fence) }, [this](const std::string& queue) { return core.jobs().hasJobOf(queue); })
     , limiter("pool." + pool)
 {
 }
@@ -78,6 +79,7 @@
     core.load(records);
     core.finishLoad(moment());
     isServing = true;
+    queueHomes.configure(configuration);
     log({ "recovered", pool, { { "fence", std::to_string(fence) }, { "tookMs", std::to_string(ownedFor().count()) }, { "records", std::to_string(records.size()) }, { "active", std::to_string(core.jobs().active().size()) } } });
     for (const auto& [id, entry] : entries)
         core.onWorkerListed(entry, moment());
@@ -178,13 +180,32 @@
         reply(isServing ? refusal("store-stalled", storeRetryAfter) : refusal("recovering", recoveryRetryAfter));
         return;
     }
+    if (request.isFromOtherPool() || isKnownHere(request)) {
+        answerFromPool(std::move(request), reply);
+        return;
+    }
+    const auto queue = request.queue;
+    const auto version = std::max(configuration.version, request.configuration);
+    queueHomes.find(queue, version, [self = weak_from_this(), request = std::move(request), reply = std::move(reply)](const std::vector<QueueHome>* homes) mutable {
+        const auto state = self.lock();
+        if (!state || state->isClosed)
+            return;
+        if (!homes || !state->isServing)
+            reply(homes ? refusal("recovering", recoveryRetryAfter) : refusal("homes-unknown", storeRetryAfter));
+        else
+            state->onHomesFound(std::move(request), reply, *homes);
+    });
+}
+
+void PoolOwner::State::answerFromPool(PoolRequest request, const Ports::JobReply& reply)
+{
     auto answer = answerTo(request);
     // Another host may have the pool by now, and may have accepted the job.
     if (answer.outcome == JobOutcome::NoSuchJob && !hooks.mayOrder())
         answer = refusal("lease-uncertain", recoveryRetryAfter);
     flush();
     // Reply only once the state that the answer rests on is committed.
-    journal.append({}, [reply = std::move(reply), answer] { reply(answer); });
+    journal.append({}, [reply, answer] { reply(answer); });
     if (request.verb != Ports::JobVerb::Show)
         scheduleDecision();
 }
@@ -225,7 +246,10 @@
 
 void PoolOwner::configure(const JobConfiguration& configuration)
 {
+    m_state->configuration = configuration;
     m_state->core.configure(configuration);
+    if (m_state->isServing)
+        m_state->queueHomes.configure(configuration);
     m_state->scheduleDecision();
 }
 
--- a/Source/Core/Jobs/Runtime/PoolOwner.h
+++ b/Source/Core/Jobs/Runtime/PoolOwner.h
@@ -6,6 +6,7 @@
 #include "Common/TaskLoop.h"
 #include "Jobs/Decision/PoolCore.h"
 #include "Jobs/Runtime/JobMetrics.h"
+#include "Jobs/Runtime/NodeMessages.h"
 #include "Jobs/Runtime/WorkerSession.h"
 #include "Ports/JobPort.h"
 #include "Ports/MachinePort.h"
@@ -36,6 +37,10 @@
     JobId job; ///< Empty with Show for the queue's backlog.
     QueueRule queue;
     JobSpec spec; ///< Of Submit only.
+    std::uint64_t configuration = 0; ///< Version by which the sender chose the pool.
+
+    /// A question of another pool's owner, which asks all the pools that may hold the job by itself.
+    bool isFromOtherPool() const { return queue.prefix.empty(); }
 };
 
 /// Used on the loop's thread only.
@@ -44,6 +49,7 @@
     struct Hooks {
         std::function<void()> onDeposed; ///< Another host now owns the pool. Destroy this owner, but not from within the call.
         std::function<bool()> mayExtendLease; ///< See WorkerSession::Hooks.
+        std::function<void(PoolCall, Ports::JobReply)> askPool; ///< Sends a question to the owner of another pool.
         std::function<bool()> mayOrder; ///< False while another host may own the pool; jobs that this owner doesn't know aren't denied then.
     };
 
@@ -60,7 +66,9 @@
     /// Sets the machines whose workers are to be drained; replaces those of the last call.
     void cordon(const std::set<std::string>& machines);
     /// Replies once, when the state that the answer is based on is committed; never if the owner is destroyed before. Refuses at once
-    /// while the journal is being loaded ("recovering") or when a commit has taken more than 300 ms ("store-stalled").
+    /// while the journal is being loaded ("recovering") or when a commit has taken more than 300 ms ("store-stalled"). A job that the pool
+    /// doesn't know may be in a pool that the queue had before: it is refused while the store can't name these ("homes-unknown") or
+    /// one of them can't be asked ("other-pool-silent").
     void handle(PoolRequest, Ports::JobReply);
     /// Refuses calls and makes no more decisions; records of earlier decisions are still committed.
     void stopServing();
--- a/Source/Core/Jobs/Runtime/PoolOwnerState.h
+++ b/Source/Core/Jobs/Runtime/PoolOwnerState.h
@@ -7,6 +7,7 @@
 #include "Jobs/Runtime/Journal.h"
 #include "Jobs/Runtime/OwnerActivity.h"
 #include "Jobs/Runtime/PoolOwner.h"
+#include "Jobs/Runtime/QueueHomes.h"
 
 #include <vector>
 
@@ -31,6 +32,12 @@
     void logLoad();
     void handle(PoolRequest, Ports::JobReply);
     Ports::JobAnswer answerTo(PoolRequest&);
+    void answerFromPool(PoolRequest, const Ports::JobReply&);
+
+    // Jobs of the queue in other pools; in PoolOwnerQueues.cpp.
+    bool isKnownHere(const PoolRequest&) const;
+    void onHomesFound(PoolRequest, const Ports::JobReply&, const std::vector<QueueHome>& homes);
+    void onOthersAnswered(PoolRequest, const Ports::JobReply&, const std::vector<Ports::JobAnswer>&);
 
     // Workers and orders to them; in PoolOwnerWorkers.cpp.
     void openSession(const WorkerEntry&);
@@ -65,6 +72,8 @@
     Common::Instant ownedSince;
     PoolCore core;
     Journal journal;
+    QueueHomes queueHomes;
+    JobConfiguration configuration;
     std::map<std::string, WorkerEntry> entries; ///< Listed workers of the pool.
     std::map<std::string, std::string> knownMachines; ///< Machine by worker, also of workers that are no longer listed.
     std::map<std::string, Common::Instant> silentWorkers; ///< Workers that don't answer polls, with the beginning of their silence.
--- a/Source/Core/Jobs/Runtime/StoreKeys.h
+++ b/Source/Core/Jobs/Runtime/StoreKeys.h
@@ -16,6 +16,7 @@
 constexpr const char* journals = "/marigold/jobs/"; ///< <pool>/<number>: a segment of the pool's journal.
 constexpr const char* snapshots = "/marigold/snapshots/"; ///< <pool>/<segment>/<part>
 constexpr const char* heads = "/marigold/heads/"; ///< <pool>: the snapshot and the first segment that make up the journal.
+constexpr const char* queues = "/marigold/queues/"; ///< <queue's URL, hashed>/<pool and queue's name, hashed>: a pool that may hold jobs of the queue.
 constexpr const char* waves = "/marigold/waves/"; ///< <number>: machines of a maintenance wave that have begun maintenance.
 constexpr const char* orders = "/marigold/orders/"; ///< <fence>/<number>: a holder of the fleet duty and the machines that it may have sent orders for.
 
--- a/Source/UnitTests/Jobs/FakeStore.cpp
+++ b/Source/UnitTests/Jobs/FakeStore.cpp
@@ -55,7 +55,8 @@
 
 void FakeStorePort::read(const std::string& key, bool prefix, PlatformCallback callback)
 {
-    if (!m_store.unreadable.empty() && key == m_store.unreadable) {
+    const bool isLost = !m_store.losesReadsUnder.empty() && key.starts_with(m_store.losesReadsUnder);
+    if (isLost || (!m_store.unreadable.empty() && key == m_store.unreadable)) {
         leaveUnanswered(callback);
         return;
     }
--- a/Source/UnitTests/Jobs/FakeStore.h
+++ b/Source/UnitTests/Jobs/FakeStore.h
@@ -31,6 +31,7 @@
     bool isDown = false; ///< Calls time out without effect, and watches break.
     std::set<std::string> cutHosts; ///< Hosts for which the store is down.
     std::string unreadable; ///< Reads of exactly this key or prefix time out; empty for none.
+    std::string losesReadsUnder; ///< Reads of keys or prefixes that begin so time out; empty for none.
     std::string losesWritesUnder; ///< Writes of keys with this prefix time out without effect; empty for none.
     unsigned writes = 0; ///< Writes received, those with a lost answer included.
 };
--- /dev/null
+++ b/Source/UnitTests/Jobs/MovedQueueTest.cpp
@@ -0,0 +1,222 @@
+/// Tests of jobs whose queue has been given another pool since they were accepted.
+
+#include "JobFleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace Jobs;
+using namespace std::chrono_literals;
+using Ports::JobOutcome;
+using Ports::JobVerb;
+
+namespace {
+
+/// Three hosts and two pools, "desk" and "hotels", each with a queue of its own beside "bookings", which is in "desk" at first.
+struct MovingFleet : JobFleet {
+    explicit MovingFleet(std::chrono::milliseconds runTime = 3s)
+        : JobFleet(0, 2)
+    {
+        configuration.queues.push_back(queue("arrivals", "/arrivals/", "desk"));
+        configuration.queues.push_back(queue("rooms", "/rooms/", "hotels"));
+        configuration.pools.push_back({ "hotels", false, true });
+        publishConfiguration();
+        for (const auto* id : { "h0", "h1" }) {
+            auto& worker = *addWorker(id, std::string("m-") + id, 4);
+            worker.entry.pool = "hotels";
+            machines.at(worker.entry.machine).pool = "hotels";
+            publishWorker(id);
+        }
+        setRunTime(runTime);
+        for (const auto* host : { "host-0", "host-1", "host-2" })
+            addHost(host);
+        settle();
+    }
+
+    QueueRule queue(const std::string& name, const std::string& prefix, const std::string& pool) const
+    {
+        auto result = configuration.queues.front();
+        result.name = name;
+        result.prefix = prefix;
+        result.pool = pool;
+        return result;
+    }
+
+    /// Gives the queue at "/bookings/" another pool, in one version or, under another name, in two: as a route that is removed and added.
+    void moveQueue(const std::string& pool, bool isRenamed = false)
+    {
+        if (isRenamed) {
+            const auto moved = queue("bookings-" + pool, "/bookings/", pool);
+            configuration.queues.erase(configuration.queues.begin());
+            ++configuration.version;
+            publishConfiguration();
+            runFor(500ms);
+            configuration.queues.insert(configuration.queues.begin(), moved);
+        } else
+            configuration.queues.front().pool = pool;
+        ++configuration.version;
+        publishConfiguration();
+        runFor(100ms);
+    }
+
+    JobOutcome submit(const std::string& host, unsigned number, const JobSpec& spec = oneStep(2, 3s))
+    {
+        const auto answer = call(host, JobVerb::Submit, jobId(number), spec);
+        REQUIRE(answer);
+        return answer->outcome;
+    }
+
+    std::uint64_t backlogAt(const std::string& host)
+    {
+        const auto answer = call(host, JobVerb::Show, "");
+        REQUIRE(answer);
+        CHECK(answer->outcome == JobOutcome::Counted);
+        return answer->backlog;
+    }
+};
+
+/// A job that no worker may run.
+JobSpec waitingJob()
+{
+    auto spec = oneStep(1);
+    spec.steps.front().requiredLabel = "none has it";
+    return spec;
+}
+
+} // namespace
+
+// Such a job was answered as unknown, and its tasks ran a second time when its submission arrived once more.
+TEST_CASE("a job stays one job when its queue gets another pool")
+{
+    for (const bool isRenamed : { false, true }) {
+        CAPTURE(isRenamed);
+        MovingFleet fleet;
+        REQUIRE(fleet.submit("host-0", 1) == JobOutcome::Accepted);
+        fleet.runFor(200ms);
+        REQUIRE(fleet.runMonitor.starts == 2);
+        fleet.moveQueue("hotels", isRenamed);
+        for (const auto& [name, host] : fleet.hosts) {
+            CAPTURE(name);
+            CHECK(fleet.stateOf(name, jobId(1)) == JobState::Running);
+            CHECK(fleet.submit(name, 1) == JobOutcome::Accepted);
+        }
+        fleet.runFor(4s);
+        CHECK(fleet.stateOf("host-1", jobId(1)) == JobState::Completed);
+        CHECK(fleet.submit("host-2", 1) == JobOutcome::Accepted);
+        CHECK(fleet.submit("host-2", 2) == JobOutcome::Accepted);
+        fleet.runFor(4s);
+        CHECK(fleet.runMonitor.starts == 4);
+        CHECK(fleet.runMonitor.duplicateRuns == 0);
+        const auto unknown = fleet.call("host-0", JobVerb::Show, jobId(3));
+        REQUIRE(unknown);
+        CHECK(unknown->outcome == JobOutcome::NoSuchJob);
+    }
+}
+
+TEST_CASE("a job can be cancelled when its queue has another pool")
+{
+    MovingFleet fleet(60s);
+    REQUIRE(fleet.submit("host-0", 1) == JobOutcome::Accepted);
+    fleet.moveQueue("hotels");
+    const auto answer = fleet.call("host-1", JobVerb::Cancel, jobId(1));
+    REQUIRE(answer);
+    CHECK(answer->outcome == JobOutcome::Cancelled);
+    CHECK(fleet.stateOf("host-2", jobId(1)) == JobState::Cancelled);
+    fleet.runFor(1s);
+    for (const auto& [id, worker] : fleet.workers)
+        CHECK_FALSE(worker->isBusy());
+}
+
+TEST_CASE("hosts that know only the newest configuration find the jobs of a queue that had other pools before")
+{
+    MovingFleet fleet(60s);
+    REQUIRE(fleet.submit("host-0", 1) == JobOutcome::Accepted);
+    fleet.moveQueue("hotels", true);
+    REQUIRE(fleet.submit("host-0", 2) == JobOutcome::Accepted);
+    for (const auto* host : { "host-0", "host-1", "host-2" })
+        fleet.killHost(host);
+    fleet.moveQueue("desk", true);
+    for (const auto* host : { "host-3", "host-4" })
+        fleet.addHost(host);
+    fleet.runFor(4s);
+    REQUIRE(fleet.submit("host-3", 3) == JobOutcome::Accepted);
+    fleet.runFor(15s); // In which the leases of the hosts that were killed are certain to have lapsed.
+    const auto starts = fleet.runMonitor.starts;
+    for (const unsigned number : { 1U, 2U, 3U }) {
+        CAPTURE(number);
+        CHECK(fleet.stateOf("host-4", jobId(number)) == JobState::Running);
+        CHECK(fleet.submit("host-4", number) == JobOutcome::Accepted);
+    }
+    fleet.runFor(1s);
+    CHECK(fleet.runMonitor.starts == starts);
+    CHECK(fleet.runMonitor.duplicateRuns == 0);
+}
+
+TEST_CASE("a queue whose pool changes back and forth keeps the jobs of both pools")
+{
+    MovingFleet fleet(60s);
+    REQUIRE(fleet.submit("host-0", 1) == JobOutcome::Accepted);
+    fleet.moveQueue("hotels");
+    REQUIRE(fleet.submit("host-0", 2) == JobOutcome::Accepted);
+    fleet.moveQueue("desk");
+    REQUIRE(fleet.submit("host-0", 3) == JobOutcome::Accepted);
+    fleet.runFor(200ms);
+    for (const unsigned number : { 1U, 2U, 3U }) {
+        CAPTURE(number);
+        CHECK(fleet.stateOf("host-1", jobId(number)) == JobState::Running);
+        CHECK(fleet.submit("host-1", number) == JobOutcome::Accepted);
+    }
+    fleet.runFor(1s);
+    CHECK(fleet.runMonitor.starts == 6);
+}
+
+TEST_CASE("the backlog of a queue counts its jobs in the pools that it had before")
+{
+    for (const bool isRenamed : { false, true }) {
+        CAPTURE(isRenamed);
+        MovingFleet fleet;
+        for (const unsigned number : { 1U, 2U, 3U })
+            REQUIRE(fleet.submit("host-0", number, waitingJob()) == JobOutcome::Accepted);
+        CHECK(fleet.backlogAt("host-1") == 3);
+        fleet.moveQueue("hotels", isRenamed);
+        CHECK(fleet.backlogAt("host-1") == 3);
+        REQUIRE(fleet.submit("host-0", 4, waitingJob()) == JobOutcome::Accepted);
+        CHECK(fleet.backlogAt("host-2") == 4);
+        fleet.moveQueue("desk", isRenamed);
+        CHECK(fleet.backlogAt("host-2") == 4);
+    }
+}
+
+TEST_CASE("a job that may be in a pool without an owner is refused, not denied or accepted again")
+{
+    MovingFleet fleet(60s);
+    // Not the owner of both pools, so that the new one goes on.
+    REQUIRE(fleet.ownerOf("desk") != fleet.ownerOf("hotels"));
+    const auto host = fleet.ownerOf("hotels");
+    REQUIRE(fleet.submit(host, 1) == JobOutcome::Accepted);
+    fleet.moveQueue("hotels");
+    fleet.killHost(fleet.ownerOf("desk"));
+    for (const auto verb : { JobVerb::Show, JobVerb::Submit }) {
+        const auto answer = fleet.call(host, verb, jobId(1), verb == JobVerb::Submit ? std::optional(oneStep(2, 3s)) : std::nullopt);
+        REQUIRE(answer);
+        CHECK(answer->outcome == JobOutcome::Refused);
+    }
+    fleet.runFor(15s);
+    CHECK(fleet.stateOf(host, jobId(1)) == JobState::Running);
+    CHECK(fleet.submit(host, 1) == JobOutcome::Accepted);
+    CHECK(fleet.runMonitor.duplicateRuns == 0);
+}
+
+TEST_CASE("a job that its pool doesn't know isn't answered for while the store can't say which pools its queue had")
+{
+    MovingFleet fleet;
+    REQUIRE(fleet.submit("host-0", 1) == JobOutcome::Accepted);
+    fleet.store.losesReadsUnder = "/marigold/queues/";
+    fleet.moveQueue("hotels");
+    const auto shown = fleet.call("host-0", JobVerb::Show, jobId(1));
+    REQUIRE(shown);
+    CHECK(shown->outcome == JobOutcome::Refused);
+    CHECK(fleet.submit("host-0", 2) == JobOutcome::Refused);
+    fleet.store.losesReadsUnder.clear();
+    CHECK(fleet.stateOf("host-0", jobId(1)) == JobState::Running);
+    CHECK(fleet.submit("host-0", 2) == JobOutcome::Accepted);
+}
--- a/Source/UnitTests/Jobs/NodeMessagesTest.cpp
+++ b/Source/UnitTests/Jobs/NodeMessagesTest.cpp
@@ -29,7 +29,7 @@
     return spec;
 }
 
-PoolCall someCall() { return { 7, "desk", Ports::JobVerb::Submit, "5c0e7a21d94b36f8", "r-1", 1, 3, 1500, 800ms, someSpec() }; }
+PoolCall someCall() { return { 7, "desk", Ports::JobVerb::Submit, "5c0e7a21d94b36f8", "r-1", 1, 3, 1500, 800ms, someSpec(), "desk.example", "/bookings/", 12 }; }
 
 LoadCallAnswer someLoad()
 {
@@ -58,6 +58,7 @@
     CHECK_FALSE(isReadWith<PoolCall>(someCall(), [](auto& it) { it.targetDuration = milliseconds::max(); }));
     CHECK_FALSE(isReadWith<PoolCall>(someCall(), [](auto& it) { it.targetDuration = -1ms; }));
     CHECK_FALSE(isReadWith<PoolCall>(someCall(), [](auto& it) { it.stretchPermille = 1'000'001; }));
+    CHECK_FALSE(isReadWith<PoolCall>(someCall(), [](auto& it) { it.configuration = most; }));
     CHECK_FALSE(isReadWith<PoolCallAnswer>({}, [](auto& it) { it.retryAfter = milliseconds::max(); }));
     CHECK_FALSE(isReadWith<LoadCall>({}, [](auto& it) { it.fence = most; }));
     CHECK_FALSE(isReadWith<LoadCallAnswer>(someLoad(), [](auto& it) { it.fence = most; }));
