Keep an owner for a pool that has lost its queues until its jobs are done

Cause: the duties were derived from the queues of the newest configuration, so that no host claimed a pool without a queue once its owner was gone.

Change: what was held before stays a duty; the terms of all duties are in the store already. The owner of a pool without queues retires it, which deletes the term, once it has no active job and none that became final in the last two minutes.

--- a/Source/Core/Jobs/Decision/JobTable.cpp
+++ b/Source/Core/Jobs/Decision/JobTable.cpp
@@ -210,9 +210,15 @@
     std::erase_if(m_finished, [before](const auto& it) { return it.second.at < before; });
 }
 
-bool JobTable::hasJobOf(const std::string& queue) const
+bool JobTable::hasJobOf(const std::string& queue, Common::WallTime finalSince) const
 {
-    return std::ranges::any_of(m_active, [&queue](const auto& it) { return it.second.accepted.queue == queue; }) || std::ranges::any_of(m_finished, [&queue](const auto& it) { return it.second.queue == queue; });
+    const auto isFinal = [&](const auto& it) { return it.second.queue == queue && it.second.at >= finalSince; };
+    return std::ranges::any_of(m_active, [&queue](const auto& it) { return it.second.accepted.queue == queue; }) || std::ranges::any_of(m_finished, isFinal);
+}
+
+bool JobTable::hasJobs(Common::WallTime finalSince) const
+{
+    return !m_active.empty() || std::ranges::any_of(m_finished, [finalSince](const auto& it) { return it.second.at >= finalSince; });
 }
 
 namespace {
--- a/Source/Core/Jobs/Decision/JobTable.h
+++ b/Source/Core/Jobs/Decision/JobTable.h
@@ -103,8 +103,10 @@
     void forgetFinished(Common::WallTime before);
     /// Returns records that restore this state when applied to an empty table.
     std::vector<JobRecord> snapshot() const;
-    /// True if an active or retained final job was accepted under that name of a queue.
-    bool hasJobOf(const std::string& queue) const;
+    /// True if there is an active job, or one that became final at that time or later, that was accepted under that name of a queue.
+    bool hasJobOf(const std::string& queue, Common::WallTime finalSince) const;
+    /// The same for jobs of any queue.
+    bool hasJobs(Common::WallTime finalSince) const;
     /// State of an active or retained final job; null when the job is unknown.
     const JobState* stateOf(const JobId&) const;
 
--- a/Source/Core/Jobs/Runtime/JobNode.cpp
+++ b/Source/Core/Jobs/Runtime/JobNode.cpp
@@ -16,6 +16,7 @@
 
     constexpr milliseconds storeOutageLimit { 6000 }; ///< After a longer outage of the store an owner lets its workers' leases lapse.
     constexpr milliseconds peerRetention { 15000 }; ///< Longer than the store's usual outages.
+    constexpr milliseconds retirementInterval { 10000 };
     constexpr milliseconds handOverPollInterval { 10 };
     constexpr milliseconds handOverLimit { 600 }; ///< A pending commit takes a few milliseconds, but the store may be unavailable.
 
@@ -89,12 +90,47 @@
     for (const auto& it : configuration.queues)
         duties.insert(it.pool);
     ownership.setDuties(duties);
+    scheduleRetirement();
     for (const auto& [pool, owner] : owners)
         owner->configure(configuration);
     if (fleet)
         fleet->configure(configuration);
 }
 
+/// A pool that has lost its queues keeps an owner until its jobs are done and their states are no longer queried.
+void JobNode::State::scheduleRetirement()
+{
+    if (retirementTimer != 0)
+        return;
+    retirementTimer = loop.after(retirementInterval, [self = weak_from_this()] {
+        const auto it = self.lock();
+        if (!it)
+            return;
+        it->retirementTimer = 0;
+        it->retirePools();
+    });
+}
+
+void JobNode::State::retirePools()
+{
+    std::vector<std::string> unused;
+    bool isAnyLeft = false;
+    for (const auto& [pool, owner] : owners) {
+        if (std::ranges::find(configuration.queues, pool, &QueueRule::pool) != configuration.queues.end())
+            continue;
+        if (!isLeaving && ownership.isLeaseValid() && owner->isUnused())
+            unused.push_back(pool);
+        else
+            isAnyLeft = true;
+    }
+    for (const auto& pool : unused) {
+        dropDuty(pool);
+        ownership.retire(pool);
+    }
+    if (isAnyLeft && !isLeaving)
+        scheduleRetirement();
+}
+
 void JobNode::State::onDutyAcquired(const std::string& duty, Fence fence, Predecessor predecessor)
 {
     metrics->countDuty(duty, "acquired");
@@ -128,6 +164,7 @@
         owner->onWorkerListed(entry);
     owner->begin();
     owners[duty] = std::move(owner);
+    scheduleRetirement();
     metrics->setOwnedPools(owners.size());
 }
 
--- a/Source/Core/Jobs/Runtime/JobNodeState.h
+++ b/Source/Core/Jobs/Runtime/JobNodeState.h
@@ -53,6 +53,8 @@
     void dropDuty(const std::string& duty);
     void handOverOnePool();
     void handOverPool(const std::string& pool, Common::Instant limit);
+    void scheduleRetirement();
+    void retirePools();
     void onMembersChanged();
 
     // Peers.
@@ -87,6 +89,7 @@
     std::map<std::string, KnownPeer> knownPeers;
     std::vector<Ports::PeerAddress> connectedPeers;
     bool isHandingOverPool = false; ///< One pool is being handed over because this host is overloaded.
+    Common::TaskLoop::TimerId retirementTimer = 0;
     bool isAbandoned = false;
     std::atomic<bool> isConfigured { false };
     std::atomic<bool> isLeaving { false };
--- a/Source/Core/Jobs/Runtime/Ownership.cpp
+++ b/Source/Core/Jobs/Runtime/Ownership.cpp
@@ -183,7 +183,7 @@
         return;
     if (text == ownerText())
         becomeHolder(duty, fence); // A claim that was carried out but whose answer was lost.
-    else if (!isLeaving && owners[duty].host == settings.self.host && duties.contains(duty) && isRegistered)
+    else if (!isLeaving && owners[duty].host == settings.self.host && isDuty(duty) && isRegistered)
         claim(duty, fence); // Held by an earlier incarnation of this host, which no longer runs.
 }
 
@@ -240,7 +240,13 @@
     m_state->evaluateSoon();
 }
 
-void Ownership::release(const std::string& duty) { m_state->release(duty); }
+void Ownership::release(const std::string& duty) { m_state->release(duty, Release::Served); }
+
+void Ownership::retire(const std::string& duty)
+{
+    if (!m_state->duties.contains(duty))
+        m_state->release(duty, Release::Retired);
+}
 
 void Ownership::leave()
 {
--- a/Source/Core/Jobs/Runtime/Ownership.h
+++ b/Source/Core/Jobs/Runtime/Ownership.h
@@ -71,11 +71,13 @@
 
     /// Starts to watch, requests a lease and registers this host. Call it once.
     void start();
-    /// Replaces the set of duties that the hosts claim.
+    /// Replaces the set of duties that the hosts claim. Duties that were held before stay among them until they are retired.
     void setDuties(const std::set<std::string>&);
     /// Releases a duty; does nothing when this host doesn't hold it. Call it only once nothing acts on the duty:
     /// its next holder relies on that.
     void release(const std::string& duty);
+    /// Releases a duty that isn't in the set of setDuties(): no host claims it any more until it is in it again.
+    void retire(const std::string& duty);
     /// Stops claiming duties; those held have to be released. The host stays a member until its lease lapses, so that it
     /// still gets answers.
     void leave();
--- a/Source/Core/Jobs/Runtime/OwnershipDuties.cpp
+++ b/Source/Core/Jobs/Runtime/OwnershipDuties.cpp
@@ -6,6 +6,7 @@
 #include "Jobs/Runtime/StoreKeys.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Jobs {
@@ -36,14 +37,22 @@
     return counts;
 }
 
-bool Ownership::State::hasOpenDuty() const
+std::set<std::string> Ownership::State::openDuties() const
 {
-    return std::ranges::any_of(duties, [this](const auto& it) { return !owners.contains(it); });
+    std::set<std::string> open;
+    if (duties.empty())
+        return open;
+    std::ranges::copy_if(duties, std::inserter(open, open.end()), [this](const auto& it) { return !owners.contains(it); });
+    for (const auto& [duty, term] : terms) {
+        if (!owners.contains(duty))
+            open.insert(duty);
+    }
+    return open;
 }
 
 void Ownership::State::evaluateSoon()
 {
-    if (isLeaving || evaluateTimer != 0 || !hasOpenDuty())
+    if (isLeaving || evaluateTimer != 0 || openDuties().empty())
         return;
     evaluateTimer = loop.after(std::chrono::milliseconds(1), [self = shared_from_this()] {
         self->evaluateTimer = 0;
@@ -54,7 +63,7 @@
 
 void Ownership::State::evaluateLater()
 {
-    if (!hasOpenDuty() || isLeaving || reevaluateTimer != 0)
+    if (isLeaving || reevaluateTimer != 0 || openDuties().empty())
         return;
     reevaluateTimer = loop.after(reevaluateInterval, [self = shared_from_this()] {
         self->reevaluateTimer = 0;
@@ -69,9 +78,7 @@
     if (isLeaving || !isRegistered || !feed->isSynced() || !members.contains(settings.self.host) || members.at(settings.self.host).isLeaving)
         return;
     auto counts = dutyCounts();
-    for (const auto& duty : duties) {
-        if (owners.contains(duty))
-            continue;
+    for (const auto& duty : openDuties()) {
         const auto last = lastHolder(duty);
         const auto ranked = rankCandidates(duty, members, counts, last);
         ++counts[ranked.front()];
@@ -103,7 +110,7 @@
 void Ownership::State::checkOverload()
 {
     scheduleOverloadCheck();
-    const bool isSettled = isRegistered && !isLeaving && feed->isSynced() && !hasOpenDuty();
+    const bool isSettled = isRegistered && !isLeaving && feed->isSynced() && openDuties().empty();
     const bool wasOverloaded = std::exchange(isOverloadSuspected, isSettled && isOverloaded(settings.self.host, members, dutyCounts()));
     if (wasOverloaded && isOverloadSuspected && hooks.overloaded)
         hooks.overloaded();
@@ -114,7 +121,7 @@
     if (!pendingClaims.insert(duty).second)
         return;
     loop.after(delay, [self = shared_from_this(), duty] {
-        if (self->isOver || self->isLeaving || self->owners.contains(duty) || !self->isRegistered || !self->duties.contains(duty)) {
+        if (self->isOver || self->isLeaving || self->owners.contains(duty) || !self->isRegistered || !self->isDuty(duty)) {
             self->pendingClaims.erase(duty);
             return;
         }
@@ -134,7 +141,7 @@
     if (isLeaving || !isRegistered)
         return;
     for (const auto& [duty, owner] : owners) {
-        if (owner.host == settings.self.host && duties.contains(duty) && !ownedDuties.contains(duty) && !pendingClaims.contains(duty))
+        if (owner.host == settings.self.host && isDuty(duty) && !ownedDuties.contains(duty) && !pendingClaims.contains(duty))
             claim(duty, owner.fence);
     }
 }
@@ -179,7 +186,7 @@
         return;
     owners[duty] = { settings.self.host, fence };
     if (isLeaving) {
-        releaseKey(duty, fence, false); // The claim was sent before this host began to leave.
+        releaseKey(duty, fence, Release::Unserved); // The claim was sent before this host began to leave.
         return;
     }
     ownedDuties[duty] = fence;
@@ -188,24 +195,26 @@
     hooks.changed();
 }
 
-void Ownership::State::release(const std::string& duty)
+void Ownership::State::release(const std::string& duty, Release how)
 {
     const auto it = ownedDuties.find(duty);
     if (it == ownedDuties.end())
         return;
     const auto fence = it->second;
     ownedDuties.erase(it);
-    releaseKey(duty, fence, true);
+    releaseKey(duty, fence, how);
 }
 
-void Ownership::State::releaseKey(const std::string& duty, Fence fence, bool wasServing)
+void Ownership::State::releaseKey(const std::string& duty, Fence fence, Release how)
 {
     releasedFences[duty] = fence;
-    writeEvent("ownership", { "duty-released", duty, { { "fence", std::to_string(fence) } } });
+    writeEvent("ownership", { how == Release::Retired ? "duty-retired" : "duty-released", duty, { { "fence", std::to_string(fence) } } });
     Ports::Transaction transaction;
     transaction.compares = { { keyOf(duty), static_cast<std::int64_t>(fence) } };
     transaction.deletes = { keyOf(duty) };
-    if (wasServing)
+    if (how == Release::Retired)
+        transaction.deletes.push_back(StoreKeys::terms + duty);
+    else if (how == Release::Served)
         transaction.puts = { { StoreKeys::terms + duty, releasedText, 0 } };
     transactUntilSettled(duty, transaction);
 }
--- a/Source/Core/Jobs/Runtime/OwnershipState.h
+++ b/Source/Core/Jobs/Runtime/OwnershipState.h
@@ -16,6 +16,13 @@
 /// Between attempts while the store doesn't answer or rejects calls.
 constexpr std::chrono::milliseconds storeRetryDelay { 400 };
 
+/// What becomes of a duty's term when its holder releases it.
+enum class Release {
+    Unserved, ///< It stays: the holder hasn't acted on the duty.
+    Served, ///< Marked as released.
+    Retired, ///< Deleted.
+};
+
 struct Ownership::State : std::enable_shared_from_this<Ownership::State> {
     State(Common::TaskLoop& taskLoop, Ports::PlatformPort& platformPort, OwnershipSettings ownershipSettings, Hooks ownershipHooks);
 
@@ -39,9 +46,11 @@
     std::string ownerText() const { return settings.self.host + ' ' + std::to_string(settings.incarnation); }
     void handleKeyRemoval(const std::string& text);
 
+    /// True for the duties of setDuties(), and for others that were held before and aren't retired. None is before the first setDuties().
+    bool isDuty(const std::string& duty) const { return !duties.empty() && (duties.contains(duty) || terms.contains(duty)); }
+    std::set<std::string> openDuties() const;
     std::string lastHolder(const std::string& duty) const;
     DutyCounts dutyCounts() const;
-    bool hasOpenDuty() const;
     void evaluateSoon();
     /// Repeats the evaluation while a duty has no holder: claims may fail, and what they depend on may arrive in any order.
     void evaluateLater();
@@ -62,10 +71,10 @@
     void claim(const std::string& duty, Fence expectedRevision);
     void handleClaimFailure(const std::string& duty, Ports::PlatformStatus status);
     void becomeHolder(const std::string& duty, Fence fence);
-    void release(const std::string& duty);
+    void release(const std::string& duty, Release);
     /// Deletes the duty's key. Marks the term as released only if this host was serving it: otherwise the holder before this
     /// one may still act on the duty, and the next holder must not rely on its end.
-    void releaseKey(const std::string& duty, Fence fence, bool wasServing);
+    void releaseKey(const std::string& duty, Fence fence, Release);
     /// Retries until the transaction is known to have been carried out or to have failed definitely.
     void transactUntilSettled(const std::string& duty, const Ports::Transaction& transaction);
 
--- a/Source/Core/Jobs/Runtime/PoolOwner.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwner.cpp
@@ -42,7 +42,7 @@
     , ownedSince(ownerContext.loop.now())
     , core(ownerContext.poolLimits)
     , journal(ownerContext.loop, ownerContext.platform, { pool, Ownership::keyOf(pool), fence }, journalHooks())
-    , queueHomes(ownerContext.loop, ownerContext.platform, pool, { Ownership::keyOf(pool), static_cast<std::int64_t>(fence) }, [this](const std::string& queue) { return core.jobs().hasJobOf(queue); })
+    , queueHomes(ownerContext.loop, ownerContext.platform, pool, { Ownership::keyOf(pool), static_cast<std::int64_t>(fence) }, [this](const std::string& queue) { return core.jobs().hasJobOf(queue, loop.wallNow() - context.poolLimits.retention); })
     , limiter("pool." + pool)
 {
 }
@@ -277,6 +277,12 @@
 
 bool PoolOwner::isServing() const { return m_state->isServing; }
 
+bool PoolOwner::isUnused() const
+{
+    const auto& state = *m_state;
+    return state.isServing && state.journal.isIdle() && !state.core.jobs().hasJobs(state.loop.wallNow() - state.context.poolLimits.retention);
+}
+
 bool PoolOwner::isIdle() const { return m_state->journal.isIdle(); }
 
 PoolLoad PoolOwner::load() const
--- a/Source/Core/Jobs/Runtime/PoolOwner.h
+++ b/Source/Core/Jobs/Runtime/PoolOwner.h
@@ -74,6 +74,8 @@
     void stopServing();
     /// True from when the journal is loaded until stopServing().
     bool isServing() const;
+    /// True when the pool holds no job whose state may be queried, and no records wait to be committed.
+    bool isUnused() const;
     /// True when no records wait to be committed.
     bool isIdle() const;
     PoolLoad load() const;
--- a/Source/UnitTests/Jobs/MovedQueueTest.cpp
+++ b/Source/UnitTests/Jobs/MovedQueueTest.cpp
@@ -220,3 +220,70 @@
     CHECK(fleet.stateOf("host-0", jobId(1)) == JobState::Running);
     CHECK(fleet.submit("host-0", 2) == JobOutcome::Accepted);
 }
+
+namespace {
+
+/// Three steps of one task of 1 s, one after the other.
+JobSpec threeSteps()
+{
+    auto spec = oneStep(1, 1s);
+    spec.steps.resize(3, spec.steps.front());
+    spec.steps[1].after = { 0 };
+    spec.steps[2].after = { 1 };
+    return spec;
+}
+
+/// Removes all queues of the pool "desk"; the pool stays.
+void removeQueuesOfDesk(MovingFleet& fleet)
+{
+    std::erase_if(fleet.configuration.queues, [](const auto& it) { return it.pool == "desk"; });
+    ++fleet.configuration.version;
+    fleet.publishConfiguration();
+    fleet.runFor(100ms);
+}
+
+} // namespace
+
+// No host claimed the pool any more once its owner was gone, and the job's last steps were never started.
+TEST_CASE("the jobs of a pool that has lost its queues are finished, whatever becomes of its owner")
+{
+    for (const bool isKilled : { false, true }) {
+        CAPTURE(isKilled);
+        MovingFleet fleet(1s);
+        REQUIRE(fleet.submit("host-0", 1, threeSteps()) == JobOutcome::Accepted);
+        fleet.runFor(200ms);
+        removeQueuesOfDesk(fleet);
+        for (const auto* host : { "host-0", "host-1", "host-2" }) {
+            if (!isKilled)
+                fleet.hosts.at(host)->node->leave([] {});
+            fleet.runFor(isKilled ? 10ms : 700ms);
+            fleet.killHost(host);
+            fleet.addHost(host);
+        }
+        fleet.runFor(15s);
+        CHECK(fleet.runMonitor.starts == 3);
+        CHECK(fleet.runMonitor.duplicateRuns == 0);
+        CHECK_FALSE(fleet.ownerOf("desk").empty());
+    }
+}
+
+TEST_CASE("a pool that has lost its queues is retired once nobody can ask for its jobs, and claimed when it gets a queue again")
+{
+    MovingFleet fleet(1s);
+    const auto queues = fleet.configuration.queues;
+    REQUIRE(fleet.submit("host-0", 1, threeSteps()) == JobOutcome::Accepted);
+    removeQueuesOfDesk(fleet);
+    fleet.runFor(110s);
+    CHECK_FALSE(fleet.ownerOf("desk").empty());
+    fleet.runFor(60s);
+    CHECK(fleet.ownerOf("desk").empty());
+    CHECK(fleet.store.state.read("/marigold/control/terms/desk", false, fleet.loop.now()).values.empty());
+    fleet.configuration.queues = queues;
+    ++fleet.configuration.version;
+    fleet.publishConfiguration();
+    fleet.runFor(2s);
+    CHECK_FALSE(fleet.ownerOf("desk").empty());
+    CHECK(fleet.submit("host-1", 2, threeSteps()) == JobOutcome::Accepted);
+    fleet.runFor(5s);
+    CHECK(fleet.stateOf("host-1", jobId(2)) == JobState::Completed);
+}
