Don't send an order that waited for the store once its run has been given up

Cause: a session asked whether a start is still needed only before it repeats one, and PoolCore::mayStart() allows a start without a run.

Change: it is asked before the first attempt as well.

Evidence: the new case of LateStartTest, with outages of 2, 4 and 6 s: 16 starts of 8 tasks before, half of them stopped as unexpected; 8 now. A second run at the same time wasn't reproduced here, since the tasks of such a worker wait for 3 s.

--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -221,7 +221,8 @@
     {
         if (isSettled(attempt))
             return;
-        if (attempt.retries > 0 && !hooks.needsStart(run)) {
+        // The order may have waited for the store for seconds, and its run may have been given up meanwhile.
+        if (!hooks.needsStart(run)) {
             logOrder("order-obsolete", { "start", run.task, run.run }, attempt);
             return;
         }
--- a/Source/Core/Jobs/Runtime/WorkerSession.h
+++ b/Source/Core/Jobs/Runtime/WorkerSession.h
@@ -32,7 +32,7 @@
         std::function<void(const StartRun&, const Ports::WorkerAnswer&)> onStartAnswered; ///< Also for each attempt without an answer.
         /// A start was given up and its run stopped, as an earlier attempt may have arrived. The run ends once a poll shows so.
         std::function<void(const StartRun&, const Ports::WorkerAnswer& refusal)> onStartCancelled;
-        std::function<bool(const StartRun&)> needsStart; ///< Asked before each further attempt. False: no more attempts, and no answer is reported.
+        std::function<bool(const StartRun&)> needsStart; ///< Asked before each attempt. False: no more attempts, and no answer is reported.
         std::function<bool(const StartRun&)> mayStart; ///< Asked before each attempt.
         std::function<bool(const StopRun&)> mayStop; ///< Asked before each attempt.
         std::function<void(const StopRun&, const Ports::WorkerAnswer&)> onStopAnswer;
--- a/Source/UnitTests/Jobs/LateStartTest.cpp
+++ b/Source/UnitTests/Jobs/LateStartTest.cpp
@@ -179,3 +179,29 @@
     for (const auto crashAfter : beforeFirstStop)
         checkAttemptAfterEnd(crashAfter);
 }
+
+// The owner gives up runs whose worker restarts, and places their tasks elsewhere, while the first orders still wait for the store.
+TEST_CASE("an order that waited for the store isn't sent once its run has been given up")
+{
+    for (const auto outage : { 2s, 4s, 6s }) {
+        for (const bool isPolledInBetween : { false, true }) {
+            CAPTURE(outage.count());
+            CAPTURE(isPolledInBetween);
+            RestartingFleet fleet(3);
+            fleet.workers.at("w0")->closesConnections = fleet.workers.at("w1")->closesConnections = true;
+            fleet.setRunTime(8s);
+            fleet.downTime = isPolledInBetween ? 100ms : 700ms;
+            fleet.submit(oneStep(8, 8s));
+            fleet.store.losesWritesUnder = "/marigold/jobs/";
+            fleet.runFor(200ms);
+            fleet.crashWorker("w0");
+            fleet.crashWorker("w1");
+            fleet.runFor(outage);
+            fleet.store.losesWritesUnder.clear();
+            fleet.runFor(40s);
+            CHECK(fleet.stateOf("host-0", jobId(1)) == JobState::Completed);
+            CHECK(fleet.runMonitor.starts == 8);
+            CHECK(fleet.runMonitor.duplicateRuns == 0);
+        }
+    }
+}
--- a/Source/UnitTests/Jobs/MovedQueueTest.cpp
+++ b/Source/UnitTests/Jobs/MovedQueueTest.cpp
@@ -94,10 +94,10 @@
         fleet.runFor(200ms);
         REQUIRE(fleet.runMonitor.starts == 2);
         fleet.moveQueue("hotels", isRenamed);
-        for (const auto& [name, host] : fleet.hosts) {
-            CAPTURE(name);
-            CHECK(fleet.stateOf(name, jobId(1)) == JobState::Running);
-            CHECK(fleet.submit(name, 1) == JobOutcome::Accepted);
+        for (const std::string host : { "host-0", "host-1", "host-2" }) {
+            CAPTURE(host);
+            CHECK(fleet.stateOf(host, jobId(1)) == JobState::Running);
+            CHECK(fleet.submit(host, 1) == JobOutcome::Accepted);
         }
         fleet.runFor(4s);
         CHECK(fleet.stateOf("host-1", jobId(1)) == JobState::Completed);
--- a/Source/UnitTests/Jobs/WorkerEndsTest.cpp
+++ b/Source/UnitTests/Jobs/WorkerEndsTest.cpp
@@ -84,6 +84,7 @@
         hooks.mayExtendLease = [] { return true; };
         hooks.needsLatencyPoll = [] { return false; };
         hooks.hasRuns = [] { return true; };
+        hooks.needsStart = [](const StartRun&) { return true; };
         hooks.mayOrder = [] { return true; };
         hooks.mayStart = [](const StartRun&) { return true; };
         entry.id = "w0";
