Don't repeat a start on a worker that drains

Cause: the worker leaves orders unanswered, and the session repeats the start for seconds; before each attempt PoolCore::mayStart() looked at the worker's capacity, not at its state.

Change: no attempt is sent to a worker that drains. As with lost capacity, the run is stopped there if an earlier attempt may have arrived, and its task is placed elsewhere.

--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -117,7 +117,7 @@
     /// Whether a start is to be sent, or repeated without an answer. Not once its run has been given up, nor after a poll has shown the
     /// run or its end: an attempt that is carried out late would start it again on the worker's next incarnation.
     bool needsStart(const StartRun&) const;
-    /// Whether a start order may still be sent: its worker's capacity may have shrunk since the run was placed.
+    /// Whether a start order may still be sent: since the run was placed, its worker may have begun to drain, or its capacity may have shrunk.
     bool mayStart(const StartRun&) const;
     /// Whether a stop order may still be sent. The session calls this right before each attempt, since the order may have
     /// waited for the store or the worker for seconds.
--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -128,6 +128,8 @@
     const auto run = worker ? worker->runs.find(order.task) : std::map<TaskKey, WorkerRun>::const_iterator();
     if (!worker || run == worker->runs.end())
         return true;
+    if (worker->entry.state == WorkerEntry::State::Draining)
+        return false;
     const auto& need = run->second.reserved;
     const auto sum = worker->reserved();
     const auto& capacity = worker->entry.capacity;
--- a/Source/Standins/JobWorker.cpp
+++ b/Source/Standins/JobWorker.cpp
@@ -63,6 +63,7 @@
     }
     if (running != m_runs.end() || order.run <= m_highestRuns[order.task])
         return refuse(WorkerRefusal::StaleRun);
+    hasStarted = true;
     ++m_runMonitor.starts;
     if (m_runMonitor.running[order.task]++ > 0 || m_runMonitor.done.contains(order.task))
         ++m_runMonitor.duplicateRuns;
--- a/Source/Standins/JobWorker.h
+++ b/Source/Standins/JobWorker.h
@@ -52,6 +52,7 @@
     std::chrono::milliseconds startup { 0 }; ///< Age at which a run reports 100 %; zero for runTime.
     bool isPartitioned = false; ///< Unreachable for the hosts, but runs continue; only stored here, for callers to check.
     bool isCrashed = false;
+    bool hasStarted = false; ///< A run was started, in this incarnation.
     bool failsAll = false; ///< Every run ends as failed.
     unsigned startsToRefuse = 0; ///< The number of next starts to refuse for lack of capacity.
     std::chrono::milliseconds crashDelay { 10 }; ///< From the start of a crashing task to the crash.
--- a/Source/UnitTests/Jobs/LateStartTest.cpp
+++ b/Source/UnitTests/Jobs/LateStartTest.cpp
@@ -205,3 +205,19 @@
         }
     }
 }
+
+// Workers that drain take no starts. The order was repeated for seconds, as its first attempts weren't answered.
+TEST_CASE("a start without an answer isn't repeated once its worker drains")
+{
+    RestartingFleet fleet;
+    fleet.port().startsToLose = 3;
+    fleet.submit();
+    fleet.runFor(100ms);
+    const auto id = fleet.port().delayedWorker;
+    fleet.workers.at(id)->entry.state = WorkerEntry::State::Draining;
+    fleet.store.put("workers/" + id, "draining");
+    fleet.runFor(6s);
+    CHECK_FALSE(fleet.workers.at(id)->hasStarted);
+    CHECK(fleet.stateOf("host-0", jobId(1)) == JobState::Completed);
+    CHECK(fleet.runMonitor.starts == 1);
+}
