--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -110,6 +110,8 @@
     /// Number of a queue's jobs that are accepted, have no schedule and haven't started.
     std::uint64_t backlog(const std::string& queue) const;
 
+    /// An attempt of a start is being sent.
+    void onStartSent(const StartRun&, Moment);
     /// Handles the answer to a start order. Without a definite answer the run keeps its place, and the start may be carried out late.
     void onStartAnswer(const StartRun&, const Ports::WorkerAnswer&, Moment);
     /// The run was stopped after the refusal of its start, as an earlier attempt may have started it: it ends once a poll shows so.
--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -38,6 +38,15 @@
 
 } // namespace
 
+void PoolCore::onStartSent(const StartRun& order, Moment at)
+{
+    const auto found = m_workers.find(order.worker);
+    if (found == m_workers.end())
+        return;
+    if (const auto it = found->second.runs.find(order.task); it != found->second.runs.end() && it->second.run == order.run)
+        it->second.sentAt = at.now;
+}
+
 void PoolCore::onStartAnswer(const StartRun& order, const Ports::WorkerAnswer& answer, Moment at)
 {
     using Ports::WorkerStatus;
--- a/Source/Core/Jobs/Decision/Worker.h
+++ b/Source/Core/Jobs/Decision/Worker.h
@@ -40,6 +40,7 @@
     milliseconds estimate { 0 };
     std::string image;
     Common::Instant orderedAt {};
+    Common::Instant sentAt {}; ///< The latest attempt of the start; zero while the order waits, for example for the store.
     Common::Instant confirmedAt {}; ///< A poll sent later whose answer lacks the run proves that it is gone.
     Common::Instant progressAt {}; ///< When the percentage or the checkpoint last changed.
     std::string checkpoint; ///< Newest one reported; empty for none.
--- a/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
@@ -35,6 +35,7 @@
 {
     WorkerSession::Hooks result;
     result.onPollAnswered = [this, id](const Ports::PollAnswer& answer, Common::Instant sentAt) { onPollAnswered(id, answer, sentAt); };
+    result.onStartSent = [this](const StartRun& run) { core.onStartSent(run, moment()); };
     result.onStartAnswered = [this](const StartRun& run, const Ports::WorkerAnswer& answer) {
         core.onStartAnswer(run, answer, moment());
         if (answer.status != Ports::WorkerStatus::Done && answer.status != Ports::WorkerStatus::NoAnswer)
--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -243,6 +243,7 @@
             return;
         }
         const Ports::StartOrder order { target(), run.task, run.run, run.payload, leaseForStart(), fence, run.checkpoint, run.ticket };
+        hooks.onStartSent(run);
         port.start(order, [self = shared_from_this(), run, attempt](const WorkerAnswer& answer) {
             if (self->isClosed)
                 return;
--- a/Source/Core/Jobs/Runtime/WorkerSession.h
+++ b/Source/Core/Jobs/Runtime/WorkerSession.h
@@ -29,6 +29,7 @@
     /// Callbacks to the owner, which decides. All but `needsStart`, `mayStart`, `mayStop`, `mayExtendLease`, `mayOrder`, `needsLatencyPoll` and `hasRuns` report events.
     struct Hooks {
         std::function<void(const Ports::PollAnswer&, Common::Instant sentAt)> onPollAnswered;
+        std::function<void(const StartRun&)> onStartSent; ///< Called before each attempt.
         std::function<void(const StartRun&, const Ports::WorkerAnswer&)> onStartAnswered; ///< Also for each attempt without an answer.
         /// A start was given up and its run stopped, as an earlier attempt may have arrived. The run ends once a poll shows so.
         std::function<void(const StartRun&, const Ports::WorkerAnswer& refusal)> onStartCancelled;
--- a/Source/UnitTests/Jobs/WorkerEndsTest.cpp
+++ b/Source/UnitTests/Jobs/WorkerEndsTest.cpp
@@ -80,6 +80,7 @@
     PolledSession()
     {
         WorkerSession::Hooks hooks;
+        hooks.onStartSent = [](const StartRun&) {};
         hooks.onPollAnswered = [this](const Ports::PollAnswer& answer, Common::Instant) { listed = answer.ended.size(); };
         hooks.mayExtendLease = [] { return true; };
         hooks.needsLatencyPoll = [] { return false; };
