Don't take a run whose start was never sent for one that may have started

Cause: a run occupies its worker from its placement on, while its order waits for the commit. When the worker was lost meanwhile, the run was a witness of the crash, its task a suspect that is tried alone, and its start one that the next incarnation may carry out late. Class: what has been decided is taken for what has been done.

Ruled out: the restarted worker itself (it takes starts), holds that expire (none did). Evidence: 600 "run-lost" with "sent" "no", 600 "task-suspected".

Change: a run knows when its start was last sent. One that was never sent is neither evidence of a crash nor a late start. Two more places took the placement for the start: a run that had waited longer than runs may make no progress was stopped at its first poll, and starts were spaced from their placements.

--- a/Source/Core/Jobs/Decision/PoolCoreLateStarts.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreLateStarts.cpp
@@ -33,7 +33,8 @@
 {
     std::erase_if(worker.unansweredStarts, [now](const auto& it) { return now - it.second.overSince > longestDelay; });
     for (const auto& [key, run] : lostRuns) {
-        if (run.phase == WorkerRun::Phase::Ordered || run.hasUnansweredStart)
+        const bool mayBeInFlight = run.phase == WorkerRun::Phase::Ordered && !run.isUnsent();
+        if (mayBeInFlight || run.hasUnansweredStart)
             noteUnansweredStart(worker, key, run, now);
     }
     if (loss == WorkerLoss::Restarted || loss == WorkerLoss::Crashed) {
--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -43,8 +43,12 @@
     const auto found = m_workers.find(order.worker);
     if (found == m_workers.end())
         return;
-    if (const auto it = found->second.runs.find(order.task); it != found->second.runs.end() && it->second.run == order.run)
-        it->second.sentAt = at.now;
+    const auto it = found->second.runs.find(order.task);
+    if (it == found->second.runs.end() || it->second.run != order.run)
+        return;
+    it->second.sentAt = at.now;
+    if (it->second.startedBy == Instant())
+        it->second.progressAt = at.now;
 }
 
 void PoolCore::onStartAnswer(const StartRun& order, const Ports::WorkerAnswer& answer, Moment at)
@@ -57,6 +61,8 @@
     const auto it = worker.runs.find(order.task);
     if (it == worker.runs.end() || it->second.run != order.run)
         return;
+    if (it->second.sentAt == Instant())
+        it->second.sentAt = at.now;
     if (answer.status == WorkerStatus::NoAnswer) {
         it->second.hasUnansweredStart = true;
         return;
--- a/Source/Core/Jobs/Decision/Worker.h
+++ b/Source/Core/Jobs/Decision/Worker.h
@@ -55,6 +55,11 @@
     bool mustBeAlone = false; ///< No other run may start beside it before it has outlived its start.
     bool isProven = false; ///< It has outlived its start.
     bool hasUnansweredStart = false; ///< An attempt of the start wasn't answered, and may be carried out late.
+
+    /// True when no attempt of the start was sent, so that the worker can't have the run.
+    bool isUnsent() const { return !isInherited && sentAt == Common::Instant() && startedBy == Common::Instant(); }
+    /// From then on, the run may have started.
+    Common::Instant mayHaveStartedAt() const { return std::max(orderedAt, sentAt); }
 };
 
 /// A start that may still be carried out if its worker restarts under its id, as the new incarnation can't tell it from starts of its
@@ -128,7 +133,7 @@
             const auto& run = entry.second;
             if (run.isProven || run.isInherited)
                 return false;
-            return now - run.orderedAt < (run.startedBy == Common::Instant() ? unconfirmedLimit : spacing);
+            return now - run.mayHaveStartedAt() < (run.startedBy == Common::Instant() ? unconfirmedLimit : spacing);
         });
     }
     Resources reserved() const
--- a/Source/UnitTests/Jobs/UnsentStartsTest.cpp
+++ b/Source/UnitTests/Jobs/UnsentStartsTest.cpp
@@ -2,9 +2,11 @@
 
 #include "EventLog.h"
 #include "JobFleet.h"
+#include "Jobs/Decision/PoolCore.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <variant>
 
 using namespace Jobs;
 using namespace std::chrono_literals;
@@ -60,3 +62,32 @@
         }
     }
 }
+
+// The time for which a start waits isn't time in which its run makes no progress.
+TEST_CASE("a run whose start has waited for the store isn't stopped as stalled at its first poll")
+{
+    const auto at = [](Common::Instant now) { return Moment { now, Common::WallTime(2000s) }; };
+    const Common::Instant placedAt { 1h };
+    PoolCore core { PoolLimits {} };
+    core.finishLoad(at(placedAt));
+    WorkerEntry entry;
+    entry.id = "w0";
+    entry.address = "w0:1";
+    entry.capacity = { 4000, 16000, 0 };
+    core.onWorkerListed(entry, at(placedAt));
+    core.onPollAnswer("w0", {}, placedAt, at(placedAt));
+    core.submit(jobId(1), {}, oneStep(1), at(placedAt));
+    core.decide(at(placedAt));
+    const auto orders = core.takeOutput().orders;
+    REQUIRE(orders.size() == 1);
+    const auto& start = std::get<StartRun>(orders.front());
+    const auto sentAt = placedAt + 10s;
+    core.onStartSent(start, at(sentAt));
+    core.onStartAnswer(start, { Ports::WorkerStatus::Done, Ports::WorkerRefusal::None, {} }, at(sentAt + 2ms));
+    Ports::PollAnswer poll;
+    poll.running.push_back({ start.task, start.run, "", 0, 0 });
+    core.onPollAnswer("w0", poll, sentAt + 5ms, at(sentAt + 8ms));
+    CHECK(core.takeOutput().orders.empty());
+    core.onPollAnswer("w0", poll, sentAt + 9s, at(sentAt + 9s));
+    CHECK(core.takeOutput().orders.size() == 1);
+}
