Try suspects that may not even have started in groups

What callers saw: a job whose starts an earlier owner had stored and not sent was unfinished 14 s after that owner's host and one worker were lost (2 of 2, 68 of 600 tasks started).

All of their tasks were suspected of the crash and tried one by one, although at most one of them has caused it. Class: a queue served one by one, of a length that nothing limits.

Change: such doubtful suspects are tried in groups of about the square root of their number, so that there are about as many groups as tasks in each (Dorfman, 1943). A group that crashes its worker is then tried one by one; a crashing task in it isn't given up before that, and needs no more crashes than before.

Test: both cases of UnsentStartsTest failed before; a trial with an unlimited group failed the third.

--- a/Source/Core/Jobs/Decision/Placement.cpp
+++ b/Source/Core/Jobs/Decision/Placement.cpp
@@ -32,6 +32,8 @@
             return !candidate.isQuarantined;
         if (suspicion == Suspicion::Grouped)
             return candidate.takesGroup || candidate.takesStrongSuspects;
+        if (suspicion == Suspicion::Doubtful)
+            return candidate.roomForDoubtful > 0 || candidate.takesStrongSuspects;
         return suspicion == Suspicion::Some ? candidate.takesSuspects : candidate.takesStrongSuspects;
     }
 
--- a/Source/Core/Jobs/Decision/Placement.h
+++ b/Source/Core/Jobs/Decision/Placement.h
@@ -25,6 +25,7 @@
     bool takesSuspects = false; ///< Of the kind Some.
     bool takesStrongSuspects = false;
     bool takesGroup = false; ///< Of suspects of the kind Grouped.
+    std::size_t roomForDoubtful = 0; ///< Number of suspects of the kind Doubtful that may still join those placed in this pass.
     bool isSpaced = false; ///< Takes no more starts in this pass; see StartSpacing.
 };
 
@@ -34,6 +35,7 @@
     Some, ///< Other starts on the worker must be spaced from its own.
     Strong, ///< No other run may start on its worker before it has outlived its start.
     Grouped, ///< The same, apart from other such tasks that start there at the same time.
+    Doubtful, ///< The same, apart from a limited number of other such tasks.
 };
 
 /// A candidate with the worker's current free capacity.
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -209,6 +209,9 @@
     std::vector<TaskKey> waitingSuspects(Instant now);
     /// True for a likely suspect that has waited too long for a worker of its own: it may start together with others like it.
     bool isGrouped(const TaskKey&, Instant now) const;
+    /// True for a suspect that may not even have started on the worker that crashed. Most of these are innocent, so that several are
+    /// tried together; those of a group that crashes its worker are then tried one by one.
+    bool isDoubtful(const TaskKey&, const Task&, Instant now) const;
     /// The suspicion that placement has to respect. A lasting suspect that has waited too long for a worker of its own is placed like
     /// others.
     Suspicion placementSuspicionOf(const TaskKey&, const Task&, bool isLasting, Instant now) const;
@@ -258,6 +261,7 @@
     std::set<TaskKey> m_doubtfulSuspects; ///< See CrashWitness::wasDoubtful.
     std::set<TaskKey> m_likelySuspects; ///< See CrashWitness::isLikely.
     std::map<TaskKey, Instant> m_suspectsWaitingSince;
+    std::size_t m_doubtfulGroupSize = 1; ///< Of doubtful suspects that are tried together.
     std::set<std::string> m_quarantined; ///< Workers that take only suspects for the time being.
     std::map<TaskKey, HeldTask> m_heldTasks; ///< Tasks with a late start; see LateStart.
     Instant m_previousStopsEndAt {}; ///< From then on, polls no longer list runs that a previous owner has stopped.
--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -3,6 +3,7 @@
 #include "Jobs/Decision/PoolCore.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <string_view>
 #include <tuple>
@@ -297,13 +298,21 @@
     return it != m_suspectsWaitingSince.end() && now - it->second > maximumIsolationWait && m_likelySuspects.contains(key);
 }
 
+bool PoolCore::isDoubtful(const TaskKey& key, const Task& task, Instant now) const
+{
+    const bool isFirst = task.crashTally.suspected == 1 && task.crashTally.sinceProven == 1;
+    return isFirst && m_doubtfulSuspects.contains(key) && !m_likelySuspects.contains(key) && suspicionOf(task, now) == Suspicion::Strong;
+}
+
 Suspicion PoolCore::placementSuspicionOf(const TaskKey& key, const Task& task, bool isLasting, Instant now) const
 {
     const auto it = m_suspectsWaitingSince.find(key);
     const bool hasWaitedTooLong = isLasting && it != m_suspectsWaitingSince.end() && now - it->second > maximumIsolationWait;
     if (hasWaitedTooLong)
         return Suspicion::None;
-    return isGrouped(key, now) ? Suspicion::Grouped : suspicionOf(task, now);
+    if (isGrouped(key, now))
+        return Suspicion::Grouped;
+    return isDoubtful(key, task, now) ? Suspicion::Doubtful : suspicionOf(task, now);
 }
 
 /// Sets workers aside for suspects, and keeps others away from suspects that haven't outlived their starts. A worker takes its
@@ -328,6 +337,11 @@
     const bool isTestingAlone = std::ranges::any_of(candidates, [](const auto& it) { return it.worker->isTestingAlone(); });
     std::vector<Candidate*> chosen;
     std::vector<Candidate*> groups;
+    // One task at most of those lost in a crash has caused it: about as many groups as tasks in each take the fewest trials (Dorfman, 1943).
+    const auto doubtful = std::ranges::count_if(suspects, [&](const auto& key) { return isDoubtful(key, *m_jobs.findTask(key), at.now); });
+    m_doubtfulGroupSize = std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(std::sqrt(static_cast<double>(doubtful)))));
+    const Candidate* doubtfulGroup = nullptr;
+    std::size_t doubtfulRoom = 0;
     auto available = byQuarantineCost(candidates, previous);
     for (const auto& key : suspects) {
         const bool joinsGroup = isGrouped(key, at.now);
@@ -342,12 +356,21 @@
         const auto request = requestFor(step, none, at);
         if (joinsGroup && std::ranges::any_of(groups, [&request](const auto* it) { return couldRunOn(*it->worker, request); }))
             continue;
+        const bool isInDoubt = !joinsGroup && isDoubtful(key, *m_jobs.findTask(key), at.now);
+        if (isInDoubt && doubtfulRoom > 0 && couldRunOn(*doubtfulGroup->worker, request)) {
+            --doubtfulRoom;
+            continue;
+        }
         const auto best = std::ranges::find_if(available, [&request](const auto* it) { return couldRunOn(*it->worker, request); });
         if (best == available.end())
             continue;
         (*best)->isQuarantined = true;
         m_quarantined.insert((*best)->worker->entry.id);
         (joinsGroup ? groups : chosen).push_back(*best);
+        if (isInDoubt) {
+            doubtfulGroup = *best;
+            doubtfulRoom = m_doubtfulGroupSize - 1;
+        }
         available.erase(best);
     }
     openForSuspects(chosen, isSpacing);
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -308,6 +308,7 @@
 {
     const auto& spec = job.spec().steps[key.step];
     const bool startsInGroup = place.takesGroup && isGrouped(key, at.now);
+    const bool startsWithDoubtful = !startsInGroup && isDoubtful(key, *m_jobs.findTask(key), at.now);
     auto& worker = *place.worker;
     const auto checkpoint = m_jobs.findTask(key)->checkpoint;
     place.room -= reservedBy(spec);
@@ -318,8 +319,10 @@
         place.takesSuspects = false;
         place.takesStrongSuspects = false;
         place.takesGroup = startsInGroup;
+        const auto roomForGroup = place.roomForDoubtful > 0 ? place.roomForDoubtful : m_doubtfulGroupSize;
+        place.roomForDoubtful = startsWithDoubtful ? roomForGroup - 1 : 0;
     }
-    place.isSpaced = !startsInGroup && m_startSpacing.at(at.now) > milliseconds(0);
+    place.isSpaced = !startsInGroup && !startsWithDoubtful && m_startSpacing.at(at.now) > milliseconds(0);
     if (job.state == JobState::Queued) {
         job.firstPlacedAt = at.wall;
         m_output.firstStarts.push_back(at.wall - job.dueAt(key.occurrence));
--- a/Source/UnitTests/Jobs/UnsentStartsTest.cpp
+++ b/Source/UnitTests/Jobs/UnsentStartsTest.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <string>
 #include <variant>
 
 using namespace Jobs;
@@ -18,6 +19,11 @@
 /// Jobs are asked for so long after the last one came, by the platform's rules.
 constexpr std::chrono::seconds finishTime { 14 };
 
+/// Starts that may follow the third crash, by the platform's rules.
+constexpr unsigned maximumCrashes = 5;
+/// Crashes after which a task may be given up.
+constexpr unsigned fewestCrashes = 2;
+
 JobSpec smallTasks(unsigned count)
 {
     auto spec = oneStep(count, 300ms, 5);
@@ -25,6 +31,42 @@
     return spec;
 }
 
+/// A fleet of two workers that return under their ids. Its tasks take 300 ms.
+struct RestartingFleet : JobFleet {
+    RestartingFleet(unsigned hostCount, std::chrono::milliseconds workerDownTime)
+        : JobFleet(hostCount, 2)
+    {
+        setRunTime(300ms);
+        keepsWorkerIds = true;
+        closesConnections = true;
+        downTime = workerDownTime;
+        for (const auto& [id, worker] : workers)
+            worker->closesConnections = true;
+        settle();
+    }
+
+    void submit(const std::string& host, unsigned number, const JobSpec& spec)
+    {
+        const auto answer = call(host, JobVerb::Submit, jobId(number), spec);
+        REQUIRE(answer);
+        REQUIRE(answer->outcome == JobOutcome::Accepted);
+    }
+
+    /// Submits job 1 so that its starts are stored and not sent, as the owner's host is killed; then a worker crashes. Returns the other host.
+    std::string submitAndLoseOwner(const JobSpec& spec)
+    {
+        const auto owner = ownerOf("desk");
+        const std::string other = owner == "host-0" ? "host-1" : "host-0";
+        submit(other, 1, spec);
+        store.answersToLose = 1000;
+        runFor(50ms);
+        killHost(owner);
+        store.answersToLose = 0;
+        crashWorker("w0");
+        return other;
+    }
+};
+
 } // namespace
 
 // Each such task was suspected of the crash and tried apart from the others: the job was unfinished 30 s later.
@@ -35,17 +77,8 @@
             CAPTURE(crashAfter.count());
             CAPTURE(downTime.count());
             const EventLog log;
-            JobFleet fleet(1, 2);
-            fleet.setRunTime(300ms);
-            fleet.keepsWorkerIds = true;
-            fleet.closesConnections = true;
-            fleet.downTime = downTime;
-            for (const auto& [id, worker] : fleet.workers)
-                worker->closesConnections = true;
-            fleet.settle();
-            const auto answer = fleet.call("host-0", JobVerb::Submit, jobId(1), smallTasks(600));
-            REQUIRE(answer);
-            REQUIRE(answer->outcome == JobOutcome::Accepted);
+            RestartingFleet fleet(1, downTime);
+            fleet.submit("host-0", 1, smallTasks(600));
             fleet.store.isDown = true;
             fleet.runFor(crashAfter);
             fleet.crashWorker("w0");
@@ -91,3 +124,32 @@
     core.onPollAnswer("w0", poll, sentAt + 9s, at(sentAt + 9s));
     CHECK(core.takeOutput().orders.size() == 1);
 }
+
+// The next owner can't tell that the starts weren't sent: the tasks were tried one by one.
+TEST_CASE("a job whose starts an earlier owner stored ends soon after a worker crashes and restarts under its id")
+{
+    for (const auto downTime : { 100ms, 400ms }) {
+        CAPTURE(downTime.count());
+        RestartingFleet fleet(2, downTime);
+        const auto host = fleet.submitAndLoseOwner(smallTasks(600));
+        fleet.runFor(finishTime);
+        CHECK(fleet.stateOf(host, jobId(1)) == JobState::Completed);
+        CHECK(fleet.runMonitor.duplicateRuns == 0);
+    }
+}
+
+TEST_CASE("a crashing task among many whose starts an earlier owner stored is given up soon, after few crashes")
+{
+    for (const unsigned crashing : { 0U, 150U, 299U }) {
+        CAPTURE(crashing);
+        RestartingFleet fleet(2, 400ms);
+        const TaskKey task { jobId(1), 0, 0, crashing };
+        fleet.runMonitor.crashing.insert(task);
+        const auto host = fleet.submitAndLoseOwner(smallTasks(300));
+        fleet.runFor(finishTime);
+        CHECK(fleet.stateOf(host, jobId(1)) == JobState::Failed);
+        CHECK(fleet.runMonitor.crashes[task] >= fewestCrashes);
+        CHECK(fleet.runMonitor.crashes[task] <= maximumCrashes);
+        CHECK(fleet.runMonitor.duplicateRuns == 0);
+    }
+}
