Leave open which task of a group of suspects has crashed its worker

All tasks of a group that crashed its worker were suspected a second time, so that one crash of a worker by itself gave an innocent one of them up. A gang member or a lasting task on any worker opened that worker for a group as well.

Change: a run that was started with other suspects is in doubt after a crash; only a worker that was set aside takes a group.

Test: fails without the doubt for two of three positions of the crashing task.

--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -64,7 +64,7 @@
     const bool hasStarted = run.startedBy != Instant();
     LostRun lost { key, run.run };
     lost.isProven = run.isProven || (hasStarted && aliveUntil - run.startedBy >= provenAfter);
-    lost.isDoubtful = !hasStarted || failingSince == Instant() || failingSince - run.startedBy >= provenAfter;
+    lost.isDoubtful = !hasStarted || run.isTriedInGroup || failingSince == Instant() || failingSince - run.startedBy >= provenAfter;
     lost.isUnconfirmed = !hasStarted && !run.isInherited && failingSince != Instant() && failingSince - run.mayHaveStartedAt() < provenAfter;
     if (!lost.isDoubtful)
         lost.age = std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(failingSince - run.startedBy));
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -308,7 +308,8 @@
 {
     const auto& spec = job.spec().steps[key.step];
     const bool startsInGroup = place.takesGroup && isGrouped(key, at.now);
-    const bool startsWithDoubtful = !startsInGroup && isDoubtful(key, *m_jobs.findTask(key), at.now);
+    const bool isOpenForDoubtful = place.takesStrongSuspects || place.roomForDoubtful > 0;
+    const bool startsWithDoubtful = !startsInGroup && isOpenForDoubtful && isDoubtful(key, *m_jobs.findTask(key), at.now);
     auto& worker = *place.worker;
     const auto checkpoint = m_jobs.findTask(key)->checkpoint;
     place.room -= reservedBy(spec);
@@ -319,6 +320,7 @@
         place.takesSuspects = false;
         place.takesStrongSuspects = false;
         place.takesGroup = startsInGroup;
+        placed.isTriedInGroup = startsWithDoubtful && m_doubtfulGroupSize > 1;
         const auto roomForGroup = place.roomForDoubtful > 0 ? place.roomForDoubtful : m_doubtfulGroupSize;
         place.roomForDoubtful = startsWithDoubtful ? roomForGroup - 1 : 0;
     }
--- a/Source/Core/Jobs/Decision/Worker.h
+++ b/Source/Core/Jobs/Decision/Worker.h
@@ -53,6 +53,7 @@
     bool isInherited = false; ///< Placed by an earlier owner, so that it may have started at any time, or never.
     bool isSuspect = false; ///< Its task may have crashed workers before; see CrashEvidence.h.
     bool mustBeAlone = false; ///< No other run may start beside it before it has outlived its start.
+    bool isTriedInGroup = false; ///< Started with other doubtful suspects: a crash leaves open which of them has caused it.
     bool isProven = false; ///< It has outlived its start.
     bool hasUnansweredStart = false; ///< An attempt of the start wasn't answered, and may be carried out late.
 
@@ -133,7 +134,7 @@
             const auto& run = entry.second;
             if (run.isProven || run.isInherited)
                 return false;
-            return now - run.mayHaveStartedAt() < (run.startedBy == Common::Instant() ? unconfirmedLimit : spacing);
+            return now - run.orderedAt < (run.startedBy == Common::Instant() ? unconfirmedLimit : spacing);
         });
     }
     Resources reserved() const
--- a/Source/UnitTests/Jobs/UnsentStartsTest.cpp
+++ b/Source/UnitTests/Jobs/UnsentStartsTest.cpp
@@ -96,33 +96,48 @@
     }
 }
 
+namespace {
+
+/// A pool with one worker, on which the only task of job 1 was placed.
+struct PlacedRun {
+    PlacedRun()
+    {
+        core.finishLoad(at(placedAt));
+        WorkerEntry entry;
+        entry.id = "w0";
+        entry.address = "w0:1";
+        entry.capacity = { 4000, 16000, 0 };
+        core.onWorkerListed(entry, at(placedAt));
+        core.onPollAnswer("w0", {}, placedAt, at(placedAt));
+        core.submit(jobId(1), {}, oneStep(1), at(placedAt));
+        core.decide(at(placedAt));
+        const auto orders = core.takeOutput().orders;
+        REQUIRE(orders.size() == 1);
+        start = std::get<StartRun>(orders.front());
+    }
+
+    static Moment at(Common::Instant now) { return { now, Common::WallTime(2000s) }; }
+
+    Common::Instant placedAt { 1h };
+    PoolCore core { PoolLimits {} };
+    StartRun start;
+};
+
+} // namespace
+
 // The time for which a start waits isn't time in which its run makes no progress.
 TEST_CASE("a run whose start has waited for the store isn't stopped as stalled at its first poll")
 {
-    const auto at = [](Common::Instant now) { return Moment { now, Common::WallTime(2000s) }; };
-    const Common::Instant placedAt { 1h };
-    PoolCore core { PoolLimits {} };
-    core.finishLoad(at(placedAt));
-    WorkerEntry entry;
-    entry.id = "w0";
-    entry.address = "w0:1";
-    entry.capacity = { 4000, 16000, 0 };
-    core.onWorkerListed(entry, at(placedAt));
-    core.onPollAnswer("w0", {}, placedAt, at(placedAt));
-    core.submit(jobId(1), {}, oneStep(1), at(placedAt));
-    core.decide(at(placedAt));
-    const auto orders = core.takeOutput().orders;
-    REQUIRE(orders.size() == 1);
-    const auto& start = std::get<StartRun>(orders.front());
-    const auto sentAt = placedAt + 10s;
-    core.onStartSent(start, at(sentAt));
-    core.onStartAnswer(start, { Ports::WorkerStatus::Done, Ports::WorkerRefusal::None, {} }, at(sentAt + 2ms));
+    PlacedRun it;
+    const auto sentAt = it.placedAt + 10s;
+    it.core.onStartSent(it.start, PlacedRun::at(sentAt));
+    it.core.onStartAnswer(it.start, { Ports::WorkerStatus::Done, Ports::WorkerRefusal::None, {} }, PlacedRun::at(sentAt + 2ms));
     Ports::PollAnswer poll;
-    poll.running.push_back({ start.task, start.run, "", 0, 0 });
-    core.onPollAnswer("w0", poll, sentAt + 5ms, at(sentAt + 8ms));
-    CHECK(core.takeOutput().orders.empty());
-    core.onPollAnswer("w0", poll, sentAt + 9s, at(sentAt + 9s));
-    CHECK(core.takeOutput().orders.size() == 1);
+    poll.running.push_back({ it.start.task, it.start.run, "", 0, 0 });
+    it.core.onPollAnswer("w0", poll, sentAt + 5ms, PlacedRun::at(sentAt + 8ms));
+    CHECK(it.core.takeOutput().orders.empty());
+    it.core.onPollAnswer("w0", poll, sentAt + 9s, PlacedRun::at(sentAt + 9s));
+    CHECK(it.core.takeOutput().orders.size() == 1);
 }
 
 // The next owner can't tell that the starts weren't sent: the tasks were tried one by one.
@@ -142,6 +157,7 @@
 {
     for (const unsigned crashing : { 0U, 150U, 299U }) {
         CAPTURE(crashing);
+        const EventLog log;
         RestartingFleet fleet(2, 400ms);
         const TaskKey task { jobId(1), 0, 0, crashing };
         fleet.runMonitor.crashing.insert(task);
@@ -150,6 +166,9 @@
         CHECK(fleet.stateOf(host, jobId(1)) == JobState::Failed);
         CHECK(fleet.runMonitor.crashes[task] >= fewestCrashes);
         CHECK(fleet.runMonitor.crashes[task] <= maximumCrashes);
+        // The crash of a group leaves open which of its tasks has caused it.
+        const auto isOther = [&](const auto& it) { return it.at("task") != "0." + std::to_string(crashing); };
+        CHECK(std::ranges::none_of(log.all("task-suspected"), [&](const auto& it) { return isOther(it) && it.number("suspected") > 1; }));
         CHECK(fleet.runMonitor.duplicateRuns == 0);
     }
 }
