Don't send a start that waits once its run is to be stopped

What callers saw: a task may start after its job's cancelling was acknowledged.

Cause: needsStart() asked whether the run is still known, not whether it is to be stopped. The same class: what was decided first is carried out although it was decided otherwise since.

No run of the whole fleet shows the order of events; only suspected to have happened.

--- a/Source/UnitTests/Jobs/UnsentStartsTest.cpp
+++ b/Source/UnitTests/Jobs/UnsentStartsTest.cpp
@@ -140,6 +140,14 @@
     CHECK(it.core.takeOutput().orders.size() == 1);
 }
 
+TEST_CASE("a start that waits isn't sent once its job was cancelled")
+{
+    PlacedRun it;
+    CHECK(it.core.needsStart(it.start));
+    it.core.cancel(it.start.task.job, PlacedRun::at(it.placedAt + 1s));
+    CHECK_FALSE(it.core.needsStart(it.start));
+}
+
 // The next owner can't tell that the starts weren't sent: the tasks were tried one by one.
 TEST_CASE("a job whose starts an earlier owner stored ends soon after a worker crashes and restarts under its id")
 {
