Count a job as pending until a task of it is known to have started

What callers saw: a queue's `pending` left out jobs that hadn't begun.

Cause: the count took jobs whose state is Queued, and a job leaves that state when its first run is placed. The start may then wait for the store, be lost on its way or be unanswered.

Ruled out: the age of the answer.

Change: a job notes that a task has started when a worker confirms a start, a poll shows a run or an end of it, or a stored end isn't "lost" or has a checkpoint. The count takes jobs without that note. Nothing new is stored: a new owner counts a job whose runs were only placed, or lost without a checkpoint, until a worker shows otherwise. The states shown to callers don't change.

--- a/Source/Core/Jobs/Decision/JobTable.cpp
+++ b/Source/Core/Jobs/Decision/JobTable.cpp
@@ -108,6 +108,8 @@
         return;
     auto* job = find(record.task.job);
     job->state = JobState::Running;
+    // A lost run may never have begun, but one of the job's runs must have written the checkpoint.
+    job->hasStarted = job->hasStarted || record.how != RunEnd::Lost || !record.checkpoint.empty();
     endTask(*job, *job->stepOf(record.task), record);
 }
 
--- a/Source/Core/Jobs/Decision/JobTable.h
+++ b/Source/Core/Jobs/Decision/JobTable.h
@@ -61,7 +61,8 @@
     unsigned occurrencesDone = 0;
     std::vector<milliseconds> criticalPaths; ///< By index of the step; see criticalPathsOf().
 
-    // For logs and metrics only; not in snapshots.
+    // Not in snapshots. The first is for the backlog, the others are for logs and metrics only.
+    bool hasStarted = false; ///< A task is known to have started, while the state is Running from the first placement on.
     Common::WallTime firstPlacedAt {}; ///< When this owner placed the job's first run; zero otherwise.
     unsigned runs = 0; ///< Number of RunStarted records applied.
 
--- a/Source/Core/Jobs/Decision/PoolCore.cpp
+++ b/Source/Core/Jobs/Decision/PoolCore.cpp
@@ -246,7 +246,7 @@
 
 std::uint64_t PoolCore::backlog(const std::string& queue) const
 {
-    const auto waits = [&queue](const auto& it) { return it.second.accepted.queue == queue && it.second.state == JobState::Queued && it.second.spec().repeatCount == 0; };
+    const auto waits = [&queue](const auto& it) { return it.second.accepted.queue == queue && !it.second.hasStarted && it.second.spec().repeatCount == 0; };
     return static_cast<std::uint64_t>(std::ranges::count_if(m_jobs.active(), waits));
 }
 
@@ -293,6 +293,12 @@
         stopJob(id);
 }
 
+void PoolCore::noteStarted(const JobId& id)
+{
+    if (auto* job = m_jobs.find(id))
+        job->hasStarted = true;
+}
+
 void PoolCore::logFinished(const JobId& id, const JobSummary& summary)
 {
     const auto firstStart = summary.untilFirstStart ? std::to_string(summary.untilFirstStart->count()) : "unknown";
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -107,7 +107,8 @@
     Ports::JobAnswer cancel(const JobId&, Moment);
     /// Answers with the job's state, or that there is no such job.
     Ports::JobAnswer show(const JobId&) const;
-    /// Number of a queue's jobs that are accepted, have no schedule and haven't started.
+    /// Number of a queue's jobs that are accepted, have no schedule and of which no task is known to have started: a job whose runs are
+    /// only placed counts.
     std::uint64_t backlog(const std::string& queue) const;
 
     /// An attempt of a start is being sent.
@@ -169,6 +170,8 @@
 
     void record(JobRecord);
     void recordEnd(RunEnded);
+    /// A worker has, or had, a run of the job.
+    void noteStarted(const JobId&);
     void logFinished(const JobId&, const JobSummary&);
     void log(const char* event, const std::string& id, std::vector<std::pair<const char*, std::string>> fields);
     std::string submissionError(const JobSpec&) const;
--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -54,6 +54,8 @@
 void PoolCore::onStartAnswer(const StartRun& order, const Ports::WorkerAnswer& answer, Moment at)
 {
     using Ports::WorkerStatus;
+    if (answer.status == WorkerStatus::Done)
+        noteStarted(order.task.job);
     const auto found = m_workers.find(order.worker);
     if (found == m_workers.end())
         return;
@@ -213,6 +215,7 @@
     if (end.number <= worker.lastEndNumber)
         return;
     worker.lastEndNumber = end.number;
+    noteStarted(end.task.job);
     const auto it = worker.runs.find(end.task);
     if (it != worker.runs.end() && it->second.run <= end.run) {
         if (it->second.hasUnansweredStart)
@@ -256,6 +259,7 @@
 {
     const auto it = worker.runs.find(seen.task);
     if (it == worker.runs.end() || it->second.run != seen.run) {
+        noteStarted(seen.task.job);
         const auto* job = m_jobs.find(seen.task.job);
         const bool isKnown = job && seen.task.step < job->spec().steps.size();
         worker.strays += isKnown ? reservedBy(job->spec().steps[seen.task.step]) : Resources();
@@ -267,6 +271,8 @@
         return;
     }
     auto& run = it->second;
+    if (run.lastSeenPoll == 0)
+        noteStarted(seen.task.job);
     run.lastSeenPoll = worker.pollAnswers;
     if (run.phase == WorkerRun::Phase::Ordered) {
         run.phase = WorkerRun::Phase::Confirmed;
