Don't blame a machine for a crash that a stopped task may have caused

What callers saw: after a worker had crashed under a task of a job cancelled meanwhile, the next crashing task needed 4 starts instead of 2 to be given up.

Cause: runs of cancelled and failed jobs weren't among the witnesses of a crash, so that it had no suspect and its machine counted as one that crashes by itself.

Change: such a run, if it was sent and hadn't outlived its start, is a witness that can't be suspected. A crash that it may have caused doesn't count against its machine, nor, when the other suspects are acquitted, against bystanders; the others aren't suspected alone. "worker-crashed" says so in `excused`.

Tests: with runs of stopped jobs left out as before, "a task whose first crash was on another machine", "stopped task of a failed job" and "a lapsed worker that is found to have crashed" fail with 4 == 2 starts; now 2. The cases of judgeCrash(), CrashHistory and the unsent start guard the new parts; they don't compile, or pass, without them.

--- a/Source/Core/Jobs/Decision/CrashEvidence.cpp
+++ b/Source/Core/Jobs/Decision/CrashEvidence.cpp
@@ -45,6 +45,10 @@
     verdicts.reserve(witnesses.size());
     for (const auto& it : witnesses) {
         const bool isExplained = hasRecent && !isRecent(it);
+        if (it.wasStopped) {
+            verdicts.push_back({ it.tally, false, false, false, isPresumed(it) });
+            continue;
+        }
         CrashVerdict verdict { it.tally, isPresumed(it) || (isExplained && isCrashedAgain(it)), false };
         auto& tally = verdict.tally;
         tally.unexplained += verdict.isSuspect || blamesBystanders ? 1 : 0;
@@ -86,7 +90,7 @@
 
 bool isTooOften(const CrashTally& tally) { return tally.unexplained >= guiltyUnexplained; }
 
-void CrashHistory::add(const std::string& machine, Witnesses witnesses, bool isTest, Common::Instant now)
+void CrashHistory::add(const std::string& machine, Witnesses witnesses, bool isTest, Common::Instant now, bool isExcused)
 {
     if (isTest)
         m_tests.push_back(now);
@@ -94,14 +98,14 @@
         m_tests.pop_front();
     if (m_crashes.size() >= maximumCrashes)
         m_crashes.pop_front();
-    m_crashes.push_back({ machine, std::move(witnesses), now });
+    m_crashes.push_back({ machine, std::move(witnesses), now, isExcused });
 }
 
 std::set<TaskKey> CrashHistory::acquit(const TaskKey& task)
 {
     std::set<TaskKey> bystanders;
     for (auto& it : m_crashes) {
-        if (it.witnesses.erase(task) == 0 || it.hasSuspects())
+        if (it.witnesses.erase(task) == 0 || !it.isByItself())
             continue;
         for (auto& [other, growth] : it.witnesses) {
             if (growth.unexplained++ == 0)
@@ -135,12 +139,12 @@
 
 bool CrashHistory::crashedByItself(const std::string& machine) const
 {
-    return !machine.empty() && std::ranges::any_of(m_crashes, [&](const auto& it) { return it.machine == machine && !it.hasSuspects(); });
+    return !machine.empty() && std::ranges::any_of(m_crashes, [&](const auto& it) { return it.machine == machine && it.isByItself(); });
 }
 
 std::size_t CrashHistory::countOf(const std::string& machine) const
 {
-    return static_cast<std::size_t>(std::ranges::count(m_crashes, machine, &Crash::machine));
+    return static_cast<std::size_t>(std::ranges::count_if(m_crashes, [&](const auto& it) { return it.machine == machine && it.isCounted(); }));
 }
 
 std::unordered_map<std::string_view, CrashHistory::MachineCrashes> CrashHistory::byMachine() const
@@ -148,8 +152,8 @@
     std::unordered_map<std::string_view, MachineCrashes> result;
     for (const auto& it : m_crashes) {
         auto& crashes = result[it.machine];
-        ++crashes.count;
-        crashes.isByItself = crashes.isByItself || (!it.machine.empty() && !it.hasSuspects());
+        crashes.count += it.isCounted() ? 1 : 0;
+        crashes.isByItself = crashes.isByItself || (!it.machine.empty() && it.isByItself());
     }
     return result;
 }
--- a/Source/Core/Jobs/Decision/CrashEvidence.h
+++ b/Source/Core/Jobs/Decision/CrashEvidence.h
@@ -29,6 +29,7 @@
     bool wasDoubtful = false; ///< Its tally counts a crash of a worker on which it may not have started.
     milliseconds age { 0 }; ///< From its start to the crash; zero when doubtful.
     bool isLikely = false; ///< Nothing else explained an earlier crash.
+    bool wasStopped = false; ///< Its job was cancelled or has failed, so that it isn't started again.
 };
 
 /// What follows from a crash for one witness.
@@ -37,12 +38,14 @@
     bool isSuspect = false;
     bool isGuilty = false; ///< The task must not be started again.
     bool isExplanation = false; ///< Nothing else explains the crash.
+    bool isExcuse = false; ///< The task was stopped, and would be a suspect otherwise: it may have caused the crash.
 };
 
 /// One verdict for each witness, in their order. Suspects are those that hadn't outlived their starts. On a worker that is known to
 /// crash by itself more evidence is needed. Where a `window` is known (zero otherwise), only those that may have
 /// started less than that before the crash are suspected, if there are any, and those that have crashed several times since they last
-/// outlived a start, whatever explains these crashes. Likely suspects that were tried together are guilty after two crashes.
+/// outlived a start, whatever explains these crashes. Tasks that were stopped aren't suspected, but a crash that one may have caused is no crash without a
+/// suspect, and the others aren't suspected alone. Likely suspects that were tried together are guilty after two crashes.
 std::vector<CrashVerdict> judgeCrash(const std::vector<CrashWitness>&, bool crashesByItself, milliseconds window = milliseconds(0));
 
 /// True when so many crashes are left unexplained that the task must not be started again.
@@ -76,8 +79,8 @@
     /// By witness, how much its tally grew by the crash. A witness whose `suspected` grew may explain it.
     using Witnesses = std::map<TaskKey, CrashTally>;
 
-    /// `isTest`: a task was on the worker that had been suspected before.
-    void add(const std::string& machine, Witnesses, bool isTest, Common::Instant now);
+    /// `isTest`: a task was on the worker that had been suspected before. `isExcused`: a task that was stopped may have caused the crash.
+    void add(const std::string& machine, Witnesses, bool isTest, Common::Instant now, bool isExcused = false);
     /// The task has outlived its start: it explains no crash. Returns the other tasks of crashes that are left without a suspect.
     std::set<TaskKey> acquit(const TaskKey&);
     /// The task has crashed the workers on which it was suspected. Returns what doesn't count against the other tasks any more.
@@ -105,7 +108,11 @@
         std::string machine;
         Witnesses witnesses;
         Common::Instant at;
+        bool isExcused = false;
 
+        /// False when nothing but a task that was stopped may explain it.
+        bool isCounted() const { return !isExcused || hasSuspects(); }
+        bool isByItself() const { return !isExcused && !hasSuspects(); }
         bool hasSuspects() const;
     };
 
--- a/Source/Core/Jobs/Decision/PoolCore.cpp
+++ b/Source/Core/Jobs/Decision/PoolCore.cpp
@@ -151,11 +151,13 @@
         const auto* sent = run.isUnsent() ? "no" : "yes";
         log("run-lost", key.job, { { "task", std::to_string(key.step) + "." + std::to_string(key.index) }, { "run", std::to_string(run.run) }, { "worker", id }, { "reason", nameOf(loss) }, { "ageMs", std::to_string(std::chrono::duration_cast<milliseconds>(at.now - run.orderedAt).count()) }, { "sent", run.isInherited ? "unknown" : sent }, { "confirmed", run.phase == WorkerRun::Phase::Ordered ? "no" : "yes" }, { "percent", std::to_string(run.percent) } });
         const auto* task = m_jobs.findTask(key);
-        if (!task || task->state != Task::State::Placed || task->lastRun != run.run || task->worker != id)
-            continue;
+        const bool isCurrent = task && task->state == Task::State::Placed && task->lastRun == run.run && task->worker == id;
         const bool wasAlive = failingSince == Instant() || run.mayHaveStartedAt() < failingSince;
-        if (run.isInherited || (wasAlive && !run.isUnsent()))
+        const bool mayHaveStarted = run.isInherited || (wasAlive && !run.isUnsent());
+        if (mayHaveStarted && (isCurrent || wasStopped(key.job)))
             lost.push_back(lostRunOf(key, run, worker.aliveUntil, failingSince));
+        if (!isCurrent)
+            continue;
         holdLateStart(worker, key, run, at.now);
         recordEnd({ key, run.run, RunEnd::Lost, run.checkpoint, at.wall });
     }
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -191,6 +191,8 @@
     void releaseLateStarts(Worker&);
     LostRun lostRunOf(const TaskKey&, const WorkerRun&, Instant aliveUntil, Instant failingSince) const;
     Suspicion suspicionOf(const Task&, Instant now) const;
+    bool wasStopped(const JobId&) const;
+    std::vector<CrashWitness> witnessesOf(const std::string& machine, const std::vector<LostRun>&);
     void onWorkerCrashed(const Worker&, const std::vector<LostRun>&, Moment);
     bool isProvenElsewhere(const LostRun&, const Task&) const;
     /// True when a later worker is known to run on the worker's machine, which runs one at a time.
--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -79,37 +79,56 @@
     return task.crashTally.suspected > 1 || task.crashTally.sinceProven > 2 || !isSpacing ? Suspicion::Strong : Suspicion::Some;
 }
 
-void PoolCore::onWorkerCrashed(const Worker& worker, const std::vector<LostRun>& lost, Moment at)
+/// True when runs of the job were or are being stopped, as it was cancelled or has failed.
+bool PoolCore::wasStopped(const JobId& id) const
+{
+    const auto* state = m_jobs.stateOf(id);
+    return state && (*state == JobState::Cancelled || *state == JobState::Failed);
+}
+
+std::vector<CrashWitness> PoolCore::witnessesOf(const std::string& machine, const std::vector<LostRun>& lost)
 {
-    const bool hasNoEvidence = lost.empty() && worker.pollAnswers == 0; // It may have crashed before this owner knew it.
-    if (hasNoEvidence)
-        return;
-    const auto& machine = worker.entry.machine;
     std::vector<CrashWitness> witnesses;
     for (const auto& it : lost) {
         const auto* task = m_jobs.findTask(it.task);
         if (task && task->state != Task::State::Done)
             witnesses.push_back({ it.task, task->crashTally, it.isDoubtful || m_crashes.isWitness(machine, it.task), it.isProven || isProvenElsewhere(it, *task), m_jobs.find(it.task.job)->spec().steps[it.task.step].isGang, it.isUnconfirmed, m_doubtfulSuspects.contains(it.task), it.age, m_likelySuspects.contains(it.task) });
+        else if (!task && wasStopped(it.task.job))
+            witnesses.push_back({ it.task, {}, it.isDoubtful, it.isProven, false, it.isUnconfirmed, false, it.age, false, true });
     }
+    return witnesses;
+}
+
+void PoolCore::onWorkerCrashed(const Worker& worker, const std::vector<LostRun>& lost, Moment at)
+{
+    const bool hasNoEvidence = lost.empty() && worker.pollAnswers == 0; // It may have crashed before this owner knew it.
+    if (hasNoEvidence)
+        return;
+    const auto& machine = worker.entry.machine;
+    const auto witnesses = witnessesOf(machine, lost);
     const bool isByItself = m_crashes.crashedByItself(machine);
     const auto window = m_startSpacing.window(at.now);
     const auto verdicts = judgeCrash(witnesses, isByItself, window);
     CrashHistory::Witnesses growth;
     for (std::size_t n = 0; n < witnesses.size(); ++n) {
         const auto& [before, after] = std::tie(witnesses[n].tally, verdicts[n].tally);
-        growth[witnesses[n].task] = { after.unexplained - before.unexplained, verdicts[n].isSuspect ? 1U : 0U, 0 };
+        if (!witnesses[n].wasStopped)
+            growth[witnesses[n].task] = { after.unexplained - before.unexplained, verdicts[n].isSuspect ? 1U : 0U, 0 };
     }
+    const bool isExcused = std::ranges::any_of(verdicts, &CrashVerdict::isExcuse);
     const auto suspects = std::ranges::count_if(verdicts, &CrashVerdict::isSuspect);
     const auto youngest = std::ranges::min_element(witnesses, {}, [](const auto& it) { return it.isProven || it.isDoubtful ? milliseconds::max() : it.age; });
     const bool isAgeKnown = youngest != witnesses.end() && !youngest->isProven && !youngest->isDoubtful;
-    log("worker-crashed", worker.entry.id, { { "youngestMs", isAgeKnown ? std::to_string(youngest->age.count()) : "unknown" }, { "windowMs", std::to_string(window.count()) }, { "machine", machine }, { "runs", std::to_string(witnesses.size()) }, { "suspects", std::to_string(suspects) }, { "crashedByItself", isByItself ? "yes" : "no" } });
+    log("worker-crashed", worker.entry.id, { { "youngestMs", isAgeKnown ? std::to_string(youngest->age.count()) : "unknown" }, { "windowMs", std::to_string(window.count()) }, { "machine", machine }, { "runs", std::to_string(witnesses.size()) }, { "suspects", std::to_string(suspects) }, { "crashedByItself", isByItself ? "yes" : "no" }, { "excused", isExcused ? "yes" : "no" } });
     const bool isTest = std::ranges::any_of(witnesses, [](const auto& it) { return !it.isProven && it.tally.suspected > 0; });
-    m_crashes.add(machine, std::move(growth), isTest, at.now);
+    m_crashes.add(machine, std::move(growth), isTest, at.now, isExcused);
     if (suspects > 0)
         m_startSpacing.onCrash(at.now);
     for (std::size_t n = 0; n < witnesses.size(); ++n) {
         const auto& key = witnesses[n].task;
         const auto& tally = verdicts[n].tally;
+        if (witnesses[n].wasStopped)
+            continue;
         record(TaskSuspected { key, tally });
         if (tally.suspected == 0)
             continue;
--- a/Source/UnitTests/Jobs/CrashReviewTest.cpp
+++ b/Source/UnitTests/Jobs/CrashReviewTest.cpp
@@ -168,6 +168,26 @@
     rig.runFor(rig.downTime + 100ms);
 }
 
+/// Adds a machine, lets a task crash its worker and then the other machine's, and returns its starts until its job is given up.
+unsigned startsUntilGivenUp(CoreRig& rig, unsigned job)
+{
+    std::set<std::string> others;
+    for (const auto& [id, worker] : rig.workers)
+        others.insert(id);
+    rig.addWorker("clean", 16);
+    rig.core.cordon(others, rig.at);
+    rig.crashing.insert(firstTask(job));
+    rig.submit(job, oneStep(1));
+    rig.downTime = 1h;
+    rig.runFor(100ms);
+    REQUIRE(rig.starts[firstTask(job)] == 1);
+    rig.downTime = 3300ms;
+    rig.core.cordon({}, rig.at);
+    rig.runFor(30s);
+    CHECK(rig.stateOf(job) == JobState::Failed);
+    return rig.starts[firstTask(job)];
+}
+
 } // namespace
 
 TEST_CASE("likely suspects don't wait beside idle workers for one of them that needs what another task uses")
@@ -258,3 +278,116 @@
     CHECK(rig.stateOf(2) == JobState::Failed);
     CHECK(rig.starts[firstTask(2)] == 2);
 }
+
+TEST_CASE("a task whose first crash was on another machine isn't started more often for a crash under a cancelled job's task")
+{
+    CoreRig rig;
+    rig.addWorker("m0", 16);
+    rig.runFor(200ms);
+    rig.crashing.insert(firstTask(1));
+    rig.submit(1, oneStep(1));
+    rig.runFor(10ms);
+    REQUIRE(rig.starts[firstTask(1)] == 1);
+    rig.core.cancel(jobId(1), rig.at);
+    rig.runFor(4s);
+    CHECK(startsUntilGivenUp(rig, 2) == 2);
+}
+
+TEST_CASE("a worker that crashes under a stopped task of a failed job doesn't make its machine one that crashes by itself")
+{
+    CoreRig rig;
+    rig.addWorker("m0", 16);
+    rig.addWorker("m1", 16);
+    rig.runFor(200ms);
+    rig.submit(1, oneStep(2, 1s, 16000));
+    rig.runFor(10ms);
+    const auto failing = rig.workerOf(firstTask(1));
+    auto& worker = rig.workers.at(failing);
+    const auto run = worker.running.at(firstTask(1)).first;
+    worker.running.clear();
+    worker.ended.push_back({ ++worker.endNumber, firstTask(1), run, RunEnd::Failed, {} });
+    const auto crashing = rig.workerOf({ jobId(1), 0, 0, 1 });
+    rig.workers.at(crashing).crashAt = rig.at.now + 20ms;
+    rig.workers.at(failing).crashAt = Instant::max();
+    rig.runFor(10ms);
+    REQUIRE(rig.stateOf(1) == JobState::Failed);
+    rig.runFor(10ms);
+    REQUIRE(!rig.workers.contains(crashing));
+    rig.runFor(4s);
+    rig.core.onWorkerUnlisted(failing, rig.at);
+    rig.workers.erase(failing);
+    CHECK(startsUntilGivenUp(rig, 2) == 2);
+}
+
+TEST_CASE("a lapsed worker that is found to have crashed after its task's job was cancelled doesn't make its machine one that crashes by itself")
+{
+    CoreRig rig;
+    rig.addWorker("m0", 16);
+    rig.runFor(200ms);
+    rig.submit(1, oneStep(1));
+    rig.runFor(20ms);
+    REQUIRE(rig.isRunning(firstTask(1)));
+    rig.workers.clear();
+    rig.core.onWorkerFailing("m0-1", rig.at.now, rig.at);
+    rig.core.onWorkerLost("m0-1", WorkerLoss::Lapsed, rig.at);
+    rig.core.cancel(jobId(1), rig.at);
+    rig.runFor(2s);
+    rig.addWorker("m0", 16);
+    rig.core.onWorkerUnlisted("m0-1", rig.at);
+    rig.runFor(200ms);
+    REQUIRE(std::ranges::any_of(rig.log, [](const auto& it) { return it.event == std::string("worker-crashed"); }));
+    CHECK(startsUntilGivenUp(rig, 2) == 2);
+}
+
+TEST_CASE("a task isn't given up as the only suspect of a crash that a stopped one beside it may have caused")
+{
+    CrashWitness stopped { firstTask(1), {} };
+    stopped.age = 10ms;
+    CrashWitness beside { firstTask(2), { 1, 1, 1 } };
+    beside.age = 10ms;
+    REQUIRE(judgeCrash({ beside }, false)[0].isGuilty);
+    stopped.wasStopped = true;
+    for (const auto window : { 0ms, 20ms }) {
+        CAPTURE(window.count());
+        const auto verdicts = judgeCrash({ stopped, beside }, false, window);
+        CHECK(verdicts[0].isExcuse);
+        CHECK(!verdicts[0].isSuspect);
+        CHECK(!verdicts[1].isGuilty);
+        CHECK(verdicts[1].tally.suspected == 2);
+        CHECK(judgeCrash({ stopped, { beside.task, verdicts[1].tally } }, false, window)[1].isGuilty);
+    }
+    beside.isProven = true;
+    CHECK(judgeCrash({ stopped, beside }, false)[1].tally == beside.tally);
+    stopped.isProven = true;
+    CHECK(!judgeCrash({ stopped, beside }, false)[0].isExcuse);
+    CHECK(judgeCrash({ stopped, beside }, false)[1].tally.unexplained == 2);
+}
+
+TEST_CASE("a crash that a stopped task may have caused counts neither for the machine nor for others when its suspects are acquitted")
+{
+    CrashHistory history;
+    history.add("m0", { { firstTask(1), { 1, 1, 0 } }, { firstTask(2), { 0, 0, 0 } } }, false, Instant(1h), true);
+    CHECK(history.countOf("m0") == 1);
+    CHECK(history.acquit(firstTask(1)).empty());
+    CHECK(!history.crashedByItself("m0"));
+    CHECK(history.countOf("m0") == 0);
+    CHECK(!history.byMachine().at("m0").isByItself);
+}
+
+TEST_CASE("a start that was never sent, of a job cancelled since, doesn't excuse a machine that crashes by itself")
+{
+    CoreRig rig;
+    rig.addWorker("m0", 16);
+    rig.runFor(200ms);
+    rig.unanswered.insert(firstTask(1));
+    rig.submit(1, oneStep(1));
+    rig.runFor(10ms);
+    rig.core.cancel(jobId(1), rig.at);
+    rig.crash("m0-1");
+    rig.runFor(10ms);
+    const auto crash = std::ranges::find(rig.log, "worker-crashed", [](const auto& it) { return std::string(it.event); });
+    REQUIRE(crash != rig.log.end());
+    const auto fieldOf = [&](const std::string& name) { return std::ranges::find(crash->fields, name, [](const auto& it) { return std::string(it.first); })->second; };
+    CHECK(fieldOf("excused") == "no");
+    CHECK(fieldOf("runs") == "0");
+}
