--- a/Source/Standins/JobWorker.cpp
+++ b/Source/Standins/JobWorker.cpp
@@ -23,7 +23,7 @@
 {
 }
 
-Ports::WorkerTime JobWorker::clock() const { return std::chrono::duration_cast<milliseconds>(m_loop.now() - m_startedAt) + milliseconds(1); }
+Ports::WorkerTime JobWorker::clock() const { return std::chrono::duration_cast<milliseconds>((m_loop.now() - m_startedAt) * clockPermille / 1000) + milliseconds(1); }
 
 bool JobWorker::acceptFence(Jobs::Fence fence)
 {
@@ -35,7 +35,7 @@
 
 void JobWorker::extendLease(Ports::WorkerTime until)
 {
-    const auto at = std::min(m_startedAt + until, m_loop.now() + maximumLease);
+    const auto at = std::min(m_startedAt + until * 1000 / clockPermille, m_loop.now() + maximumLease * 1000 / clockPermille);
     if (until.count() == 0 || at <= m_leaseUntil)
         return;
     m_leaseUntil = at;
--- a/Source/Standins/JobWorker.h
+++ b/Source/Standins/JobWorker.h
@@ -62,6 +62,7 @@
     std::uint64_t milliCoresEach = 1000; ///< Taken by each run.
     std::function<void(std::uint64_t milliCores)> onStarted; ///< Called after each start with the cores that all runs take.
     std::size_t endsPerAnswer = 500; ///< Ends that an answer to a poll lists at most, the oldest first.
+    unsigned clockPermille = 1000; ///< Speed of its clock, by which leases run.
     bool hangs = false; ///< While set, new runs never end and all runs report no progress.
 
 private:
@@ -71,7 +72,7 @@
         Common::TaskLoop::TimerId timer = 0;
     };
 
-    /// Time since the worker's start, at least 1 ms.
+    /// Time since the worker's start by its own clock, at least 1 ms.
     Ports::WorkerTime clock() const;
     /// Remembers the fencing token; false when a higher one was seen before.
     bool acceptFence(Jobs::Fence);
--- a/Source/UnitTests/Jobs/FakeStore.h
+++ b/Source/UnitTests/Jobs/FakeStore.h
@@ -5,7 +5,10 @@
 #include "Adapters/Platform/KeyValueStore.h"
 #include "HostLoop.h"
 
+#include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -20,9 +23,17 @@
     {
         Ports::Transaction transaction;
         transaction.puts = { { key, value, 0 } };
-        state.transact(transaction, loop.now());
+        state.transact(transaction, now());
     }
 
+    /// The time by which leases expire: it stands still while the store is down with pauseLeases().
+    Common::Instant now() const { return (m_pausedAt ? *m_pausedAt : loop.now()) - m_pausedFor; }
+    /// Takes the store down; leases pause until resume().
+    void pauseLeases();
+    void resume();
+    /// From now on the watches report nothing. After that time they break, and what was published meanwhile isn't reported any more.
+    void discardHistory(std::chrono::milliseconds time);
+
     VirtualLoop& loop;
     Adapters::KeyValueStore state;
     std::chrono::milliseconds delay { 2 }; ///< One way.
@@ -33,7 +44,16 @@
     std::string unreadable; ///< Reads of exactly this key or prefix time out; empty for none.
     std::string losesReadsUnder; ///< Reads of keys or prefixes that begin so time out; empty for none.
     std::string losesWritesUnder; ///< Writes of keys with this prefix time out without effect; empty for none.
+    std::string losesAnswersUnder; ///< Writes of keys with this prefix take effect after `lateEffect` and aren't answered; empty for none.
+    std::set<std::string> refusedHosts; ///< Hosts whose calls are refused without effect, and whose watches break.
+    std::size_t pageSize = 0; ///< Keys in a page of a list; the pages are read one after the other. Zero for no limit.
+    bool endsBrokenWatches = false; ///< A watch that has broken reports nothing more.
+    std::map<Adapters::KeyValueStore::WatchId, std::function<void()>> watchBreakers; ///< By watch.
     unsigned writes = 0; ///< Writes received, those with a lost answer included.
+
+private:
+    std::optional<Common::Instant> m_pausedAt;
+    Common::Instant::duration m_pausedFor { 0 };
 };
 
 /// One host's connection to the store.
@@ -59,6 +79,8 @@
     bool isCut() const { return m_store.isDown || m_store.cutHosts.contains(m_host); }
     void call(bool isWrite, const Call&, const Ports::PlatformCallback&);
     void leaveUnanswered(const Ports::PlatformCallback&);
+    /// Reads the pages after the last key of the result.
+    void readPages(const std::string& prefix, const Ports::PlatformReply& result, const Ports::PlatformCallback&);
     void answer(Ports::PlatformReply, const Ports::PlatformCallback&);
 
     FakeStore& m_store;
--- a/Source/UnitTests/Jobs/FakeWorkers.cpp
+++ b/Source/UnitTests/Jobs/FakeWorkers.cpp
@@ -12,7 +12,7 @@
 
 constexpr milliseconds networkDelay { 1 };
 constexpr milliseconds callTimeout { 700 };
-constexpr milliseconds lateStartDelay { 3000 };
+constexpr milliseconds lateDelay { 3000 };
 
 } // namespace
 
@@ -35,6 +35,14 @@
     return it != m_workers.end() && !it->second->isPartitioned && it->second->isCrashed && it->second->closesConnections;
 }
 
+void FakeWorkerPort::carryOutLate(const std::string& worker, std::function<void(FakeWorker&)> call)
+{
+    m_loop.after(lateDelay, [this, worker, call = std::move(call)] {
+        if (auto* it = findReachable(worker))
+            call(*it);
+    });
+}
+
 void FakeWorkerPort::retransmitStart(const Ports::StartOrder& order)
 {
     constexpr milliseconds retransmission { 200 };
@@ -49,6 +57,11 @@
 void FakeWorkerPort::start(const Ports::StartOrder& order, Ports::WorkerCallback callback)
 {
     callback = deferWhilePaused(m_hostLoop, std::move(callback));
+    if (callsToRefuse > 0) {
+        --callsToRefuse;
+        m_loop.after(networkDelay, [alive = m_isAlive, callback] { *alive ? callback({ WorkerStatus::Unhealthy, WorkerRefusal::None, {} }) : void(); });
+        return;
+    }
     if (startsToLose > 0) {
         --startsToLose;
         delayedWorker = order.target.worker;
@@ -61,7 +74,7 @@
     if (isDelayed)
         delayedWorker = order.target.worker;
     startAnswersToLose -= isLost ? 1 : 0;
-    m_loop.after(isDelayed ? lateStartDelay : networkDelay, [this, alive = m_isAlive, isDelayed, isLost, order, callback] {
+    m_loop.after(isDelayed ? lateDelay : networkDelay, [this, alive = m_isAlive, isDelayed, isLost, order, callback] {
         auto* worker = findReachable(order.target.worker);
         if (worker && (isDelayed || isLost))
             worker->start(order, [](const WorkerAnswer&) {});
@@ -81,6 +94,12 @@
 void FakeWorkerPort::stop(const Ports::StopOrder& order, Ports::WorkerCallback callback)
 {
     callback = deferWhilePaused(m_hostLoop, std::move(callback));
+    if (stopsToDelay > 0) {
+        --stopsToDelay;
+        carryOutLate(order.target.worker, [order](FakeWorker& worker) { worker.stop(order, [](const WorkerAnswer&) {}); });
+        m_loop.after(callTimeout, [alive = m_isAlive, callback] { *alive ? callback({}) : void(); });
+        return;
+    }
     m_loop.after(networkDelay, [this, alive = m_isAlive, order, callback] {
         if (auto* worker = losesStops ? nullptr : findReachable(order.target.worker))
             worker->stop(order, [this, alive, callback](const WorkerAnswer& answer) { m_loop.after(networkDelay, [alive, callback, answer] { *alive ? callback(answer) : void(); }); });
@@ -99,6 +118,12 @@
 {
     callback = deferWhilePaused(m_hostLoop, std::move(callback));
     ++polls[order.target.worker];
+    if (pollsToDelay > 0) {
+        --pollsToDelay;
+        carryOutLate(order.target.worker, [order](FakeWorker& worker) { worker.poll(order, [](const Ports::PollAnswer&) {}); });
+        m_loop.after(order.wait + callTimeout, [alive = m_isAlive, callback] { *alive ? callback({}) : void(); });
+        return;
+    }
     m_loop.after(networkDelay, [this, alive = m_isAlive, order, callback] {
         const auto answered = std::make_shared<bool>(false);
         if (isRefused(order.target.worker)) {
--- a/Source/UnitTests/Jobs/FakeWorkers.h
+++ b/Source/UnitTests/Jobs/FakeWorkers.h
@@ -7,6 +7,7 @@
 #include "Ports/WorkerPort.h"
 #include "Standins/JobWorker.h"
 
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -40,12 +41,17 @@
     /// Number of next starts that are carried out, but whose answers are lost.
     unsigned startAnswersToLose = 0;
     bool losesStops = false; ///< Stops don't reach their workers.
+    unsigned stopsToDelay = 0; ///< Number of next stops that are carried out late and not answered.
+    unsigned pollsToDelay = 0; ///< The same of polls.
+    unsigned callsToRefuse = 0; ///< Number of next starts that an unhealthy worker refuses without effect.
 
 private:
     /// Null for a worker that is unknown, cut off or crashed.
     FakeWorker* findReachable(const std::string& worker);
     /// True for a crashed worker whose machine refuses connections.
     bool isRefused(const std::string& worker) const;
+    /// Carries out a call seconds later, if its worker is reachable then, without an answer.
+    void carryOutLate(const std::string& worker, std::function<void(FakeWorker&)>);
     void retransmitStart(const Ports::StartOrder&);
 
     VirtualLoop& m_loop;
--- a/Source/UnitTests/Jobs/JobFleet.cpp
+++ b/Source/UnitTests/Jobs/JobFleet.cpp
@@ -190,7 +190,7 @@
 {
     Ports::Transaction transaction;
     transaction.deletes = { "workers/" + id };
-    store.state.transact(transaction, loop.now());
+    store.state.transact(transaction, store.now());
 }
 
 void JobFleet::publishConfiguration() { store.put("op/configuration", "configuration"); }
