--- a/Source/Core/Jobs/Decision/CrashEvidence.h
+++ b/Source/Core/Jobs/Decision/CrashEvidence.h
@@ -44,8 +44,9 @@
 /// One verdict for each witness, in their order. Suspects are those that hadn't outlived their starts. On a worker that is known to
 /// crash by itself more evidence is needed. Where a `window` is known (zero otherwise), only those that may have
 /// started less than that before the crash are suspected, if there are any, and those that have crashed several times since they last
-/// outlived a start, whatever explains these crashes. Tasks that were stopped aren't suspected, but a crash that one may have caused is no crash without a
-/// suspect, and the others aren't suspected alone. Likely suspects that were tried together are guilty after two crashes.
+/// outlived a start, whatever explains these crashes. Tasks that were stopped aren't suspected, but a crash that one may have caused
+/// isn't held against its machine, and the others aren't suspected alone. Likely suspects that were tried together are guilty after two
+/// crashes.
 std::vector<CrashVerdict> judgeCrash(const std::vector<CrashWitness>&, bool crashesByItself, milliseconds window = milliseconds(0));
 
 /// True when so many crashes are left unexplained that the task must not be started again.
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -117,8 +117,8 @@
     void onStartAnswer(const StartRun&, const Ports::WorkerAnswer&, Moment);
     /// The run was stopped after the refusal of its start, as an earlier attempt may have started it: it ends once a poll shows so.
     void onStartCancelled(const StartRun&, const Ports::WorkerAnswer& refusal, Moment);
-    /// Whether a start is to be sent, or repeated without an answer. Not once its run has been given up or is to be stopped, nor after a poll has shown the
-    /// run or its end: an attempt that is carried out late would start it again on the worker's next incarnation.
+    /// Whether a start is to be sent, or repeated without an answer. Not once its run has been given up or is to be stopped, nor after a poll
+    /// has shown the run or its end: an attempt that is carried out late would start it again on the worker's next incarnation.
     bool needsStart(const StartRun&) const;
     /// Whether a start order may still be sent: since the run was placed, its worker may have begun to drain, or its capacity may have shrunk.
     bool mayStart(const StartRun&) const;
