--- a/Source/UnitTests/Jobs/UnsentStartsTest.cpp
+++ b/Source/UnitTests/Jobs/UnsentStartsTest.cpp
@@ -56,7 +56,7 @@
     std::string submitAndLoseOwner(const JobSpec& spec)
     {
         const auto owner = ownerOf("desk");
-        const std::string other = owner == "host-0" ? "host-1" : "host-0";
+        std::string other = owner == "host-0" ? "host-1" : "host-0";
         submit(other, 1, spec);
         store.answersToLose = 1000;
         runFor(50ms);
