--- a/Source/UnitTests/Jobs/AllowedBehaviourTest.cpp
+++ b/Source/UnitTests/Jobs/AllowedBehaviourTest.cpp
@@ -1,4 +1,4 @@
-/// What the users' pages allow others to do to jobs, and the other fakes don't do: see the tables in docs/PROOFS.md.
+/// Whole fleets under behaviour that the platform's protocol allows and that other tests don't cover; docs/PROOFS.md lists it.
 
 #include "JobFleet.h"
 #include "Jobs/Runtime/StoreKeys.h"
--- a/Source/UnitTests/Jobs/FakeStore.h
+++ b/Source/UnitTests/Jobs/FakeStore.h
@@ -26,7 +26,7 @@
         state.transact(transaction, now());
     }
 
-    /// The time by which leases expire: it stands still while the store is down with pauseLeases().
+    /// The time by which leases expire: it doesn't advance while the store is down with pauseLeases().
     Common::Instant now() const { return (m_pausedAt ? *m_pausedAt : loop.now()) - m_pausedFor; }
     /// Takes the store down; leases pause until resume().
     void pauseLeases();
