--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -186,8 +186,6 @@
     void settleLateStarts(Worker&, const Ports::PollAnswer&, Instant sentAt);
     /// The worker won't return under its id.
     void releaseLateStarts(Worker&);
-    /// The worker may have crashed and restarted under its id before this owner's first poll.
-    void onInheritedRunMissing(const Worker&, const TaskKey&, RunNumber, Moment);
     LostRun lostRunOf(const TaskKey&, const WorkerRun&, Instant aliveUntil, Instant failingSince) const;
     Suspicion suspicionOf(const Task&, Instant now) const;
     void onWorkerCrashed(const Worker&, const std::vector<LostRun>&, Moment);
--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -176,13 +176,6 @@
         record(gradeOf(key));
 }
 
-void PoolCore::onInheritedRunMissing(const Worker& worker, const TaskKey& key, RunNumber run, Moment at)
-{
-    LostRun lost { key, run };
-    lost.isDoubtful = true;
-    onWorkerCrashed(worker, { lost }, at);
-}
-
 /// A worker that lapsed may be known to have crashed only after the task's next run has outlived its start.
 bool PoolCore::isProvenElsewhere(const LostRun& lost, const Task& task) const
 {
--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -281,10 +281,12 @@
     updateProof(seen.task, run, at);
 }
 
-/// A confirmed run that is neither running nor ended according to a later poll, which has listed all ends, is lost.
+/// A confirmed run that is neither running nor ended according to a later poll, which has listed all ends, is lost. The worker may have
+/// crashed and restarted under its id before this owner's first poll.
 void PoolCore::handleMissingRuns(Worker& worker, Instant sentAt, Moment at)
 {
     std::vector<std::pair<TaskKey, WorkerRun>> missing;
+    std::vector<LostRun> lostInCrash;
     for (const auto& [key, run] : worker.runs) {
         if (run.phase != WorkerRun::Phase::Ordered && run.confirmedAt < sentAt && run.lastSeenPoll != worker.pollAnswers)
             missing.emplace_back(key, run);
@@ -298,9 +300,14 @@
         if (!isAssignedHere(m_jobs.findTask(key), worker, run.run))
             continue;
         recordEnd({ key, run.run, RunEnd::Lost, run.checkpoint, at.wall });
-        if (run.isInherited && run.startedBy == Instant() && mayHaveRestartedSince(run, worker))
-            onInheritedRunMissing(worker, key, run.run, at);
+        if (run.isInherited && run.startedBy == Instant() && mayHaveRestartedSince(run, worker)) {
+            LostRun lost { key, run.run };
+            lost.isDoubtful = true;
+            lostInCrash.push_back(lost);
+        }
     }
+    if (!lostInCrash.empty())
+        onWorkerCrashed(worker, lostInCrash, at);
 }
 
 /// Stops runs that have made no progress for too long, so that their tasks are placed on another worker.
--- a/Source/UnitTests/Jobs/InheritedRunsTest.cpp
+++ b/Source/UnitTests/Jobs/InheritedRunsTest.cpp
@@ -89,6 +89,21 @@
     CHECK(isSuspected({})); // It doesn't say when it started.
 }
 
+// Each run counted as a crash of its own: the machine seemed to crash once for each.
+TEST_CASE("the runs that a worker lost in a crash before its owner's first poll count as one crash")
+{
+    std::vector<JobRecord> records;
+    for (unsigned n = 0; n < 3; ++n) {
+        records.emplace_back(acceptedJob(n, acceptedAt));
+        records.emplace_back(RunStarted { taskOf(n), 1, workerId(0) });
+    }
+    InheritedPool pool(records, 1);
+    pool.answerWithoutRuns(0, acceptedAt + 1s);
+    const auto output = pool.core.takeOutput();
+    CHECK(std::ranges::count_if(output.records, [](const auto& it) { return std::holds_alternative<TaskSuspected>(it); }) == 3);
+    CHECK(std::ranges::count_if(output.log, [](const auto& it) { return it.event == std::string("worker-crashed"); }) == 1);
+}
+
 // All hosts lost power while the owner of a peaking pool had stored several hundred starts and not yet sent them. Each counted as a crash.
 // Seen in fleetbench, day fresh-e705 of benjelloun-oukaimeden-large.
 TEST_CASE("starts that were stored but not sent when the hosts lost power aren't taken for crashes of their workers")
