--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -66,6 +66,9 @@
     std::size_t avoided = 0; ///< Get no runs for a while, after refusals and failures.
     std::size_t leaving = 0; ///< Draining, or not listed.
     std::size_t testing = 0; ///< Run a suspect that hasn't outlived its start, and take no other tasks until then.
+    std::size_t setAside = 0; ///< Take only suspects. Workers that are being tested are counted above.
+    std::uint64_t setAsideFreeMilliCores = 0; ///< The part of `freeMilliCores` on these.
+    std::size_t waitingLastingSuspects = 0; ///< The part of `waitingSuspects` that are lasting tasks.
     std::size_t waitingSuspects = 0; ///< Tasks that wait and may start only apart from others; see CrashEvidence.h.
     milliseconds oldestSuspect { 0 }; ///< Longest time that one of them has waited.
 };
--- a/Source/Core/Jobs/Decision/PoolCoreReport.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreReport.cpp
@@ -45,6 +45,10 @@
         if (worker.isSchedulable(at.now)) {
             ++result.candidates;
             result.freeMilliCores += worker.room().milliCores;
+            if (m_quarantined.contains(id)) {
+                ++result.setAside;
+                result.setAsideFreeMilliCores += worker.room().milliCores;
+            }
         }
         result.silent += worker.isResponsive ? 0 : 1;
         result.cordoned += worker.isCordoned ? 1 : 0;
@@ -53,8 +57,11 @@
         result.testing += worker.isTestingSuspect() ? 1 : 0;
     }
     result.waitingSuspects = m_suspectsWaitingSince.size();
-    for (const auto& [key, since] : m_suspectsWaitingSince)
+    for (const auto& [key, since] : m_suspectsWaitingSince) {
         result.oldestSuspect = std::max(result.oldestSuspect, std::chrono::duration_cast<milliseconds>(at.now - since));
+        const auto* job = m_jobs.find(key.job);
+        result.waitingLastingSuspects += job && job->spec().steps[key.step].isLasting ? 1 : 0;
+    }
     forEachWaitingStep(m_jobs, [&](const Job& job, unsigned occurrence, unsigned, unsigned waiting) {
         result.waitingTasks += waiting;
         result.oldestWaiting = std::max(result.oldestWaiting, at.wall - job.dueAt(occurrence));
--- a/Source/Core/Jobs/Runtime/OwnerActivity.cpp
+++ b/Source/Core/Jobs/Runtime/OwnerActivity.cpp
@@ -68,7 +68,10 @@
     add("avoided", pressure.avoided);
     add("leaving", pressure.leaving);
     add("testing", pressure.testing);
+    add("setAside", pressure.setAside);
+    add("setAsideFreeMilliCores", pressure.setAsideFreeMilliCores);
     add("waitingSuspects", pressure.waitingSuspects);
+    add("waitingLastingSuspects", pressure.waitingLastingSuspects);
     add("oldestSuspectMs", static_cast<std::uint64_t>(pressure.oldestSuspect.count()));
     add("accepted", m_accepted);
     add("placed", m_placed);
