--- a/Source/Standins/JobWorker.cpp
+++ b/Source/Standins/JobWorker.cpp
@@ -79,7 +79,7 @@
                 onCrashed();
         });
     } else if (!hangs)
-        run.timer = m_loop.after(runTime, [this, task = order.task, runEnd] { end(task, runEnd); });
+        run.timer = m_loop.after(runTimeOf(order.task), [this, task = order.task, runEnd] { end(task, runEnd); });
     if (onStarted)
         onStarted(m_runs.size() * milliCoresEach);
     callback({ WorkerStatus::Done, WorkerRefusal::None, clock() });
@@ -146,8 +146,8 @@
 {
     const auto listed = std::min(m_ended.size(), endsPerAnswer);
     Ports::PollAnswer answer { { WorkerStatus::Done, WorkerRefusal::None, clock() }, entry.incarnation, {}, { m_ended.begin(), m_ended.begin() + static_cast<std::ptrdiff_t>(listed) }, listed == endsPerAnswer };
-    const auto fullTime = std::max(startup.count() > 0 ? startup : runTime, milliseconds(1));
     for (const auto& [task, run] : m_runs) {
+        const auto fullTime = std::max(startup.count() > 0 ? startup : runTimeOf(task), milliseconds(1));
         const auto age = std::chrono::duration_cast<milliseconds>(m_loop.now() - run.startedAt);
         const auto percent = hangs ? 0U : static_cast<unsigned>(std::min<std::int64_t>(100, age * 100 / fullTime));
         answer.running.push_back({ task, run.run, "", percent, 0 });
@@ -155,6 +155,21 @@
     return answer;
 }
 
+milliseconds JobWorker::runTimeOf(const Jobs::TaskKey& task) const
+{
+    const auto it = m_runMonitor.runTimes.find(task.job);
+    return it == m_runMonitor.runTimes.end() ? runTime : it->second;
+}
+
+std::vector<Jobs::TaskKey> JobWorker::runningTasks() const
+{
+    std::vector<Jobs::TaskKey> tasks;
+    tasks.reserve(m_runs.size());
+    for (const auto& [task, run] : m_runs)
+        tasks.push_back(task);
+    return tasks;
+}
+
 void JobWorker::crash()
 {
     isCrashed = true;
--- a/Source/Standins/JobWorker.h
+++ b/Source/Standins/JobWorker.h
@@ -25,6 +25,7 @@
     std::set<Jobs::TaskKey> crashing; ///< Tasks that crash each worker that starts them.
     std::map<Jobs::TaskKey, unsigned> crashes; ///< Workers that each of these has crashed.
     std::map<Jobs::TaskKey, unsigned> crashesUnder; ///< Workers that crashed while they ran the task, for any cause.
+    std::map<Jobs::JobId, std::chrono::milliseconds> runTimes; ///< Of each task of these jobs, instead of the worker's.
 };
 
 /// One worker. Used on the loop's thread only; the callbacks run there. A start, stop or poll with a lower fencing token than the
@@ -46,10 +47,12 @@
     /// Ends the poll that waits, as a reset of its connection does.
     void breakConnections();
     bool isBusy() const { return !m_runs.empty(); }
+    /// Tasks that run now.
+    std::vector<Jobs::TaskKey> runningTasks() const;
 
     Jobs::WorkerEntry entry;
     std::chrono::milliseconds runTime { 500 };
-    std::chrono::milliseconds startup { 0 }; ///< Age at which a run reports 100 %; zero for runTime.
+    std::chrono::milliseconds startup { 0 }; ///< Age at which a run reports 100 %; zero for its run time.
     bool isPartitioned = false; ///< Unreachable for the hosts, but runs continue; only stored here, for callers to check.
     bool isCrashed = false;
     bool hasStarted = false; ///< A run was started, in this incarnation.
@@ -74,6 +77,7 @@
 
     /// Time since the worker's start by its own clock, at least 1 ms.
     Ports::WorkerTime clock() const;
+    std::chrono::milliseconds runTimeOf(const Jobs::TaskKey&) const;
     /// Remembers the fencing token; false when a higher one was seen before.
     bool acceptFence(Jobs::Fence);
     /// Extends the lease, never shortens it; at its expiry all runs end as lapsed. Zero has no effect.
--- a/Source/UnitTests/Jobs/JobFleet.cpp
+++ b/Source/UnitTests/Jobs/JobFleet.cpp
@@ -160,6 +160,8 @@
     worker->runTime = m_runTime;
     worker->closesConnections = closesConnections;
     worker->onCrashed = [this, id] { onWorkerCrashed(id); };
+    if (onWorkerAdded)
+        onWorkerAdded(*worker);
     return workers[id] = std::move(worker);
 }
 
--- a/Source/UnitTests/Jobs/JobFleet.h
+++ b/Source/UnitTests/Jobs/JobFleet.h
@@ -137,6 +137,7 @@
     std::chrono::milliseconds downTime { 3000 }; ///< From a worker's crash to its return.
     bool closesConnections = false; ///< Crashed workers' connections end at once, and their machines refuse new ones.
     bool keepsWorkerIds = false; ///< Crashed workers return under their old ids.
+    std::function<void(FakeWorker&)> onWorkerAdded; ///< Called for each worker that is added from now on, before it is published.
     unsigned workerCrashes = 0; ///< Of any cause.
     bool failsMachineLists = false;
     std::chrono::milliseconds machineListDelay { 1 }; ///< From the call to the answer, which shows the machines at the time of the call.
--- /dev/null
+++ b/Source/UnitTests/Jobs/WaitingTasksTest.cpp
@@ -0,0 +1,99 @@
+/// Tests of tasks that wait although workers have room for them.
+
+#include "EventLog.h"
+#include "JobFleet.h"
+#include "WaitingTaskDay.h"
+
+#include <doctest/doctest.h>
+
+using namespace Jobs;
+using namespace std::chrono_literals;
+using Ports::JobVerb;
+
+namespace {
+
+/// The platform allows this long without a run where there is capacity.
+constexpr std::chrono::milliseconds longestWait { 3000 };
+/// From a worker's return until it takes tasks.
+constexpr std::chrono::milliseconds returnTime { 500 };
+/// Longer than a lasting suspect waits for a worker of its own.
+constexpr std::chrono::milliseconds downFor { 4000 };
+
+/// A fleet of one worker, which crashes just after two lasting tasks have started there, and returns.
+class CrashedWorkerFleet : public JobFleet {
+public:
+    CrashedWorkerFleet()
+        : JobFleet(1, 1)
+    {
+        closesConnections = true;
+        downTime = downFor;
+        workers.at("w0")->closesConnections = true;
+        setRunTime(10min);
+        settle();
+    }
+
+    void submit(unsigned number, const JobSpec& spec) { REQUIRE(call("host-0", JobVerb::Submit, jobId(number), spec)); }
+
+    unsigned runningTasks(const JobId& job) const
+    {
+        return static_cast<unsigned>(std::ranges::count_if(runMonitor.running, [&](const auto& it) { return it.second > 0 && it.first.job == job; }));
+    }
+
+    /// Fills a second worker with lasting tasks.
+    void fillOtherWorker()
+    {
+        workers.at("w0")->isPartitioned = true;
+        runFor(5s);
+        addWorker("w1", "m1", 4);
+        publishWorker("w1");
+        runFor(200ms);
+        submit(1, longRunningStep(4));
+        runFor(500ms);
+        REQUIRE(runningTasks(jobId(1)) == 4);
+        workers.at("w0")->isPartitioned = false;
+        runFor(5s);
+    }
+
+    void crashUnderLastingTasks()
+    {
+        submit(2, longRunningStep(2));
+        for (unsigned n = 0; n < 1000 && runningTasks(jobId(2)) < 2; ++n)
+            runFor(1ms);
+        REQUIRE(runningTasks(jobId(2)) == 2);
+        crashWorker("w0");
+        runFor(downFor + returnTime);
+    }
+};
+
+} // namespace
+
+// The worker was set aside for the lasting tasks, which were placed only on workers that aren't.
+TEST_CASE("lasting tasks that a worker has crashed under don't keep it from themselves and all others once it is back")
+{
+    for (const bool hasFullWorker : { false, true }) {
+        CAPTURE(hasFullWorker);
+        const EventLog log;
+        CrashedWorkerFleet fleet;
+        if (hasFullWorker)
+            fleet.fillOtherWorker();
+        fleet.crashUnderLastingTasks();
+        REQUIRE(!log.all("task-suspected").empty());
+        fleet.setRunTime(500ms);
+        fleet.submit(3, oneStep(1));
+        fleet.runFor(longestWait);
+        CHECK(fleet.runningTasks(jobId(2)) == 2);
+        CHECK(fleet.stateOf("host-0", jobId(3)) == JobState::Completed);
+    }
+}
+
+TEST_CASE("on random days of small fleets no task waits beside free capacity once the day's faults have ended")
+{
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        WaitingTaskDay day({ .seed = seed });
+        day.play();
+        CAPTURE(seed);
+        CAPTURE(day.description());
+        CHECK(day.longestWait().time <= longestWait);
+        CHECK(day.longestLastingWait().time <= longestWait);
+    }
+}
