Let lasting suspects start on the workers that are set aside for them

Cause: a lasting suspect that has waited for 1.5 s may start on any worker. So it was no longer placed on one that is set aside, where only suspects start, but a worker was still set aside for it in each decision. Where the other workers were full, nothing started on it for good: neither the suspects nor any other task. One crash under lasting tasks was enough in a pool of two workers; in larger ones up to half of the workers.

Now suspects that wait are first placed on the workers set aside, kept apart as before, and only then, if they last and have waited too long, on any other.

Evidence: WaitingTasksTest, first case, failed before.

--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -220,8 +220,9 @@
     /// True for a suspect that may not even have started on the worker that crashed. Most of these are innocent, so that several are
     /// tried together; those of a group that crashes its worker are then tried one by one.
     bool isDoubtful(const TaskKey&, const Task&, Instant now) const;
-    /// The suspicion that placement has to respect. A lasting suspect that has waited too long for a worker of its own is placed like
-    /// others.
+    /// How a suspect has to be kept apart on a worker that is set aside.
+    Suspicion isolationOf(const TaskKey&, const Task&, Instant now) const;
+    /// The same on any worker: a lasting suspect that has waited too long for a worker of its own is placed like others.
     Suspicion placementSuspicionOf(const TaskKey&, const Task&, bool isLasting, Instant now) const;
     void quarantineWorkers(std::vector<Candidate>&, Moment);
     /// Places suspects on the workers that take them, the longest waiting first.
--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -327,8 +327,11 @@
 {
     const auto it = m_suspectsWaitingSince.find(key);
     const bool hasWaitedTooLong = isLasting && it != m_suspectsWaitingSince.end() && now - it->second > maximumIsolationWait;
-    if (hasWaitedTooLong)
-        return Suspicion::None;
+    return hasWaitedTooLong ? Suspicion::None : isolationOf(key, task, now);
+}
+
+Suspicion PoolCore::isolationOf(const TaskKey& key, const Task& task, Instant now) const
+{
     if (isGrouped(key, now))
         return Suspicion::Grouped;
     return isDoubtful(key, task, now) ? Suspicion::Doubtful : suspicionOf(task, now);
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -63,10 +63,9 @@
         }
         const auto& task = *m_jobs.findTask(key);
         auto request = requestFor({ {}, &job, key.occurrence, key.step }, placed, at);
-        request.suspicion = placementSuspicionOf(key, task, job.spec().steps[key.step].isLasting, at.now);
+        request.suspicion = isolationOf(key, task, at.now);
         request.needsReliable = task.crashTally.unexplained > 0;
-        auto* place = request.suspicion == Suspicion::None ? nullptr : choosePlace(candidates, request);
-        if (place)
+        if (auto* place = choosePlace(candidates, request))
             placeTask(job, key, task.lastRun + 1, *place, at);
     }
 }
