Release workers set aside for suspects that don't start there, and prefer those that have room

What callers saw: a task waits for as long as the tasks of another job run, beside a worker with room for it.

What short tasks occupy now, and how many tasks of the step run there already, wasn't asked, and nothing limited the time for which the worker was kept from all others. In the other direction, a suspect waited for such a worker beside one that had room for it.

Three cases of WaitingTasksTest, each failed before.

--- a/Source/Core/Jobs/Decision/JobTable.cpp
+++ b/Source/Core/Jobs/Decision/JobTable.cpp
@@ -5,6 +5,16 @@
 
 namespace Jobs {
 
+std::map<std::string, unsigned> StepRun::placedByWorker() const
+{
+    std::map<std::string, unsigned> placed;
+    for (const auto& it : tasks) {
+        if (it.state == Task::State::Placed)
+            ++placed[it.worker];
+    }
+    return placed;
+}
+
 Common::WallTime Job::dueAt(unsigned occurrence) const
 {
     if (spec().repeatCount == 0)
--- a/Source/Core/Jobs/Decision/JobTable.h
+++ b/Source/Core/Jobs/Decision/JobTable.h
@@ -37,6 +37,8 @@
 
     bool isDone() const { return doneCount == tasks.size(); }
     unsigned waitingCount() const { return static_cast<unsigned>(tasks.size()) - doneCount - placedCount; }
+    /// Number of placed tasks by worker.
+    std::map<std::string, unsigned> placedByWorker() const;
 };
 
 /// Progress of one pass through a job's steps.
--- a/Source/Core/Jobs/Decision/Placement.h
+++ b/Source/Core/Jobs/Decision/Placement.h
@@ -26,6 +26,7 @@
     bool takesStrongSuspects = false;
     bool takesGroup = false; ///< Of suspects of the kind Grouped.
     std::size_t roomForDoubtful = 0; ///< Number of suspects of the kind Doubtful that may still join those placed in this pass.
+    bool hasUnprovenRuns = false; ///< Only known for workers that could be set aside.
     bool isSpaced = false; ///< Takes no more starts in this pass; see StartSpacing.
 };
 
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -227,6 +227,7 @@
     void quarantineWorkers(std::vector<Candidate>&, Moment);
     /// Places suspects on the workers that take them, the longest waiting first.
     void placeSuspects(std::vector<Candidate>&, Moment);
+    void releaseUnusedWorkers(std::vector<Candidate>&, Instant now);
     /// Leaves workers to suspects that still wait, apart from workers that could hold one of the other waiting tasks, given by what
     /// they need. Returns false if there are none.
     bool lendIdleWorkers(std::vector<Candidate>&, const std::vector<Resources>& needs, Moment);
@@ -271,7 +272,7 @@
     std::set<TaskKey> m_likelySuspects; ///< See CrashWitness::isLikely.
     std::map<TaskKey, Instant> m_suspectsWaitingSince;
     std::size_t m_doubtfulGroupSize = 1; ///< Of doubtful suspects that are tried together.
-    std::set<std::string> m_quarantined; ///< Workers that take only suspects for the time being.
+    std::map<std::string, Instant> m_quarantined; ///< Workers that take only suspects for the time being, and since when.
     std::map<TaskKey, HeldTask> m_heldTasks; ///< Tasks with a late start; see LateStart.
     Instant m_previousStopsEndAt {}; ///< From then on, polls no longer list runs that a previous owner has stopped.
     PoolOutput m_output;
--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -39,14 +39,16 @@
     }
 
     /// Candidates that may be set aside, those that the other tasks miss least first.
-    std::vector<Candidate*> byQuarantineCost(std::vector<Candidate>& candidates, const std::set<std::string>& previous)
+    std::vector<Candidate*> byQuarantineCost(std::vector<Candidate>& candidates, const std::map<std::string, Instant>& previous)
     {
         using Cost = std::tuple<std::size_t, bool, bool, bool, std::size_t, std::string_view>;
         std::vector<std::pair<Cost, Candidate*>> costs;
         for (auto& it : candidates) {
             const auto& worker = *it.worker;
-            if (!it.isQuarantined)
-                costs.emplace_back(Cost(it.crashes, !previous.contains(worker.entry.id), worker.hasUnprovenRuns(), it.hasLastingTasks, worker.runs.size(), worker.entry.id), &it);
+            if (it.isQuarantined)
+                continue;
+            it.hasUnprovenRuns = worker.hasUnprovenRuns();
+            costs.emplace_back(Cost(it.crashes, !previous.contains(worker.entry.id), it.hasUnprovenRuns, it.hasLastingTasks, worker.runs.size(), worker.entry.id), &it);
         }
         std::ranges::sort(costs, {}, &std::pair<Cost, Candidate*>::first);
         std::vector<Candidate*> result;
@@ -55,6 +57,16 @@
         return result;
     }
 
+    /// The worker to be set aside for a suspect: one on which it may start at once, if there is one. The others have to be emptied first,
+    /// which are preferred to workers that crash by themselves as long as the suspect hasn't waited for long.
+    std::vector<Candidate*>::iterator findForSuspect(std::vector<Candidate*>& available, const PlacementRequest& request, bool hasWaited)
+    {
+        const auto need = reservedBy(*request.step);
+        const auto mayStart = [&](const auto* it) { return !it->hasUnprovenRuns && (hasWaited || !it->crashesByItself) && need.fitsInto(it->room) && couldRunOn(*it->worker, request); };
+        const auto found = std::ranges::find_if(available, mayStart);
+        return found != available.end() ? found : std::ranges::find_if(available, [&request](const auto* it) { return couldRunOn(*it->worker, request); });
+    }
+
     std::string nameOfTask(const TaskKey& key) { return std::to_string(key.step) + "." + std::to_string(key.index); }
 
 } // namespace
@@ -374,8 +386,9 @@
         if (inUse + count >= limit && !mustBeTried)
             continue;
         const WaitingStep step { {}, m_jobs.find(key.job), key.occurrence, key.step };
-        const std::map<std::string, unsigned> none;
-        const auto request = requestFor(step, none, at);
+        const bool isLimited = step.job->spec().steps[key.step].maximumPerWorker > 0;
+        const auto placed = isLimited ? step.job->stepOf(key)->placedByWorker() : std::map<std::string, unsigned>();
+        const auto request = requestFor(step, placed, at);
         if (joinsGroup && std::ranges::any_of(groups, [&request](const auto* it) { return couldRunOn(*it->worker, request); }))
             continue;
         const bool isInDoubt = !joinsGroup && isDoubtful(key, *m_jobs.findTask(key), at.now);
@@ -383,11 +396,13 @@
             --doubtfulRoom;
             continue;
         }
-        const auto best = std::ranges::find_if(available, [&request](const auto* it) { return couldRunOn(*it->worker, request); });
+        const auto best = findForSuspect(available, request, at.now - m_suspectsWaitingSince.at(key) > maximumIsolationWait);
         if (best == available.end())
             continue;
+        const auto& id = (*best)->worker->entry.id;
+        const auto since = previous.find(id);
         (*best)->isQuarantined = true;
-        m_quarantined.insert((*best)->worker->entry.id);
+        m_quarantined[id] = since == previous.end() ? at.now : since->second;
         (joinsGroup ? groups : chosen).push_back(*best);
         if (isInDoubt) {
             doubtfulGroup = *best;
@@ -400,6 +415,20 @@
         it->takesGroup = !it->worker->hasUnprovenRuns();
 }
 
+/// Lets other tasks start on workers that have been set aside for long and have taken no suspect, for example because those that wait
+/// need more room.
+void PoolCore::releaseUnusedWorkers(std::vector<Candidate>& candidates, Instant now)
+{
+    for (auto& it : candidates) {
+        const auto found = m_quarantined.find(it.worker->entry.id);
+        if (found == m_quarantined.end() || now - found->second <= maximumIsolationWait || it.worker->isTestingSuspect())
+            continue;
+        m_quarantined.erase(found);
+        it.isQuarantined = it.takesSuspects = it.takesStrongSuspects = it.takesGroup = false;
+        it.roomForDoubtful = 0;
+    }
+}
+
 bool PoolCore::lendIdleWorkers(std::vector<Candidate>& candidates, const std::vector<Resources>& needs, Moment at)
 {
     if (m_suspects.empty() || waitingSuspects(at.now).empty())
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -37,6 +37,7 @@
         return;
     quarantineWorkers(candidates, at);
     placeSuspects(candidates, at);
+    releaseUnusedWorkers(candidates, at.now);
     const auto waiting = waitingSteps(at);
     // Once a step hasn't fitted anywhere, steps that need as much or more won't either.
     std::vector<Resources> unplaceable;
@@ -56,11 +57,7 @@
         return;
     for (const auto& key : waitingSuspects(at.now)) {
         auto& job = *m_jobs.find(key.job);
-        std::map<std::string, unsigned> placed;
-        for (const auto& it : job.stepOf(key)->tasks) {
-            if (it.state == Task::State::Placed)
-                ++placed[it.worker];
-        }
+        const auto placed = job.stepOf(key)->placedByWorker();
         const auto& task = *m_jobs.findTask(key);
         auto request = requestFor({ {}, &job, key.occurrence, key.step }, placed, at);
         request.suspicion = isolationOf(key, task, at.now);
@@ -240,11 +237,7 @@
     const auto& spec = job.spec().steps[it.step];
     TaskKey key { job.accepted.job, it.occurrence, it.step, 0 };
     auto& step = *job.stepOf(key);
-    std::map<std::string, unsigned> placed;
-    for (const auto& task : step.tasks) {
-        if (task.state == Task::State::Placed)
-            ++placed[task.worker];
-    }
+    auto placed = step.placedByWorker();
     auto request = requestFor(it, placed, at);
     if (spec.sameRack && !placed.empty()) {
         if (const auto* worker = findWorker(placed.begin()->first))
--- a/Source/UnitTests/Jobs/WaitingTasksTest.cpp
+++ b/Source/UnitTests/Jobs/WaitingTasksTest.cpp
@@ -86,6 +86,90 @@
     }
 }
 
+namespace {
+
+/// A fleet of one worker, w0, and others that tests add. Runs take a minute.
+class LongRunFleet : public JobFleet {
+public:
+    explicit LongRunFleet(std::chrono::milliseconds workerDownTime)
+        : JobFleet(1, 1)
+    {
+        closesConnections = true;
+        downTime = workerDownTime;
+        workers.at("w0")->closesConnections = true;
+        setRunTime(60s);
+        settle();
+    }
+
+    void addOtherWorker(unsigned cores)
+    {
+        addWorker("w1", "m1", cores);
+        publishWorker("w1");
+        runFor(200ms);
+    }
+
+    void start(unsigned number, const JobSpec& spec)
+    {
+        submit(number, spec);
+        const auto count = spec.steps.front().taskCount;
+        for (unsigned n = 0; n < 1000 && runningTasks(jobId(number)) < count; ++n)
+            runFor(1ms);
+        REQUIRE(runningTasks(jobId(number)) == count);
+    }
+
+    void submit(unsigned number, const JobSpec& spec) { REQUIRE(call("host-0", JobVerb::Submit, jobId(number), spec)); }
+
+    unsigned runningTasks(const JobId& job) const
+    {
+        return static_cast<unsigned>(std::ranges::count_if(runMonitor.running, [&](const auto& it) { return it.second > 0 && it.first.job == job; }));
+    }
+};
+
+} // namespace
+
+TEST_CASE("a worker isn't kept for a suspect that it has no room for, for as long as its tasks run")
+{
+    LongRunFleet fleet(60s);
+    fleet.start(1, oneStep(1, 60s, 1500));
+    fleet.runFor(1s);
+    fleet.addOtherWorker(4);
+    fleet.start(2, oneStep(1, 60s, 3000));
+    fleet.crashWorker("w1");
+    fleet.runFor(1s);
+    fleet.submit(3, oneStep(1, 60s, 250));
+    fleet.runFor(longestWait);
+    CHECK(fleet.runningTasks(jobId(3)) == 1);
+}
+
+TEST_CASE("a worker isn't kept for a suspect of a step of which it runs as many tasks as it may")
+{
+    LongRunFleet fleet(60s);
+    fleet.addOtherWorker(4);
+    auto spec = oneStep(2, 60s);
+    spec.steps.front().maximumPerWorker = 1;
+    fleet.start(1, spec);
+    fleet.crashWorker("w1");
+    fleet.runFor(1s);
+    fleet.submit(2, oneStep(1, 60s, 500));
+    fleet.runFor(longestWait);
+    CHECK(fleet.runningTasks(jobId(2)) == 1);
+}
+
+TEST_CASE("a suspect doesn't wait for room on one worker while another has it, also where a large task waits")
+{
+    LongRunFleet fleet(500ms);
+    fleet.start(1, oneStep(1, 60s, 3500));
+    fleet.runFor(1s);
+    fleet.addOtherWorker(16);
+    fleet.start(2, oneStep(1, 60s, 1500));
+    fleet.runFor(1s);
+    fleet.submit(3, oneStep(1, 60s, 16000));
+    fleet.start(4, oneStep(1, 60s));
+    fleet.crashWorker("w1");
+    fleet.runFor(1s + longestWait);
+    CHECK(fleet.runningTasks(jobId(4)) == 1);
+}
+
 TEST_CASE("on random days of small fleets no task waits beside free capacity once the day's faults have ended")
 {
     for (std::uint64_t seed = 1; seed <= 60; ++seed) {
