Let a worker's next incarnation refuse late calls to the earlier one, by a raised fencing token

Cause: a poll without an answer is carried out seconds later by the next incarnation of its worker's id. All calls of an owner carried the same token, its claim, so the incarnation accepted the poll and forgot the ends that it acknowledges, which no host had seen.

Starts follow a commit, so the first start at an incarnation carries a higher token than all calls to the earlier ones, and an incarnation that has ends refuses those. If nothing was committed since the earlier calls, the raise waits for the next commit; no start is sent before. A commit expects the owner's key at its fence, so that its revision is lower than any later owner's claim, also one of an earlier version.

A refusal of a call with a lower token than the session's deposes nobody; the call is made again. A session that is opened anew begins with the newest revision: beginning with the claim, the owner was deposed by a worker whose entry was back after it had been withdrawn ("an owner isn't deposed by a worker that restarted...", seen failing).

Ruled out: raising the token after each failed poll as well.

--- a/Source/Core/Jobs/Runtime/Journal.cpp
+++ b/Source/Core/Jobs/Runtime/Journal.cpp
@@ -6,6 +6,7 @@
 #include "Jobs/Runtime/SnapshotWriter.h"
 #include "Jobs/Runtime/StoreKeys.h"
 
+#include <algorithm>
 #include <deque>
 #include <numeric>
 #include <optional>
@@ -91,7 +92,7 @@
         if (isOver)
             return;
         if (reply.status == Ports::PlatformStatus::Ok)
-            finishCommit();
+            finishCommit(reply.revision);
         else if (reply.status == Ports::PlatformStatus::ComparesFailed)
             resolveCommit();
         else
@@ -124,7 +125,7 @@
             const bool isOwn = !reply.values.empty() && reply.values.front().value == self->segment;
             writeEvent("journal", { "commit-settled", self->settings.pool, { { "segment", std::to_string(self->nextSegment) }, { "stored", isOwn ? "own" : (reply.values.empty() ? "none" : "other") } } });
             if (isOwn)
-                self->finishCommit();
+                self->finishCommit(reply.values.front().modRevision);
             else
                 self->depose();
         });
@@ -140,9 +141,10 @@
         }
     }
 
-    void finishCommit()
+    void finishCommit(std::int64_t revision)
     {
         ++nextSegment;
+        newestRevision = std::max(newestRevision, static_cast<Fence>(revision));
         const auto effects = std::move(inFlight->effects);
         inFlight.reset();
         if (hooks.committed)
@@ -176,6 +178,7 @@
     std::optional<Batch> inFlight;
     std::string segment; ///< Value of the segment in flight.
     std::vector<JobRecord> snapshotRecords; ///< State as of the segment in flight.
+    Fence newestRevision = settings.fence;
     std::uint64_t nextSegment = 1;
     std::uint64_t snapshotSegment = 1; ///< First segment that the newest snapshot doesn't cover.
     Common::Instant lastCommit {};
@@ -236,6 +239,8 @@
     return std::chrono::duration_cast<milliseconds>(m_state->loop.now() - m_state->lastCommit);
 }
 
+Fence Journal::newestRevision() const { return m_state->newestRevision; }
+
 bool Journal::isIdle() const { return !m_state->inFlight && m_state->waiting.empty(); }
 
 } // namespace Jobs
--- a/Source/Core/Jobs/Runtime/Journal.h
+++ b/Source/Core/Jobs/Runtime/Journal.h
@@ -49,6 +49,9 @@
     milliseconds stalledFor() const;
     /// True when all records are stored.
     bool isIdle() const;
+    /// Store revision of the newest commit of this owner; its fence before the first one. Lower than the fence of any later owner, as
+    /// each commit expects the owner key at this owner's fence.
+    Fence newestRevision() const;
 
 private:
     struct State;
--- a/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
@@ -27,7 +27,8 @@
     // The previous owner may have granted leases until it was deposed, but none later.
     auto limits = context.sessionLimits;
     limits.takeoverLapse = std::max(milliseconds(0), std::chrono::ceil<milliseconds>(ownedSince + limits.takeoverLapse - loop.now()));
-    session = std::make_unique<WorkerSession>(loop, context.workers, limits, fence, entry, sessionHooks(entry.id));
+    // An earlier session of this owner may have raised the token there.
+    session = std::make_unique<WorkerSession>(loop, context.workers, limits, journal.newestRevision(), entry, sessionHooks(entry.id));
     session->begin();
 }
 
@@ -65,6 +66,7 @@
         scheduleDecision();
     };
     result.onFenced = [this] { depose("fenced"); };
+    result.newestFence = [this] { return journal.newestRevision(); };
     result.mayExtendLease = hooks.mayExtendLease;
     result.mayOrder = hooks.mayOrder;
     result.needsLatencyPoll = [this, id] { return core.needsFrequentPolls(id); };
--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -38,6 +38,20 @@
 
     Ports::WorkerTarget target() const { return { entry.id, entry.address }; }
 
+    /// The fencing token of the next call. Calls that were meant for an earlier incarnation may still be carried out, and those that
+    /// acknowledge ends or start runs have followed a commit: with a token of a later commit, the current incarnation refuses them.
+    Fence nextFence()
+    {
+        if (const auto newest = isRaiseDue ? hooks.newestFence() : fence; newest > fence) {
+            fence = newest;
+            isRaiseDue = false;
+        }
+        return fence;
+    }
+
+    /// The session itself has used a higher token since the call was sent: the refusal says nothing about other owners.
+    bool isOvertaken(const WorkerAnswer& answer, Fence sent) const { return answer.refusal == WorkerRefusal::Fence && sent < fence; }
+
     /// Extends the lease and returns its end on the worker's clock; zero while that clock isn't known or the owner mustn't extend.
     /// The lease of a worker that fails polls isn't extended: any attempt may reach it, and the lease would never lapse.
     Ports::WorkerTime extendLease()
@@ -62,22 +76,22 @@
         loop.cancel(pollTimer);
         // The worker may have restarted, and the number would acknowledge ends of its new incarnation: it is sent no longer than it has to be.
         const auto acknowledged = failedPolls == 0 && acknowledgedEnds > forgottenEnds ? acknowledgedEnds : 0;
-        Ports::PollOrder order { target(), fence, acknowledged, extendLease(), milliseconds(0) };
+        Ports::PollOrder order { target(), nextFence(), acknowledged, extendLease(), milliseconds(0) };
         // The first poll, and one after a failure, return at once, to show whether the worker is reachable.
         if (clock.isKnown() && failedPolls == 0)
             order.wait = hooks.needsLatencyPoll() ? limits.latencyPollWait : limits.pollWait;
         const auto sentAt = loop.now();
         pollLength = order.wait + shortestPollMargin;
-        port.poll(order, [self = shared_from_this(), sentAt, acknowledged, number = ++lastPoll](const Ports::PollAnswer& answer) {
+        port.poll(order, [self = shared_from_this(), sentAt, acknowledged, sent = order.fence, number = ++lastPoll](const Ports::PollAnswer& answer) {
             if (number != self->lastPoll)
                 return; // Of an earlier incarnation.
             self->isPolling = false;
             if (!self->isClosed)
-                self->onPollAnswered(answer, sentAt, acknowledged);
+                self->onPollAnswered(answer, sentAt, acknowledged, sent);
         });
     }
 
-    void onPollAnswered(const Ports::PollAnswer& poll, Instant sentAt, std::uint64_t acknowledged)
+    void onPollAnswered(const Ports::PollAnswer& poll, Instant sentAt, std::uint64_t acknowledged, Fence sent)
     {
         if (poll.incarnation != 0 && poll.incarnation < incarnation) {
             schedulePoll(endStoreWait); // Delayed answer of an earlier incarnation: its clock and its ends say nothing about the current one.
@@ -87,7 +101,11 @@
             beginIncarnation(poll.incarnation);
             acknowledged = 0;
         }
-        if (!applyAnswer(poll.answer, clock.epoch())) {
+        if (isOvertaken(poll.answer, sent)) {
+            schedulePoll(milliseconds(0));
+            return;
+        }
+        if (!applyAnswer(poll.answer, clock.epoch(), sent)) {
             onPollFailed(isBrokenEarly(poll.answer, sentAt));
             return;
         }
@@ -112,6 +130,7 @@
     {
         if (incarnation != 0)
             clock.reset(loop.now());
+        isRaiseDue = true; // Also for the first one: an earlier session of this owner may have called another.
         acknowledgedEnds = 0;
         forgottenEnds = 0;
         incarnation = number;
@@ -175,11 +194,13 @@
 
     /// Handles what every answer contains: the worker's clock and a refusal by fence. True if the call was carried out. The answer to a call of
     /// an earlier epoch may come from an earlier incarnation, whose clock is another one.
-    bool applyAnswer(const WorkerAnswer& answer, std::uint64_t epoch)
+    bool applyAnswer(const WorkerAnswer& answer, std::uint64_t epoch, Fence sent)
     {
         if (answer.refusal == WorkerRefusal::Fence) {
-            const auto fenced = hooks.onFenced;
-            fenced();
+            if (!isOvertaken(answer, sent)) {
+                const auto fenced = hooks.onFenced;
+                fenced();
+            }
             return false;
         }
         const bool isAnswer = answer.status == WorkerStatus::Done || answer.status == WorkerStatus::Refused;
@@ -242,19 +263,19 @@
                 hooks.onStartAnswered(run, refusal);
             return;
         }
-        const Ports::StartOrder order { target(), run.task, run.run, run.payload, leaseForStart(), fence, run.checkpoint, run.ticket };
+        const Ports::StartOrder order { target(), run.task, run.run, run.payload, leaseForStart(), nextFence(), run.checkpoint, run.ticket };
         hooks.onStartSent(run);
-        port.start(order, [self = shared_from_this(), run, attempt](const WorkerAnswer& answer) {
+        port.start(order, [self = shared_from_this(), run, attempt, sent = order.fence](const WorkerAnswer& answer) {
             if (self->isClosed)
                 return;
-            self->applyAnswer(answer, attempt.epoch);
+            self->applyAnswer(answer, attempt.epoch, sent);
             if (self->isSettled(attempt))
                 return;
             const bool isUncertain = answer.status == WorkerStatus::NoAnswer || (answer.status == WorkerStatus::NotSent && attempt.retries > 0);
             const bool isTooLate = answer.refusal == WorkerRefusal::LeaseExpired;
             if (answer.status == WorkerStatus::NoAnswer)
                 self->hooks.onStartAnswered(run, answer);
-            if (isUncertain || isTooLate)
+            if (isUncertain || isTooLate || self->isOvertaken(answer, sent))
                 self->retry({ "start", run.task, run.run }, attempt, [run](State& it, const Attempt& next) { it.start(run, next); });
             else if (attempt.retries > 0 && mayTakeEffectLate(answer))
                 self->cancelStart(run, answer, { 0, attempt.epoch, attempt.since, attempt.isReportedUnanswered });
@@ -273,15 +294,16 @@
     /// Stops the run, so that the worker refuses an earlier attempt of the start that arrives later.
     void cancelStart(const StartRun& run, const WorkerAnswer& refusal, const Attempt& attempt)
     {
-        port.stop({ target(), run.task, run.run, fence }, [self = shared_from_this(), run, refusal, attempt](const WorkerAnswer& answer) {
+        const auto sent = nextFence();
+        port.stop({ target(), run.task, run.run, sent }, [self = shared_from_this(), run, refusal, attempt, sent](const WorkerAnswer& answer) {
             if (self->isClosed)
                 return;
-            self->applyAnswer(answer, attempt.epoch);
+            self->applyAnswer(answer, attempt.epoch, sent);
             if (self->isSettled(attempt))
                 return;
             if (answer.status == WorkerStatus::Done)
                 self->hooks.onStartCancelled(run, refusal);
-            else if (answer.refusal != WorkerRefusal::Fence)
+            else if (answer.refusal != WorkerRefusal::Fence || self->isOvertaken(answer, sent))
                 self->retry({ "cancel-start", run.task, run.run }, attempt, [run, refusal](State& it, const Attempt& next) { it.cancelStart(run, refusal, next); });
         });
     }
@@ -298,15 +320,16 @@
                 hooks.onStopCancelled(run);
             return;
         }
-        port.stop({ target(), run.task, run.run, fence }, [self = shared_from_this(), run, attempt, resend](const WorkerAnswer& answer) mutable {
+        const auto sent = nextFence();
+        port.stop({ target(), run.task, run.run, sent }, [self = shared_from_this(), run, attempt, resend, sent](const WorkerAnswer& answer) mutable {
             if (self->isClosed)
                 return;
-            self->applyAnswer(answer, attempt.epoch);
+            self->applyAnswer(answer, attempt.epoch, sent);
             if (self->isSettled(attempt))
                 return;
             attempt.mayHaveArrived = attempt.mayHaveArrived || answer.status == WorkerStatus::NoAnswer;
             const bool isUncertain = answer.status != WorkerStatus::Done && answer.status != WorkerStatus::Refused;
-            if (isUncertain)
+            if (isUncertain || self->isOvertaken(answer, sent))
                 self->retry({ "stop", run.task, run.run }, attempt, resend);
             else if (answer.refusal != WorkerRefusal::Fence)
                 self->onStopAnswer(run, attempt, answer);
@@ -341,7 +364,8 @@
     Common::TaskLoop& loop;
     Ports::WorkerPort& port;
     SessionLimits limits;
-    Fence fence;
+    Fence fence; ///< The highest token that was used.
+    bool isRaiseDue = false; ///< Calls to the current incarnation don't have a higher token than those to the earlier one yet.
     WorkerEntry entry;
     Hooks hooks;
     WorkerClock clock;
@@ -404,11 +428,11 @@
 void WorkerSession::throttle(const ThrottleRun& run)
 {
     auto& state = *m_state;
-    state.port.throttle({ state.target(), run.task, run.run, run.percent, state.fence }, [self = m_state, run](const WorkerAnswer& answer) {
+    state.port.throttle({ state.target(), run.task, run.run, run.percent, state.nextFence() }, [self = m_state, run](const WorkerAnswer& answer) {
         if (self->isClosed || answer.status == WorkerStatus::Done)
             return;
         self->retry({ "throttle", run.task, run.run }, self->firstAttempt(), [self, run](State& it, const State::Attempt& attempt) {
-            it.port.throttle({ it.target(), run.task, run.run, run.percent, it.fence }, [self, run, attempt](const WorkerAnswer& retryAnswer) {
+            it.port.throttle({ it.target(), run.task, run.run, run.percent, it.nextFence() }, [self, run, attempt](const WorkerAnswer& retryAnswer) {
                 if (!self->isClosed && retryAnswer.status != WorkerStatus::Done)
                     self->logOrder("order-abandoned", { "throttle", run.task, run.run }, attempt);
             });
--- a/Source/Core/Jobs/Runtime/WorkerSession.h
+++ b/Source/Core/Jobs/Runtime/WorkerSession.h
@@ -26,7 +26,7 @@
 /// Used on the loop's thread only.
 class WorkerSession {
 public:
-    /// Callbacks to the owner, which decides. All but `needsStart`, `mayStart`, `mayStop`, `mayExtendLease`, `mayOrder`, `needsLatencyPoll` and `hasRuns` report events.
+    /// Callbacks to the owner, which decides. All but `newestFence`, `needsStart`, `mayStart`, `mayStop`, `mayExtendLease`, `mayOrder`, `needsLatencyPoll` and `hasRuns` report events.
     struct Hooks {
         std::function<void(const Ports::PollAnswer&, Common::Instant sentAt)> onPollAnswered;
         std::function<void(const StartRun&)> onStartSent; ///< Called before each attempt.
@@ -41,7 +41,9 @@
         std::function<void(Common::Instant aliveUntil)> onFailing; ///< A poll has failed, the first since the last answer.
         std::function<void()> onSilent; ///< Polls have failed for `silentAfter`, or two in a row because connections were refused.
         std::function<void(WorkerLoss)> onLapsed; ///< The lease has lapsed: the worker runs nothing.
-        std::function<void()> onFenced; ///< The worker has seen a higher fencing token.
+        std::function<void()> onFenced; ///< The worker has seen a higher fencing token than any of this session.
+        /// The newest token of this owner, at least the session's first one. Asked once an incarnation of the worker has been seen.
+        std::function<Fence()> newestFence;
         std::function<bool()> mayExtendLease; ///< False for an owner that has had no contact with the store for long.
         std::function<bool()> mayOrder; ///< False while the owner's own lease may have lapsed; starts wait.
         std::function<bool()> needsLatencyPoll; ///< True for polls of `latencyPollWait`.
--- a/Source/UnitTests/Jobs/JournalTest.cpp
+++ b/Source/UnitTests/Jobs/JournalTest.cpp
@@ -82,6 +82,37 @@
     CHECK(fixture.records == 1);
 }
 
+TEST_CASE("the revisions of an owner's commits lie between its fence and that of the next owner, also if an answer is lost")
+{
+    for (const auto lateEffect : { 0ms, 2000ms }) {
+        CAPTURE(lateEffect.count());
+        JournalFixture fixture;
+        const auto newestOfStore = [&fixture] { return static_cast<Fence>(fixture.store.state.revision()); };
+        const auto journal = fixture.open();
+        const auto fence = newestOfStore();
+        CHECK(journal->newestRevision() == fence);
+        bool isStored = false;
+        fixture.append(*journal, isStored);
+        CHECK(journal->newestRevision() == fence);
+        fixture.loop.runFor(1s);
+        REQUIRE(isStored);
+        const auto first = journal->newestRevision();
+        CHECK(first > fence);
+        CHECK(first == newestOfStore());
+        isStored = false;
+        fixture.store.answersToLose = 1;
+        fixture.store.lateEffect = lateEffect;
+        fixture.append(*journal, isStored);
+        fixture.loop.runFor(6s);
+        REQUIRE(isStored);
+        CHECK(journal->newestRevision() > first);
+        CHECK(journal->newestRevision() == newestOfStore());
+        fixture.append(*journal, isStored);
+        const auto next = fixture.open();
+        CHECK(next->newestRevision() > journal->newestRevision());
+    }
+}
+
 TEST_CASE("a deposed owner stores nothing, is notified, and its effects never run")
 {
     JournalFixture fixture;
--- a/Source/UnitTests/Jobs/WorkerEndsTest.cpp
+++ b/Source/UnitTests/Jobs/WorkerEndsTest.cpp
@@ -46,7 +46,12 @@
 /// Keeps polls until the test answers them.
 class HeldPolls final : public Ports::WorkerPort {
 public:
-    void start(const Ports::StartOrder&, Ports::WorkerCallback callback) override { startCallback = std::move(callback); }
+    void start(const Ports::StartOrder& order, Ports::WorkerCallback callback) override
+    {
+        ++starts;
+        lastStart = order;
+        startCallback = std::move(callback);
+    }
     void stop(const Ports::StopOrder&, Ports::WorkerCallback) override { }
     void throttle(const Ports::ThrottleOrder&, Ports::WorkerCallback) override { }
     void poll(const Ports::PollOrder& order, Ports::PollCallback callback) override
@@ -67,8 +72,12 @@
         std::exchange(m_callback, nullptr)(answer);
     }
 
+    void refuseFence() { std::exchange(m_callback, nullptr)({ { Ports::WorkerStatus::Refused, Ports::WorkerRefusal::Fence, 1000ms }, 0, {}, {} }); }
+
     unsigned polls = 0;
+    unsigned starts = 0;
     Ports::PollOrder last;
+    Ports::StartOrder lastStart;
     Ports::WorkerCallback startCallback; ///< Of the last start.
 
 private:
@@ -88,6 +97,10 @@
         hooks.needsStart = [](const StartRun&) { return true; };
         hooks.mayOrder = [] { return true; };
         hooks.mayStart = [](const StartRun&) { return true; };
+        hooks.newestFence = [this] { return newestFence; };
+        hooks.onFenced = [this] { ++refusals; };
+        hooks.onStartAnswered = [](const StartRun&, const Ports::WorkerAnswer&) {};
+        hooks.onFailing = [this](Common::Instant) { ++failures; };
         entry.id = "w0";
         entry.address = "w0:1";
         entry.incarnation = 1;
@@ -102,8 +115,20 @@
         session->entryChanged(entry);
     }
 
+    void start()
+    {
+        StartRun run;
+        run.task = { jobId(1), 0, 0, 0 };
+        run.run = 1;
+        run.worker = "w0";
+        session->start(run);
+    }
+
     VirtualLoop loop;
     HeldPolls port;
+    Fence newestFence = 1;
+    unsigned refusals = 0;
+    unsigned failures = 0;
     std::size_t listed = 0;
     WorkerEntry entry;
     std::unique_ptr<WorkerSession> session;
@@ -191,11 +216,7 @@
     PolledSession it;
     it.port.answer(1, 1, 0);
     it.loop.runFor(10ms);
-    StartRun run;
-    run.task = { jobId(1), 0, 0, 0 };
-    run.run = 1;
-    run.worker = "w0";
-    it.session->start(run);
+    it.start();
     it.restart();
     it.port.startCallback({ Ports::WorkerStatus::Done, Ports::WorkerRefusal::None, 500s });
     it.loop.runFor(10ms);
@@ -205,6 +226,92 @@
     CHECK(it.port.last.leaseUntil <= 1s + SessionLimits().leaseTime + 10ms);
 }
 
+// A poll that is carried out late would acknowledge ends of the next incarnation.
+TEST_CASE("calls to a worker's next incarnation carry a higher fencing token than those to the earlier one")
+{
+    PolledSession it;
+    it.newestFence = 2;
+    it.port.answer(1, 1, 3);
+    it.loop.runFor(1s);
+    CHECK(it.port.last.fence == 2);
+    it.newestFence = 7;
+    it.start();
+    CHECK(it.port.lastStart.fence == 2);
+    SUBCASE("which its entry shows")
+    {
+        it.restart();
+        it.loop.runFor(10ms);
+    }
+    SUBCASE("which answers a poll")
+    {
+        it.port.answer(2, 1, 0);
+        it.loop.runFor(10ms);
+    }
+    CHECK(it.port.last.fence == 7);
+    it.newestFence = 6;
+    it.restart();
+    it.loop.runFor(10ms);
+    CHECK(it.port.last.fence == 7);
+    it.port.answer(3, 1, 0);
+    it.newestFence = 8; // By the commit of the run's placement.
+    it.start();
+    CHECK(it.port.lastStart.fence == 8);
+}
+
+// The worker would refuse the owner's first token, which the session began with.
+TEST_CASE("an owner isn't deposed by a worker that restarted under its id, and whose entry is back after it was withdrawn")
+{
+    EndsFleet fleet(1, 2);
+    const EventLog log;
+    fleet.downTime = 100ms;
+    fleet.submit(1, smallTasks(20));
+    fleet.runFor(100ms);
+    fleet.crashWorker("w0");
+    fleet.runFor(10s);
+    fleet.unpublishWorker("w0");
+    fleet.runFor(5s);
+    fleet.publishWorker("w0");
+    fleet.runFor(1s);
+    CHECK(log.all("deposed").empty());
+    fleet.submit(2, smallTasks(20));
+    fleet.runFor(10s);
+    CHECK(fleet.stateOf("host-0", jobId(1)) == JobState::Completed);
+    CHECK(fleet.stateOf("host-0", jobId(2)) == JobState::Completed);
+    CHECK(fleet.runMonitor.duplicateRuns == 0);
+}
+
+TEST_CASE("a refusal of a call with an earlier fencing token than the session's doesn't depose the owner, and the call is made again")
+{
+    PolledSession it;
+    it.port.answer(1, 1, 0);
+    it.loop.runFor(10ms);
+    it.restart();
+    it.loop.runFor(10ms);
+    it.port.answer(2, 1, 0);
+    it.loop.runFor(10ms);
+    const auto refusal = Ports::WorkerAnswer { Ports::WorkerStatus::Refused, Ports::WorkerRefusal::Fence, 1000ms };
+    it.start();
+    REQUIRE(it.port.lastStart.fence == 1);
+    const auto first = std::exchange(it.port.startCallback, nullptr);
+    it.newestFence = 5;
+    it.start();
+    REQUIRE(it.port.lastStart.fence == 5);
+    it.port.startCallback({ Ports::WorkerStatus::Done, Ports::WorkerRefusal::None, 1000ms });
+    REQUIRE(it.port.last.fence == 1);
+    const auto polls = it.port.polls;
+    it.port.refuseFence();
+    first(refusal);
+    it.loop.runFor(100ms);
+    CHECK(it.refusals == 0);
+    CHECK(it.failures == 0);
+    CHECK(it.port.polls == polls + 1);
+    CHECK(it.port.last.fence == 5);
+    CHECK(it.port.starts == 3);
+    CHECK(it.port.lastStart.fence == 5);
+    it.port.startCallback(refusal);
+    CHECK(it.refusals == 1);
+}
+
 namespace {
 
 /// Submits so many tasks, as jobs of 100, which a fleet with one worker then runs at the same time.
