--- a/Source/Core/Jobs/Runtime/PoolOwnerState.h
+++ b/Source/Core/Jobs/Runtime/PoolOwnerState.h
@@ -51,9 +51,6 @@
     void onPollAnswered(const std::string& id, const Ports::PollAnswer&, Common::Instant sentAt);
     void onWorkerListed(const WorkerEntry&);
     void confirmSuccession(const WorkerEntry& later);
-    /// The worker has stopped answering: it is gone if its machine has started another one.
-    void confirmGoneIfSucceeded(const std::string& id);
-    void confirmGoneBy(const std::string& id, const WorkerEntry& later);
     void onWorkerUnlisted(const std::string& id);
     void scheduleSessionRemoval(const std::string& id);
     void cordonWorkers();
--- a/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
@@ -51,10 +51,7 @@
         core.onStopCancelled(run, moment());
         scheduleDecision();
     };
-    result.onFailing = [this, id](Common::Instant aliveUntil) {
-        core.onWorkerFailing(id, aliveUntil, moment());
-        confirmGoneIfSucceeded(id);
-    };
+    result.onFailing = [this, id](Common::Instant aliveUntil) { core.onWorkerFailing(id, aliveUntil, moment()); };
     result.onSilent = [this, id] {
         core.onWorkerUnresponsive(id, moment());
         silentWorkers.emplace(id, loop.now());
@@ -200,37 +197,14 @@
     scheduleDecision();
 }
 
-/// A worker that doesn't answer needn't be waited for once its machine has started another one.
+/// A silent worker needn't be waited for once its machine has started another one.
 void PoolOwner::State::confirmSuccession(const WorkerEntry& later)
 {
-    const auto earlier = std::ranges::find_if(entries, [&](const auto& it) { return isSuccessor(later, it.second); });
-    const auto session = earlier == entries.end() ? sessions.end() : sessions.find(earlier->first);
-    if (session == sessions.end())
-        return;
-    if (silentWorkers.contains(earlier->first))
-        confirmGoneBy(earlier->first, later);
-    else
-        session->second->probe();
-}
-
-void PoolOwner::State::confirmGoneIfSucceeded(const std::string& id)
-{
-    const auto failing = entries.find(id);
-    if (failing == entries.end())
+    const auto earlier = std::ranges::find_if(silentWorkers, [&](const auto& it) { return entries.contains(it.first) && isSuccessor(later, entries.at(it.first)); });
+    if (earlier == silentWorkers.end())
         return;
-    const auto later = std::ranges::find_if(entries, [&](const auto& it) { return isSuccessor(it.second, failing->second); });
-    if (later == entries.end())
-        return;
-    // The session is still handling the failure.
-    loop.post([self = weak_from_this(), id, entry = later->second] {
-        if (const auto state = self.lock(); state && !state->isClosed)
-            state->confirmGoneBy(id, entry);
-    });
-}
-
-void PoolOwner::State::confirmGoneBy(const std::string& id, const WorkerEntry& later)
-{
-    silentWorkers.erase(id);
+    const auto node = silentWorkers.extract(earlier);
+    const auto& id = node.key();
     log({ "worker-gone", id, { { "machine", later.machine }, { "listed", later.id }, { "reason", nameOf(WorkerLoss::Crashed) } } });
     if (const auto it = sessions.find(id); it != sessions.end())
         it->second->confirmGone(WorkerLoss::Crashed);
--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -78,7 +78,7 @@
         const auto acknowledged = failedPolls == 0 && acknowledgedEnds > forgottenEnds ? acknowledgedEnds : 0;
         Ports::PollOrder order { target(), nextFence(), acknowledged, extendLease(), milliseconds(0) };
         // The first poll, and one after a failure, return at once, to show whether the worker is reachable.
-        if (clock.isKnown() && failedPolls == 0 && !std::exchange(isProbing, false))
+        if (clock.isKnown() && failedPolls == 0)
             order.wait = hooks.needsLatencyPoll() ? limits.latencyPollWait : limits.pollWait;
         const auto sentAt = loop.now();
         pollLength = order.wait + shortestPollMargin;
@@ -376,7 +376,6 @@
     milliseconds pollLength { 0 }; ///< Time after which the poll in flight may have timed out.
     std::uint64_t lastPoll = 0; ///< Number of the newest poll; answers to earlier ones are ignored.
     bool isPolling = false;
-    bool isProbing = false; ///< The next poll returns at once.
     bool isGone = false; ///< Confirmed by the machine list since the last answer.
     bool isSilent = false; ///< Reported since the last answer.
     bool isClosed = false;
@@ -455,23 +454,11 @@
 
 std::uint64_t WorkerSession::incarnation() const { return m_state->incarnation; }
 
-void WorkerSession::probe()
-{
-    auto& state = *m_state;
-    if (state.failedPolls > 0)
-        return;
-    state.isPolling = false;
-    state.isProbing = true;
-    state.schedulePoll(milliseconds(0));
-}
-
 void WorkerSession::confirmGone(WorkerLoss loss)
 {
     auto& state = *m_state;
     if (state.failedPolls > 0)
         state.loop.cancel(state.lapseTimer);
-    state.loop.cancel(state.silentTimer);
-    state.isSilent = true;
     state.isGone = true;
     if (!state.isPolling)
         state.schedulePoll(pollRetryDelay(state.failedPolls, WorkerUse::Gone));
--- a/Source/Core/Jobs/Runtime/WorkerSession.h
+++ b/Source/Core/Jobs/Runtime/WorkerSession.h
@@ -69,8 +69,6 @@
     void acknowledgeEnds(std::uint64_t incarnation, std::uint64_t number);
     /// The incarnation that gave the last answer to a poll; zero until one has told it.
     std::uint64_t incarnation() const;
-    /// The worker may have ended: polls it at once, although a poll may be waiting there.
-    void probe();
     /// The worker has ended: treats the lease as lapsed at once, and polls rarely until its entry changes. `loss` is passed to onLapsed.
     void confirmGone(WorkerLoss loss);
 
