Bound how many crashes under a task chance may excuse

Found by review, by reading: where other workers crash about as often as a task crashes its own, the number of crashes that it takes to give the task up grew with each of them, so that it was never given up. At most five more are needed now, ten in all.

--- a/Source/Core/Jobs/Decision/CrashEvidence.cpp
+++ b/Source/Core/Jobs/Decision/CrashEvidence.cpp
@@ -16,6 +16,7 @@
     constexpr unsigned guiltyThoughExplained = 5; ///< In place of guiltySinceProven, where another task explains the latest crash.
     constexpr unsigned guiltyUnexplained = 5; ///< The same, for tasks that crash workers later than just after their start.
     constexpr double chanceFactor = 2; ///< Of the crashes that are to be expected by chance.
+    constexpr unsigned mostByChance = 5; ///< A task that crashes its workers is given up in the end, however often others crash.
     constexpr milliseconds timingError { 12 }; ///< Of the times of starts and crashes, as their owner sees them.
     constexpr milliseconds unlearntSpacing { 50 };
     constexpr milliseconds longestSpacing { 100 };
@@ -91,7 +92,7 @@
 
 bool isTooOften(const CrashTally& tally, double expected)
 {
-    return tally.unexplained >= guiltyUnexplained + static_cast<unsigned>(chanceFactor * expected);
+    return tally.unexplained >= guiltyUnexplained + std::min(mostByChance, static_cast<unsigned>(chanceFactor * expected));
 }
 
 void CrashHistory::add(const std::string& machine, Witnesses witnesses, bool isTest, Common::Instant now, bool isExcused)
--- a/Source/UnitTests/Jobs/ChanceCrashesTest.cpp
+++ b/Source/UnitTests/Jobs/ChanceCrashesTest.cpp
@@ -155,3 +155,9 @@
     CHECK(!isTooOften(five, 1));
     CHECK(isTooOften({ 7, 0, 0 }, 1));
 }
+
+TEST_CASE("a task under which workers crash again and again is given up in the end, however often others crash")
+{
+    CHECK(!isTooOften({ 9, 0, 0 }, 100));
+    CHECK(isTooOften({ 10, 0, 0 }, 100));
+}
