--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -229,6 +229,8 @@
     void quarantineWorkers(std::vector<Candidate>&, Moment);
     /// Places suspects on the workers that take them, the longest waiting first.
     void placeSuspects(std::vector<Candidate>&, Moment);
+    /// `previous` are the workers set aside by the decision before.
+    void setAside(Candidate&, const std::map<std::string, Instant>& previous, Instant now);
     void releaseUnusedWorkers(std::vector<Candidate>&, Instant now);
     /// Leaves workers to suspects that still wait, apart from workers that could hold one of the other waiting tasks, given by what
     /// they need. Returns false if there are none.
--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -409,10 +409,7 @@
         const auto best = findForSuspect(available, request, at.now - m_suspectsWaitingSince.at(key) > maximumIsolationWait);
         if (best == available.end())
             continue;
-        const auto& id = (*best)->worker->entry.id;
-        const auto since = previous.find(id);
-        (*best)->isQuarantined = true;
-        m_quarantined[id] = since == previous.end() ? at.now : since->second;
+        setAside(**best, previous, at.now);
         (joinsGroup ? groups : chosen).push_back(*best);
         if (isInDoubt) {
             doubtfulGroup = *best;
@@ -425,6 +422,14 @@
         it->takesGroup = !it->worker->hasUnprovenRuns();
 }
 
+void PoolCore::setAside(Candidate& candidate, const std::map<std::string, Instant>& previous, Instant now)
+{
+    const auto& id = candidate.worker->entry.id;
+    const auto since = previous.find(id);
+    candidate.isQuarantined = true;
+    m_quarantined[id] = since == previous.end() ? now : since->second;
+}
+
 /// Lets other tasks start on workers that have been set aside for long and have taken no suspect, for example because those that wait
 /// need more room.
 void PoolCore::releaseUnusedWorkers(std::vector<Candidate>& candidates, Instant now)
