Don't give a task up for crashes under starts that were only sent

Class of fault: an act that was carried out is inferred from having been ordered. Ruled out: a task that waits; a start that was refused (it is no evidence already); a start that was never sent (UnsentStartsTest). Change: StartEvidence says in one place what is known about a start and whether a crash under it convicts or only isolates its task. A task is given up only after two crashes under starts that convict: those that the worker has answered or listed, and those alone on a worker that was still there when the order must have arrived, for workers whose answers are lost.

--- a/Source/Core/Jobs/Decision/CrashEvidence.cpp
+++ b/Source/Core/Jobs/Decision/CrashEvidence.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+    constexpr unsigned fewestConvicting = 2; ///< Crashes under starts that convict; the platform allows to give up a task after two.
     constexpr unsigned guiltyAlone = 2; ///< Suspected, the latest time as the only one.
     constexpr unsigned guiltySuspected = 3; ///< Suspected, whoever else was.
     constexpr unsigned guiltySinceProven = 4; ///< The platform allows two starts after the third crash.
@@ -25,6 +26,8 @@
     constexpr std::chrono::minutes historyLength { 10 };
     constexpr std::size_t maximumCrashes = 1000;
 
+    bool mayBeGuilty(const CrashTally& tally) { return tally.sinceProven >= tally.unconfirmed + fewestConvicting; }
+
     bool isSameSuspect(const CrashWitness& left, const CrashWitness& right)
     {
         const auto stepOf = [](const CrashWitness& it) { return std::tie(it.task.job, it.task.occurrence, it.task.step); };
@@ -53,13 +56,16 @@
         }
         CrashVerdict verdict { it.tally, isPresumed(it) || (isExplained && isCrashedAgain(it)), false };
         auto& tally = verdict.tally;
-        tally.unexplained += verdict.isSuspect || blamesBystanders ? 1 : 0;
-        tally.sinceProven += verdict.isSuspect || (isExplained && !it.isProven && !it.isDoubtful) ? 1 : 0;
+        const bool isNearStart = verdict.isSuspect || (isExplained && !it.isProven && !it.isDoubtful);
+        tally.unexplained += convicts(it.start) && (verdict.isSuspect || blamesBystanders) ? 1 : 0;
+        tally.sinceProven += isNearStart ? 1 : 0;
+        tally.unconfirmed += isNearStart && !convicts(it.start) ? 1 : 0;
         if (verdict.isSuspect) {
             tally.suspected = it.isDoubtful ? std::max(tally.suspected, 1U) : tally.suspected + 1;
             verdict.isExplanation = !it.isDoubtful && isAlone && !isExplained;
             const auto enough = (isAlone || isGroup) && !isExplained && !crashesByItself ? guiltyAlone : guiltySuspected;
-            verdict.isGuilty = (!it.isDoubtful && tally.suspected >= enough + (it.wasDoubtful ? 1 : 0)) || tally.sinceProven >= (isExplained ? guiltyThoughExplained : guiltySinceProven);
+            const bool isConvicted = (!it.isDoubtful && tally.suspected >= enough + (it.wasDoubtful ? 1 : 0)) || tally.sinceProven >= (isExplained ? guiltyThoughExplained : guiltySinceProven);
+            verdict.isGuilty = isConvicted && mayBeGuilty(tally);
         }
         verdict.isGuilty = verdict.isGuilty || isTooOften(tally, it.expected);
         verdicts.push_back(verdict);
@@ -113,7 +119,7 @@
         if (it.witnesses.erase(task) == 0 || !it.isByItself())
             continue;
         for (auto& [other, growth] : it.witnesses) {
-            if (growth.unexplained++ == 0)
+            if (growth.unconfirmed == 0 && growth.unexplained++ == 0)
                 bystanders.insert(other);
         }
     }
--- a/Source/Core/Jobs/Decision/CrashEvidence.h
+++ b/Source/Core/Jobs/Decision/CrashEvidence.h
@@ -5,6 +5,7 @@
 /// only just started, and those are then started apart from each other and from tasks that aren't suspected.
 
 #include "Common/Time.h"
+#include "Jobs/Decision/StartEvidence.h"
 #include "Jobs/Model/JobRecords.h"
 
 #include <algorithm>
@@ -31,6 +32,7 @@
     bool isLikely = false; ///< Nothing else explained an earlier crash.
     bool wasStopped = false; ///< Its job was cancelled or has failed, so that it isn't started again.
     double expected = 0; ///< See CrashHistory::expectedOf().
+    StartEvidence start = StartEvidence::Confirmed;
 };
 
 /// What follows from a crash for one witness.
@@ -47,7 +49,7 @@
 /// started less than that before the crash are suspected, if there are any, and those that have crashed several times since they last
 /// outlived a start, whatever explains these crashes. Tasks that were stopped aren't suspected, but a crash that one may have caused
 /// isn't held against its machine, and the others aren't suspected alone. Likely suspects that were tried together are guilty after two
-/// crashes.
+/// crashes. No task is guilty before two workers have crashed under starts of it that convict, see StartEvidence.h.
 std::vector<CrashVerdict> judgeCrash(const std::vector<CrashWitness>&, bool crashesByItself, milliseconds window = milliseconds(0));
 
 /// True when so many crashes are left unexplained that the task must not be started again. Where workers also crash by themselves, so often
--- a/Source/Core/Jobs/Decision/JobTable.cpp
+++ b/Source/Core/Jobs/Decision/JobTable.cpp
@@ -204,6 +204,12 @@
         task->crashTally = record.tally;
 }
 
+void JobTable::applyRecord(const CrashesUnconfirmed& record)
+{
+    if (auto* task = reachTask(record.task))
+        task->crashTally.unconfirmed = record.count;
+}
+
 void JobTable::forEachTask(const std::function<void(const Job&, const TaskKey&, const Task&)>& visit) const
 {
     for (const auto& [id, job] : m_active) {
--- a/Source/Core/Jobs/Decision/JobTable.h
+++ b/Source/Core/Jobs/Decision/JobTable.h
@@ -122,6 +122,7 @@
     void applyRecord(const RunEnded&);
     void applyRecord(const JobFinished&);
     void applyRecord(const TaskSuspected&);
+    void applyRecord(const CrashesUnconfirmed&);
     static void applyRecord(const SuspicionGraded&) { } ///< PoolCore keeps these.
     static void applyRecord(const CrashAgesLearnt&) { }
     /// Like findTask(), but begins the occurrences up to the task's if they haven't begun.
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -192,7 +192,7 @@
     void settleLateStarts(Worker&, const Ports::PollAnswer&, Instant sentAt);
     /// The worker won't return under its id.
     void releaseLateStarts(Worker&);
-    LostRun lostRunOf(const TaskKey&, const WorkerRun&, Instant aliveUntil, Instant failingSince) const;
+    LostRun lostRunOf(const TaskKey&, const WorkerRun&, bool isAlone, Instant aliveUntil, Instant failingSince) const;
     Suspicion suspicionOf(const Task&, Instant now) const;
     bool wasStopped(const JobId&) const;
     std::vector<CrashWitness> witnessesOf(const std::string& machine, const std::vector<LostRun>&);
@@ -204,6 +204,8 @@
     bool hasSuccessor(const Worker&) const;
     /// Judges the lapsed runs of the machine's earlier worker.
     void onMachineRestarted(const WorkerEntry& newWorker, Moment);
+    /// Replaces the task's tally, also what isn't part of TaskSuspected.
+    void recordTally(const TaskKey&, const CrashTally&);
     void restoreEvidence(const JobRecord&);
     void recordEvidence();
     void gradeSuspicion(const TaskKey&, bool isDoubtful, bool isLikely);
--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -71,13 +71,14 @@
 
 } // namespace
 
-LostRun PoolCore::lostRunOf(const TaskKey& key, const WorkerRun& run, Instant aliveUntil, Instant failingSince) const
+LostRun PoolCore::lostRunOf(const TaskKey& key, const WorkerRun& run, bool isAlone, Instant aliveUntil, Instant failingSince) const
 {
     const bool hasStarted = run.startedBy != Instant();
     LostRun lost { key, run.run };
     lost.isProven = run.isProven || (hasStarted && aliveUntil - run.startedBy >= provenAfter);
     lost.isDoubtful = !hasStarted || run.isTriedInGroup || failingSince == Instant() || failingSince - run.startedBy >= provenAfter;
     lost.isUnconfirmed = !hasStarted && !run.isInherited && failingSince != Instant() && failingSince - run.mayHaveStartedAt() < provenAfter;
+    lost.start = run.startEvidence(isAlone, aliveUntil);
     if (!lost.isDoubtful)
         lost.age = std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(failingSince - run.startedBy));
     return lost;
@@ -112,10 +113,25 @@
     std::vector<CrashWitness> witnesses;
     for (const auto& it : lost) {
         const auto* task = m_jobs.findTask(it.task);
-        if (task && task->state != Task::State::Done)
-            witnesses.push_back({ it.task, task->crashTally, it.isDoubtful || m_crashes.isWitness(machine, it.task), it.isProven || isProvenElsewhere(it, *task), m_jobs.find(it.task.job)->spec().steps[it.task.step].isGang, it.isUnconfirmed, m_doubtfulSuspects.contains(it.task), it.age, m_likelySuspects.contains(it.task), false, m_crashes.expectedOf(it.task, task->crashTally.unexplained, others) });
-        else if (!task && wasStopped(it.task.job))
-            witnesses.push_back({ it.task, {}, it.isDoubtful, it.isProven, false, it.isUnconfirmed, false, it.age, false, true });
+        CrashWitness witness { it.task, {}, it.isDoubtful, it.isProven };
+        witness.isUnconfirmed = it.isUnconfirmed;
+        witness.age = it.age;
+        witness.start = it.start;
+        if (task && task->state != Task::State::Done) {
+            const auto& spec = m_jobs.find(it.task.job)->spec().steps[it.task.step];
+            witness.tally = task->crashTally;
+            witness.isDoubtful = it.isDoubtful || m_crashes.isWitness(machine, it.task);
+            witness.isProven = it.isProven || isProvenElsewhere(it, *task);
+            witness.isGang = spec.isGang;
+            witness.wasDoubtful = m_doubtfulSuspects.contains(it.task);
+            witness.isLikely = m_likelySuspects.contains(it.task);
+            witness.expected = m_crashes.expectedOf(it.task, task->crashTally.unexplained, others);
+        } else if (!task && wasStopped(it.task.job)) {
+            witness.wasStopped = true;
+        } else {
+            continue;
+        }
+        witnesses.push_back(std::move(witness));
     }
     return witnesses;
 }
@@ -134,7 +150,7 @@
     for (std::size_t n = 0; n < witnesses.size(); ++n) {
         const auto& [before, after] = std::tie(witnesses[n].tally, verdicts[n].tally);
         if (!witnesses[n].wasStopped)
-            growth[witnesses[n].task] = { after.unexplained - before.unexplained, verdicts[n].isSuspect ? 1U : 0U, 0 };
+            growth[witnesses[n].task] = { after.unexplained - before.unexplained, verdicts[n].isSuspect ? 1U : 0U, 0, convicts(witnesses[n].start) ? 0U : 1U };
     }
     const bool isExcused = std::ranges::any_of(verdicts, &CrashVerdict::isExcuse);
     const auto suspects = std::ranges::count_if(verdicts, &CrashVerdict::isSuspect);
@@ -150,12 +166,12 @@
         const auto& tally = verdicts[n].tally;
         if (witnesses[n].wasStopped)
             continue;
-        record(TaskSuspected { key, tally });
+        recordTally(key, tally);
         if (tally.suspected == 0)
             continue;
         m_suspects.insert(key);
         gradeSuspicion(key, witnesses[n].isDoubtful && witnesses[n].tally.suspected == 0, verdicts[n].isExplanation && window > milliseconds(0) && !isByItself);
-        log("task-suspected", key.job, { { "task", nameOfTask(key) }, { "worker", worker.entry.id }, { "sinceProven", std::to_string(tally.sinceProven) }, { "unexplained", std::to_string(tally.unexplained) }, { "suspected", std::to_string(tally.suspected) } });
+        log("task-suspected", key.job, { { "task", nameOfTask(key) }, { "worker", worker.entry.id }, { "sinceProven", std::to_string(tally.sinceProven) }, { "unexplained", std::to_string(tally.unexplained) }, { "suspected", std::to_string(tally.suspected) }, { "unconfirmed", std::to_string(tally.unconfirmed) }, { "start", nameOf(witnesses[n].start) } });
     }
     for (std::size_t n = 0; n < witnesses.size(); ++n) {
         if (!verdicts[n].isGuilty)
@@ -169,54 +185,6 @@
     }
 }
 
-void PoolCore::gradeSuspicion(const TaskKey& key, bool isDoubtful, bool isLikely)
-{
-    const bool isNewlyDoubtful = isDoubtful && m_doubtfulSuspects.insert(key).second;
-    const bool isNewlyLikely = isLikely && m_likelySuspects.insert(key).second;
-    if (isNewlyDoubtful || isNewlyLikely)
-        record(gradeOf(key));
-}
-
-SuspicionGraded PoolCore::gradeOf(const TaskKey& key) const
-{
-    return { key, m_doubtfulSuspects.contains(key), m_likelySuspects.contains(key) };
-}
-
-void PoolCore::forgetGrades()
-{
-    std::erase_if(m_doubtfulSuspects, [this](const auto& key) { return !m_suspects.contains(key); });
-    std::erase_if(m_likelySuspects, [this](const auto& key) { return !m_suspects.contains(key); });
-}
-
-void PoolCore::restoreEvidence(const JobRecord& record)
-{
-    const auto restore = [this](const TaskKey& task, bool isDoubtful, bool isLikely) {
-        m_doubtfulSuspects.erase(task);
-        m_likelySuspects.erase(task);
-        if (isDoubtful)
-            m_doubtfulSuspects.insert(task);
-        if (isLikely)
-            m_likelySuspects.insert(task);
-    };
-    if (const auto* learnt = std::get_if<CrashAgesLearnt>(&record)) {
-        m_crashAges = *learnt;
-        m_startSpacing.restore(learnt->ages);
-    } else if (const auto* grade = std::get_if<SuspicionGraded>(&record))
-        restore(grade->task, grade->isDoubtful, grade->isLikely);
-    else if (const auto* tally = std::get_if<TaskSuspected>(&record); tally && tally->tally.suspected == 0)
-        restore(tally->task, false, false);
-}
-
-void PoolCore::recordEvidence()
-{
-    if (!m_crashAges.ages.empty())
-        record(m_crashAges);
-    auto graded = m_doubtfulSuspects;
-    graded.insert(m_likelySuspects.begin(), m_likelySuspects.end());
-    for (const auto& key : graded)
-        record(gradeOf(key));
-}
-
 /// A worker that lapsed may be known to have crashed only after the task's next run has outlived its start.
 bool PoolCore::isProvenElsewhere(const LostRun& lost, const Task& task) const
 {
@@ -270,7 +238,7 @@
     auto tally = task->crashTally;
     tally.unexplained -= std::min(tally.unexplained, growth.unexplained);
     tally.suspected -= std::min(tally.suspected, growth.suspected);
-    record(TaskSuspected { key, tally });
+    recordTally(key, tally);
 }
 
 void PoolCore::updateProof(const TaskKey& key, WorkerRun& run, Moment at)
@@ -286,7 +254,7 @@
     }
     const auto* task = age < reliableAfter ? nullptr : m_jobs.findTask(key);
     if (task && task->crashTally.unexplained > 0)
-        record(TaskSuspected { key, {} });
+        recordTally(key, {});
 }
 
 /// The task has outlived a start. Crashes in which it was the last suspect count against the tasks that ran beside it.
@@ -297,7 +265,7 @@
         return;
     m_suspects.erase(key);
     log("task-cleared", key.job, { { "task", nameOfTask(key) }, { "unexplained", std::to_string(task->crashTally.unexplained) } });
-    record(TaskSuspected { key, { task->crashTally.unexplained, 0, 0 } });
+    recordTally(key, { task->crashTally.unexplained, 0, 0 });
     const auto others = otherMachines();
     for (const auto& bystander : m_crashes.acquit(key)) {
         const auto* other = m_jobs.findTask(bystander);
@@ -305,7 +273,7 @@
             continue;
         auto tally = other->crashTally;
         ++tally.unexplained;
-        record(TaskSuspected { bystander, tally });
+        recordTally(bystander, tally);
         if (isTooOften(tally, m_crashes.expectedOf(bystander, tally.unexplained, others)))
             giveUp(bystander, tally, at);
     }
--- /dev/null
+++ b/Source/Core/Jobs/Decision/PoolCoreEvidence.cpp
@@ -0,0 +1,72 @@
+/// What crashes have shown about tasks: kept, recorded and restored.
+
+#include "Jobs/Decision/PoolCore.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Jobs {
+
+void PoolCore::gradeSuspicion(const TaskKey& key, bool isDoubtful, bool isLikely)
+{
+    const bool isNewlyDoubtful = isDoubtful && m_doubtfulSuspects.insert(key).second;
+    const bool isNewlyLikely = isLikely && m_likelySuspects.insert(key).second;
+    if (isNewlyDoubtful || isNewlyLikely)
+        record(gradeOf(key));
+}
+
+SuspicionGraded PoolCore::gradeOf(const TaskKey& key) const
+{
+    return { key, m_doubtfulSuspects.contains(key), m_likelySuspects.contains(key) };
+}
+
+void PoolCore::forgetGrades()
+{
+    std::erase_if(m_doubtfulSuspects, [this](const auto& key) { return !m_suspects.contains(key); });
+    std::erase_if(m_likelySuspects, [this](const auto& key) { return !m_suspects.contains(key); });
+}
+
+void PoolCore::recordTally(const TaskKey& key, const CrashTally& tally)
+{
+    const auto* task = m_jobs.findTask(key);
+    const bool hasUnconfirmed = tally.unconfirmed > 0 || (task && task->crashTally.unconfirmed > 0);
+    record(TaskSuspected { key, tally });
+    if (hasUnconfirmed)
+        record(CrashesUnconfirmed { key, tally.unconfirmed });
+}
+
+void PoolCore::restoreEvidence(const JobRecord& record)
+{
+    const auto restore = [this](const TaskKey& task, bool isDoubtful, bool isLikely) {
+        m_doubtfulSuspects.erase(task);
+        m_likelySuspects.erase(task);
+        if (isDoubtful)
+            m_doubtfulSuspects.insert(task);
+        if (isLikely)
+            m_likelySuspects.insert(task);
+    };
+    if (const auto* learnt = std::get_if<CrashAgesLearnt>(&record)) {
+        m_crashAges = *learnt;
+        m_startSpacing.restore(learnt->ages);
+    } else if (const auto* grade = std::get_if<SuspicionGraded>(&record))
+        restore(grade->task, grade->isDoubtful, grade->isLikely);
+    else if (const auto* tally = std::get_if<TaskSuspected>(&record); tally && tally->tally.suspected == 0)
+        restore(tally->task, false, false);
+}
+
+void PoolCore::recordEvidence()
+{
+    if (!m_crashAges.ages.empty())
+        record(m_crashAges);
+    auto graded = m_doubtfulSuspects;
+    graded.insert(m_likelySuspects.begin(), m_likelySuspects.end());
+    for (const auto& key : graded)
+        record(gradeOf(key));
+    for (const auto& key : m_suspects) {
+        const auto* task = m_jobs.findTask(key);
+        if (task && task->crashTally.unconfirmed > 0)
+            record(CrashesUnconfirmed { key, task->crashTally.unconfirmed });
+    }
+}
+
+} // namespace Jobs
--- a/Source/Core/Jobs/Decision/Worker.h
+++ b/Source/Core/Jobs/Decision/Worker.h
@@ -2,6 +2,7 @@
 
 /// State that a pool's owner keeps for each worker.
 
+#include "Jobs/Decision/StartEvidence.h"
 #include "Jobs/Model/FleetTypes.h"
 
 #include <algorithm>
@@ -59,6 +60,17 @@
 
     /// True when no attempt of the start was sent, so that the worker can't have the run.
     bool isUnsent() const { return !isInherited && sentAt == Common::Instant() && startedBy == Common::Instant(); }
+    /// `isAlone`: no other run of the worker hadn't outlived its start. `aliveUntil`: the worker hadn't crashed before then.
+    StartEvidence startEvidence(bool isAlone, Common::Instant aliveUntil) const
+    {
+        constexpr milliseconds arrivalLimit { 10 }; ///< Of an order at a worker that answers, and of its connection's end at the owner.
+        if (startedBy != Common::Instant())
+            return StartEvidence::Confirmed;
+        if (isUnsent())
+            return StartEvidence::Unsent;
+        const bool hasArrived = !isInherited && sentAt != Common::Instant() && aliveUntil - sentAt >= arrivalLimit;
+        return isAlone && hasArrived ? StartEvidence::Isolated : StartEvidence::Sent;
+    }
     /// From then on, the run may have started.
     Common::Instant mayHaveStartedAt() const { return std::max(orderedAt, sentAt); }
 };
@@ -80,6 +92,7 @@
     bool isProven = false; ///< Had outlived its start.
     bool isUnconfirmed = false; ///< It may have started immediately before the worker was lost, or not at all.
     milliseconds age { 0 }; ///< From its start to the loss; zero when doubtful.
+    StartEvidence start = StartEvidence::Sent;
 };
 
 /// A run of a task of the step, in the phase Ordered.
--- a/Source/Core/Jobs/Model/JobFields.h
+++ b/Source/Core/Jobs/Model/JobFields.h
@@ -82,6 +82,12 @@
     v(m.ages, m.at);
 }
 
+template<typename V, MaybeConst<CrashesUnconfirmed> M>
+void visitFields(V& v, M& m)
+{
+    v(m.task, m.count);
+}
+
 template<typename V, MaybeConst<JobFinished> M>
 void visitFields(V& v, M& m)
 {
--- a/Source/Core/Jobs/Model/JobRecords.h
+++ b/Source/Core/Jobs/Model/JobRecords.h
@@ -52,7 +52,7 @@
     Common::WallTime at {};
 };
 
-/// Replaces a task's tally of crashes.
+/// Replaces a task's tally of crashes, except CrashTally::unconfirmed, which isn't stored: it becomes zero.
 struct TaskSuspected {
     TaskKey task;
     CrashTally tally;
@@ -71,11 +71,20 @@
     Common::WallTime at {}; ///< Of the latest of these crashes.
 };
 
+/// Replaces CrashTally::unconfirmed of a task's tally.
+struct CrashesUnconfirmed {
+    TaskKey task;
+    unsigned count = 0;
+};
+
 /// The kind is stored as the index, so new ones go to the end. Earlier versions can't read the kinds that they don't know.
-using JobRecord = std::variant<JobAccepted, JobCancelled, RunStarted, RunEnded, JobFinished, TaskSuspected, SuspicionGraded, CrashAgesLearnt>;
+using JobRecord = std::variant<JobAccepted, JobCancelled, RunStarted, RunEnded, JobFinished, TaskSuspected, SuspicionGraded, CrashAgesLearnt, CrashesUnconfirmed>;
 
 /// True for kinds that versions since TaskSuspected don't know. They can't load snapshots with such records.
-inline bool isEvidence(const JobRecord& record) { return std::holds_alternative<SuspicionGraded>(record) || std::holds_alternative<CrashAgesLearnt>(record); }
+inline bool isEvidence(const JobRecord& record)
+{
+    return std::holds_alternative<SuspicionGraded>(record) || std::holds_alternative<CrashAgesLearnt>(record) || std::holds_alternative<CrashesUnconfirmed>(record);
+}
 
 /// Appends the encoded record to `out`.
 void appendRecord(std::string& out, const JobRecord&);
--- a/Source/UnitTests/Jobs/InheritedRunsTest.cpp
+++ b/Source/UnitTests/Jobs/InheritedRunsTest.cpp
@@ -152,3 +152,48 @@
     const auto output = pool.core.takeOutput();
     CHECK(std::ranges::count_if(output.orders, [](const auto& it) { return std::holds_alternative<StartRun>(it); }) == suspects);
 }
+
+// Without it, the next owner would take each crash for one under a start that was carried out.
+TEST_CASE("which crashes came under starts that were only sent is restored from the journal")
+{
+    const auto unconfirmedIn = [](const std::vector<JobRecord>& records) {
+        std::vector<unsigned> counts;
+        for (const auto& it : records) {
+            if (const auto* record = std::get_if<CrashesUnconfirmed>(&it))
+                counts.push_back(record->count);
+        }
+        return counts;
+    };
+    std::vector<JobRecord> records { acceptedJob(0, acceptedAt), RunStarted { taskOf(0), 1, workerId(0) } };
+    InheritedPool pool(records, 1);
+    pool.answerWithoutRuns(0, acceptedAt + 1s);
+    const auto output = pool.core.takeOutput().records;
+    CHECK(unconfirmedIn(output) == std::vector<unsigned> { 1 });
+    records.insert(records.end(), output.begin(), output.end());
+    std::string text;
+    for (const auto& it : records)
+        appendRecord(text, it);
+    std::vector<JobRecord> read;
+    REQUIRE(readRecords(text, read));
+    InheritedPool next(read, 1);
+    const auto tallyOf = [](const PoolCore& core) { return core.jobs().find(jobId(0))->stepOf(taskOf(0))->tasks.front().crashTally; };
+    CHECK(tallyOf(next.core).sinceProven == 1);
+    CHECK(tallyOf(next.core).unconfirmed == 1);
+    // Earlier versions can't load snapshots with it, so it is recorded again.
+    CHECK(std::ranges::none_of(next.core.snapshot(next.at()), isEvidence));
+    CHECK(unconfirmedIn(next.core.takeOutput().records) == std::vector<unsigned> { 1 });
+    // A tally that is replaced is stored before the count, so that the count has to be replaced as well.
+    next.answerWithoutRuns(0, acceptedAt + 2s);
+    next.core.decide(next.at());
+    next.core.takeOutput();
+    const StartRun order { taskOf(0), 2, workerId(0), {}, {}, {} };
+    next.core.onStartSent(order, next.at());
+    next.core.onStartAnswer(order, { Ports::WorkerStatus::Done, Ports::WorkerRefusal::None, {} }, next.at());
+    next.now += 1s;
+    Ports::PollAnswer running;
+    running.incarnation = static_cast<std::uint64_t>((acceptedAt + 2s).time_since_epoch().count());
+    running.running.push_back({ taskOf(0), 2, {}, 1, 0 });
+    next.core.onPollAnswer(workerId(0), running, next.now, next.at());
+    CHECK(tallyOf(next.core).sinceProven == 0);
+    CHECK(unconfirmedIn(next.core.takeOutput().records) == std::vector<unsigned> { 0 });
+}
