Weigh crashes under a lasting task by the machines of that time, and by crashes whose suspects are undecided

Cause: the crashes to be expected by chance were too few, for three reasons. They were divided by the machines that the pool has now, 273, instead of the 24 to 200 that it had when they crashed; crashes whose suspects were neither guilty nor cleared weren't taken into account; and at most five were excused, however many were to be expected. Class of fault: the evidence against a task is counted in full, that for it in part. Change: each crash is divided by the number of other machines at its time; for lasting tasks undecided crashes count as well, and nothing limits the excuse: nothing obliges the system to give a lasting task up. Tasks that end keep their limit.

--- a/Source/Core/Jobs/Decision/CrashEvidence.cpp
+++ b/Source/Core/Jobs/Decision/CrashEvidence.cpp
@@ -28,6 +28,8 @@
 
     bool mayBeGuilty(const CrashTally& tally) { return tally.sinceProven >= tally.unconfirmed + fewestConvicting; }
 
+    unsigned allowedByChance(double expected) { return static_cast<unsigned>(chanceFactor * expected); }
+
     bool isSameSuspect(const CrashWitness& left, const CrashWitness& right)
     {
         const auto stepOf = [](const CrashWitness& it) { return std::tie(it.task.job, it.task.occurrence, it.task.step); };
@@ -67,7 +69,7 @@
             const bool isConvicted = (!it.isDoubtful && tally.suspected >= enough + (it.wasDoubtful ? 1 : 0)) || tally.sinceProven >= (isExplained ? guiltyThoughExplained : guiltySinceProven);
             verdict.isGuilty = isConvicted && mayBeGuilty(tally);
         }
-        verdict.isGuilty = verdict.isGuilty || isTooOften(tally, it.expected);
+        verdict.isGuilty = verdict.isGuilty || (it.isLasting ? isLastingTooOften(tally, it.expected) : isTooOften(tally, it.expected));
         verdicts.push_back(verdict);
     }
     return verdicts;
@@ -98,10 +100,12 @@
 
 bool isTooOften(const CrashTally& tally, double expected)
 {
-    return tally.unexplained >= guiltyUnexplained + std::min(mostByChance, static_cast<unsigned>(chanceFactor * expected));
+    return tally.unexplained >= guiltyUnexplained + std::min(mostByChance, allowedByChance(expected));
 }
 
-void CrashHistory::add(const std::string& machine, Witnesses witnesses, bool isTest, Common::Instant now, bool isExcused)
+bool isLastingTooOften(const CrashTally& tally, double expected) { return tally.unexplained >= guiltyUnexplained + allowedByChance(expected); }
+
+void CrashHistory::add(const std::string& machine, Witnesses witnesses, bool isTest, Common::Instant now, bool isExcused, std::size_t otherMachines)
 {
     if (isTest)
         m_tests.push_back(now);
@@ -109,7 +113,7 @@
         m_tests.pop_front();
     if (m_crashes.size() >= maximumCrashes)
         m_crashes.pop_front();
-    m_crashes.push_back({ machine, std::move(witnesses), now, isExcused });
+    m_crashes.push_back({ machine, std::move(witnesses), now, isExcused, otherMachines });
 }
 
 std::set<TaskKey> CrashHistory::acquit(const TaskKey& task)
@@ -174,9 +178,19 @@
     return static_cast<std::size_t>(std::ranges::count_if(m_tests, [since](const auto& it) { return it >= since; }));
 }
 
-double CrashHistory::expectedOf(const TaskKey& task, unsigned unexplained, std::size_t otherMachines) const
+double CrashHistory::expectedOf(const TaskKey& task, unsigned unexplained) const
+{
+    return shareOf(task, unexplained, &Crash::isByItself);
+}
+
+double CrashHistory::undecidedOf(const TaskKey& task, unsigned unexplained) const
 {
-    if (unexplained + 1 < guiltyUnexplained || otherMachines == 0)
+    return shareOf(task, unexplained, &Crash::isUndecided);
+}
+
+double CrashHistory::shareOf(const TaskKey& task, unsigned unexplained, bool (Crash::*isTaken)() const) const
+{
+    if (unexplained + 1 < guiltyUnexplained)
         return 0;
     std::vector<const Crash*> elsewhere;
     std::map<TaskKey, unsigned> crashesUnder;
@@ -185,7 +199,7 @@
         const auto found = it->witnesses.find(task);
         if (found != it->witnesses.end())
             counted += found->second.unexplained > 0 ? 1 : 0;
-        else if (it->isByItself())
+        else if (((*it).*isTaken)())
             elsewhere.push_back(&*it);
     }
     for (const auto* crash : elsewhere) {
@@ -193,8 +207,12 @@
             ++crashesUnder[other];
     }
     const auto isRepeated = [&](const auto& it) { return crashesUnder.at(it.first) + 1 >= unexplained; };
-    const auto byChance = std::ranges::count_if(elsewhere, [&](const auto* crash) { return std::ranges::none_of(crash->witnesses, isRepeated); });
-    return static_cast<double>(byChance) / static_cast<double>(otherMachines);
+    double share = 0;
+    for (const auto* crash : elsewhere) {
+        if (crash->otherMachines > 0 && std::ranges::none_of(crash->witnesses, isRepeated))
+            share += 1 / static_cast<double>(crash->otherMachines);
+    }
+    return share;
 }
 
 bool CrashHistory::isWitness(const std::string& machine, const TaskKey& task) const
--- a/Source/Core/Jobs/Decision/CrashEvidence.h
+++ b/Source/Core/Jobs/Decision/CrashEvidence.h
@@ -31,8 +31,9 @@
     milliseconds age { 0 }; ///< From its start to the crash; zero when doubtful.
     bool isLikely = false; ///< Nothing else explained an earlier crash.
     bool wasStopped = false; ///< Its job was cancelled or has failed, so that it isn't started again.
-    double expected = 0; ///< See CrashHistory::expectedOf().
+    double expected = 0; ///< Crashes that are to be expected by chance: see CrashHistory::expectedOf() and undecidedOf().
     StartEvidence start = StartEvidence::Confirmed;
+    bool isLasting = false;
 };
 
 /// What follows from a crash for one witness.
@@ -55,6 +56,8 @@
 /// True when so many crashes are left unexplained that the task must not be started again. Where workers also crash by themselves, so often
 /// that `expected` of these crashes are to be expected under any task, more are needed.
 bool isTooOften(const CrashTally&, double expected);
+/// The same for a task that lasts, which has no limit of runs: it is never given up for crashes that are to be expected.
+bool isLastingTooOften(const CrashTally&, double expected);
 
 /// Estimates how soon after its start a task crashes its worker, from the tasks that were failed for it, and from that the minimum time
 /// between starts on one worker at which a crash has a single suspect.
@@ -85,7 +88,8 @@
     using Witnesses = std::map<TaskKey, CrashTally>;
 
     /// `isTest`: a task was on the worker that had been suspected before. `isExcused`: a task that was stopped may have caused the crash.
-    void add(const std::string& machine, Witnesses, bool isTest, Common::Instant now, bool isExcused = false);
+    /// `otherMachines`: the number of the pool's other machines at that time.
+    void add(const std::string& machine, Witnesses, bool isTest, Common::Instant now, bool isExcused = false, std::size_t otherMachines = 0);
     /// The task has outlived its start: it explains no crash. Returns the other tasks of crashes that are left without a suspect.
     std::set<TaskKey> acquit(const TaskKey&);
     /// The task has crashed the workers on which it was suspected. Returns what doesn't count against the other tasks any more.
@@ -102,9 +106,11 @@
     /// Crashes since then under tasks that had been suspected before.
     std::size_t countOfTests(Common::Instant since) const;
     /// How many of the latest `unexplained` crashes, which count against the task, are to be expected of a worker that crashes as often as the
-    /// others have since the first of these: crashes elsewhere that no task explains, divided by the number of other machines. Those
-    /// under a task that was on about as many such workers aren't taken into account, as it may have caused them.
-    double expectedOf(const TaskKey&, unsigned unexplained, std::size_t otherMachines) const;
+    /// others have since the first of these: crashes elsewhere that no task explains, each divided by the number of other machines at that
+    /// time. Those under a task that was on about as many such workers aren't taken into account, as it may have caused them.
+    double expectedOf(const TaskKey&, unsigned unexplained) const;
+    /// The same of crashes elsewhere whose suspects are neither guilty nor cleared, so that these may be by chance as well.
+    double undecidedOf(const TaskKey&, unsigned unexplained) const;
     /// True when the task is a witness of an earlier crash of the machine's worker.
     bool isWitness(const std::string& machine, const TaskKey&) const;
     /// True when a crash of the machine's worker is left without a suspect.
@@ -113,16 +119,22 @@
     void forget(Common::Instant now);
 
 private:
+    struct Crash;
+
+    double shareOf(const TaskKey&, unsigned unexplained, bool (Crash::*isTaken)() const) const;
+
     struct Crash {
         std::string machine;
         Witnesses witnesses;
         Common::Instant at;
         bool isExcused = false;
+        std::size_t otherMachines = 0;
 
         /// False when nothing but a task that was stopped may explain it.
         bool isCounted() const { return !isExcused || hasSuspects(); }
         bool isByItself() const { return !isExcused && !hasSuspects(); }
         bool hasSuspects() const;
+        bool isUndecided() const { return !isExcused && hasSuspects(); }
     };
 
     std::deque<Crash> m_crashes;
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -206,6 +206,8 @@
     void onMachineRestarted(const WorkerEntry& newWorker, Moment);
     /// Replaces the task's tally, also what isn't part of TaskSuspected.
     void recordTally(const TaskKey&, const CrashTally&);
+    /// How many of the crashes that count against the task may be by chance.
+    double expectedOf(const TaskKey&, const CrashTally&, bool isLasting) const;
     void restoreEvidence(const JobRecord&);
     void recordEvidence();
     void gradeSuspicion(const TaskKey&, bool isDoubtful, bool isLikely);
--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -109,7 +109,6 @@
 
 std::vector<CrashWitness> PoolCore::witnessesOf(const std::string& machine, const std::vector<LostRun>& lost)
 {
-    const auto others = otherMachines();
     std::vector<CrashWitness> witnesses;
     for (const auto& it : lost) {
         const auto* task = m_jobs.findTask(it.task);
@@ -125,7 +124,8 @@
             witness.isGang = spec.isGang;
             witness.wasDoubtful = m_doubtfulSuspects.contains(it.task);
             witness.isLikely = m_likelySuspects.contains(it.task);
-            witness.expected = m_crashes.expectedOf(it.task, task->crashTally.unexplained, others);
+            witness.isLasting = spec.isLasting;
+            witness.expected = expectedOf(it.task, task->crashTally, spec.isLasting);
         } else if (!task && wasStopped(it.task.job)) {
             witness.wasStopped = true;
         } else {
@@ -158,7 +158,7 @@
     const bool isAgeKnown = youngest != witnesses.end() && !youngest->isProven && !youngest->isDoubtful;
     log("worker-crashed", worker.entry.id, { { "youngestMs", isAgeKnown ? std::to_string(youngest->age.count()) : "unknown" }, { "windowMs", std::to_string(window.count()) }, { "machine", machine }, { "runs", std::to_string(witnesses.size()) }, { "suspects", std::to_string(suspects) }, { "crashedByItself", isByItself ? "yes" : "no" }, { "excused", isExcused ? "yes" : "no" } });
     const bool isTest = std::ranges::any_of(witnesses, [](const auto& it) { return !it.isProven && it.tally.suspected > 0; });
-    m_crashes.add(machine, std::move(growth), isTest, at.now, isExcused);
+    m_crashes.add(machine, std::move(growth), isTest, at.now, isExcused, otherMachines());
     if (suspects > 0)
         m_startSpacing.onCrash(at.now);
     for (std::size_t n = 0; n < witnesses.size(); ++n) {
@@ -266,7 +266,6 @@
     m_suspects.erase(key);
     log("task-cleared", key.job, { { "task", nameOfTask(key) }, { "unexplained", std::to_string(task->crashTally.unexplained) } });
     recordTally(key, { task->crashTally.unexplained, 0, 0 });
-    const auto others = otherMachines();
     for (const auto& bystander : m_crashes.acquit(key)) {
         const auto* other = m_jobs.findTask(bystander);
         if (!other || other->state == Task::State::Done)
@@ -274,7 +273,9 @@
         auto tally = other->crashTally;
         ++tally.unexplained;
         recordTally(bystander, tally);
-        if (isTooOften(tally, m_crashes.expectedOf(bystander, tally.unexplained, others)))
+        const bool isLasting = m_jobs.find(bystander.job)->spec().steps[bystander.step].isLasting;
+        const auto expected = expectedOf(bystander, tally, isLasting);
+        if (isLasting ? isLastingTooOften(tally, expected) : isTooOften(tally, expected))
             giveUp(bystander, tally, at);
     }
 }
--- a/Source/Core/Jobs/Decision/PoolCoreEvidence.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreEvidence.cpp
@@ -35,6 +35,12 @@
         record(CrashesUnconfirmed { key, tally.unconfirmed });
 }
 
+double PoolCore::expectedOf(const TaskKey& key, const CrashTally& tally, bool isLasting) const
+{
+    const auto byChance = m_crashes.expectedOf(key, tally.unexplained);
+    return isLasting ? byChance + m_crashes.undecidedOf(key, tally.unexplained) : byChance;
+}
+
 void PoolCore::restoreEvidence(const JobRecord& record)
 {
     const auto restore = [this](const TaskKey& task, bool isDoubtful, bool isLikely) {
