--- a/Source/UnitTests/Jobs/UnsentStartsTest.cpp
+++ b/Source/UnitTests/Jobs/UnsentStartsTest.cpp
@@ -140,6 +140,22 @@
     CHECK(it.core.takeOutput().orders.size() == 1);
 }
 
+// Its first attempt was held up with the polls, and the time without any answer counted as time without progress.
+TEST_CASE("a run whose start was carried out late isn't stopped as stalled at its first poll")
+{
+    PlacedRun it;
+    it.core.onStartSent(it.start, PlacedRun::at(it.placedAt));
+    it.core.onStartAnswer(it.start, {}, PlacedRun::at(it.placedAt + 700ms));
+    it.core.onWorkerFailing("w0", it.placedAt, PlacedRun::at(it.placedAt + 700ms));
+    const auto beginsAt = it.placedAt + 4s;
+    Ports::PollAnswer poll;
+    poll.running.push_back({ it.start.task, it.start.run, "", 0, 0 });
+    it.core.onPollAnswer("w0", poll, beginsAt + 1ms, PlacedRun::at(beginsAt + 2ms));
+    CHECK(it.core.takeOutput().orders.empty());
+    it.core.onPollAnswer("w0", poll, beginsAt + 9s, PlacedRun::at(beginsAt + 9s));
+    CHECK(it.core.takeOutput().orders.size() == 1);
+}
+
 TEST_CASE("a start that waits isn't sent once its job was cancelled")
 {
     PlacedRun it;
