--- a/Source/UnitTests/Jobs/UnsentStartsTest.cpp
+++ b/Source/UnitTests/Jobs/UnsentStartsTest.cpp
@@ -156,6 +156,27 @@
     CHECK(it.core.takeOutput().orders.size() == 1);
 }
 
+// The refusal proves that the run isn't there, yet it counted as a start: the task was suspected of the crash.
+TEST_CASE("a task whose start its worker has refused as stale isn't suspected when the worker crashes")
+{
+    PlacedRun it;
+    const auto& start = it.start;
+    it.core.onStartSent(start, PlacedRun::at(it.placedAt));
+    it.core.onStartAnswer(start, {}, PlacedRun::at(it.placedAt + 700ms));
+    it.core.onStartSent(start, PlacedRun::at(it.placedAt + 760ms));
+    it.core.onStartAnswer(start, { Ports::WorkerStatus::Refused, Ports::WorkerRefusal::StaleRun, {} }, PlacedRun::at(it.placedAt + 762ms));
+    it.core.onWorkerFailing("w0", it.placedAt + 780ms, PlacedRun::at(it.placedAt + 780ms));
+    it.core.onWorkerLost("w0", WorkerLoss::Crashed, PlacedRun::at(it.placedAt + 2s));
+    const auto records = it.core.takeOutput().records;
+    const auto hasEnded = [](const auto& record) { return std::holds_alternative<RunEnded>(record); };
+    CHECK(std::ranges::any_of(records, hasEnded));
+    const auto isSuspected = [](const auto& record) {
+        const auto* tally = std::get_if<TaskSuspected>(&record);
+        return tally && (tally->tally.sinceProven > 0 || tally->tally.suspected > 0);
+    };
+    CHECK(std::ranges::none_of(records, isSuspected));
+}
+
 TEST_CASE("a start that waits isn't sent once its job was cancelled")
 {
     PlacedRun it;
