--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -271,8 +271,10 @@
         return;
     }
     auto& run = it->second;
-    if (run.lastSeenPoll == 0)
+    if (run.lastSeenPoll == 0) {
         noteStarted(seen.task.job);
+        run.progressAt = at.now; // Its start may have been carried out long after it was sent, or ordered by an earlier owner.
+    }
     run.lastSeenPoll = worker.pollAnswers;
     if (run.phase == WorkerRun::Phase::Ordered) {
         run.phase = WorkerRun::Phase::Confirmed;
