--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -128,6 +128,9 @@
     /// Whether a stop order may still be sent. The session calls this right before each attempt, since the order may have
     /// waited for the store or the worker for seconds.
     bool mayStop(const StopRun&, Moment) const;
+    /// Whether a throttle order is to be sent, or repeated without an answer. Not once its run is over or is to be stopped, nor after another
+    /// speed was ordered.
+    bool needsThrottle(const ThrottleRun&) const;
     /// Handles the answer to a stop order. The run counts as ended only once a later poll shows that.
     void onStopAnswer(const StopRun&, const Ports::WorkerAnswer&, Moment);
     /// The stop order was never sent, or is known to have had no effect: the run continues.
--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -139,6 +139,13 @@
     return worker && it != worker->runs.end() && it->second.run == order.run && it->second.lastSeenPoll == 0 && it->second.phase != WorkerRun::Phase::Stopping;
 }
 
+bool PoolCore::needsThrottle(const ThrottleRun& order) const
+{
+    const auto* worker = findWorker(order.worker);
+    const auto it = worker ? worker->runs.find(order.task) : std::map<TaskKey, WorkerRun>::const_iterator();
+    return worker && it != worker->runs.end() && it->second.run == order.run && it->second.phase != WorkerRun::Phase::Stopping && it->second.throttlePercent == order.percent;
+}
+
 bool PoolCore::mayStart(const StartRun& order) const
 {
     const auto* worker = findWorker(order.worker);
--- a/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwnerWorkers.cpp
@@ -44,6 +44,7 @@
     };
     result.onStartCancelled = [this](const StartRun& run, const Ports::WorkerAnswer& refusal) { core.onStartCancelled(run, refusal, moment()); };
     result.needsStart = [this](const StartRun& run) { return core.needsStart(run); };
+    result.needsThrottle = [this](const ThrottleRun& run) { return core.needsThrottle(run); };
     result.mayStart = [this](const StartRun& run) { return core.mayStart(run); };
     result.mayStop = [this](const StopRun& run) { return core.mayStop(run, moment()); };
     result.onStopAnswer = [this](const StopRun& run, const Ports::WorkerAnswer& answer) { core.onStopAnswer(run, answer, moment()); };
--- a/Source/Core/Jobs/Runtime/WorkerSession.cpp
+++ b/Source/Core/Jobs/Runtime/WorkerSession.cpp
@@ -343,6 +343,23 @@
         hooks.onStopAnswer(run, answer);
     }
 
+    void throttle(const ThrottleRun& run, const Attempt& attempt)
+    {
+        if (isSettled(attempt) || !hooks.needsThrottle(run))
+            return;
+        const auto sent = nextFence();
+        port.throttle({ target(), run.task, run.run, run.percent, sent }, [self = shared_from_this(), run, attempt, sent](const WorkerAnswer& answer) {
+            if (self->isSettled(attempt))
+                return;
+            const OrderLabel label { "throttle", run.task, run.run };
+            const bool isUncertain = answer.status != WorkerStatus::Done && answer.status != WorkerStatus::Refused;
+            if (isUncertain || self->isOvertaken(answer, sent))
+                self->retry(label, attempt, [run](State& it, const Attempt& next) { it.throttle(run, next); });
+            else if (answer.status != WorkerStatus::Done)
+                self->logOrder("order-refused", label, attempt);
+        });
+    }
+
     /// Retries until the worker answers or lapses: nothing else frees the resources that the order's run occupies.
     void retry(const OrderLabel& name, Attempt attempt, std::function<void(State&, const Attempt&)> resend)
     {
@@ -425,20 +442,7 @@
 
 void WorkerSession::stop(const StopRun& run) { m_state->stop(run, m_state->firstAttempt()); }
 
-void WorkerSession::throttle(const ThrottleRun& run)
-{
-    auto& state = *m_state;
-    state.port.throttle({ state.target(), run.task, run.run, run.percent, state.nextFence() }, [self = m_state, run](const WorkerAnswer& answer) {
-        if (self->isClosed || answer.status == WorkerStatus::Done)
-            return;
-        self->retry({ "throttle", run.task, run.run }, self->firstAttempt(), [self, run](State& it, const State::Attempt& attempt) {
-            it.port.throttle({ it.target(), run.task, run.run, run.percent, it.nextFence() }, [self, run, attempt](const WorkerAnswer& retryAnswer) {
-                if (!self->isClosed && retryAnswer.status != WorkerStatus::Done)
-                    self->logOrder("order-abandoned", { "throttle", run.task, run.run }, attempt);
-            });
-        });
-    });
-}
+void WorkerSession::throttle(const ThrottleRun& run) { m_state->throttle(run, m_state->firstAttempt()); }
 
 void WorkerSession::acknowledgeEnds(std::uint64_t incarnation, std::uint64_t number)
 {
--- a/Source/Core/Jobs/Runtime/WorkerSession.h
+++ b/Source/Core/Jobs/Runtime/WorkerSession.h
@@ -26,7 +26,7 @@
 /// Used on the loop's thread only.
 class WorkerSession {
 public:
-    /// Callbacks to the owner, which decides. All but `newestFence`, `needsStart`, `mayStart`, `mayStop`, `mayExtendLease`, `mayOrder`, `needsLatencyPoll` and `hasRuns` report events.
+    /// Callbacks to the owner, which decides. All but `newestFence`, `needsStart`, `needsThrottle`, `mayStart`, `mayStop`, `mayExtendLease`, `mayOrder`, `needsLatencyPoll` and `hasRuns` report events.
     struct Hooks {
         std::function<void(const Ports::PollAnswer&, Common::Instant sentAt)> onPollAnswered;
         std::function<void(const StartRun&)> onStartSent; ///< Called before each attempt.
@@ -34,6 +34,7 @@
         /// A start was given up and its run stopped, as an earlier attempt may have arrived. The run ends once a poll shows so.
         std::function<void(const StartRun&, const Ports::WorkerAnswer& refusal)> onStartCancelled;
         std::function<bool(const StartRun&)> needsStart; ///< Asked before each attempt. False: no more attempts, and no answer is reported.
+        std::function<bool(const ThrottleRun&)> needsThrottle; ///< Asked before each attempt. False: no more attempts.
         std::function<bool(const StartRun&)> mayStart; ///< Asked before each attempt.
         std::function<bool(const StopRun&)> mayStop; ///< Asked before each attempt.
         std::function<void(const StopRun&, const Ports::WorkerAnswer&)> onStopAnswer;
@@ -59,10 +60,9 @@
     void begin();
     /// Polls at once if the worker's address or incarnation has changed.
     void entryChanged(const WorkerEntry&);
-    /// Start and stop orders are retried until the worker answers or its lease lapses.
+    /// Orders are retried until the worker answers or its lease lapses, throttle orders also until another speed is ordered.
     void start(const StartRun&);
     void stop(const StopRun&);
-    /// Retried once only; a failure is logged.
     void throttle(const ThrottleRun&);
     /// Ends up to this number that the incarnation has listed are committed: acknowledges them with the next poll, at once if none is
     /// pending. Ignored when another incarnation answers by now, as its ends have the same numbers.
--- a/Source/UnitTests/Jobs/FillerSpeedTest.cpp
+++ b/Source/UnitTests/Jobs/FillerSpeedTest.cpp
@@ -147,6 +147,7 @@
         hooks.mayExtendLease = [] { return true; };
         hooks.needsLatencyPoll = [] { return true; };
         hooks.newestFence = [] { return Fence(1); };
+        hooks.needsThrottle = [this](const ThrottleRun& order) { return order.percent == wanted; };
         WorkerEntry entry;
         entry.id = "w0";
         entry.address = "w0:1";
