--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -249,7 +249,7 @@
     void onRunReported(Worker&, const Ports::RunningTask&, Moment);
     void handleMissingRuns(Worker&, Instant sentAt, Moment);
     void stopStalledRuns(Worker&, Moment);
-    void throttleFillers(Worker&);
+    void throttleFillers(Worker&, Moment);
     void orderStop(Worker&, const TaskKey&, WorkerRun&, bool isOptional = false);
     void stopGang(const TaskKey& member);
     void stopJob(const JobId&);
--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -214,7 +214,7 @@
     if (!answer.hasMoreEnds)
         handleMissingRuns(worker, sentAt, at);
     stopStalledRuns(worker, at);
-    throttleFillers(worker);
+    throttleFillers(worker, at);
 }
 
 void PoolCore::onRunEnded(Worker& worker, const Ports::EndedTask& end, Moment at)
@@ -338,7 +338,7 @@
     }
 }
 
-void PoolCore::throttleFillers(Worker& worker)
+void PoolCore::throttleFillers(Worker& worker, Moment at)
 {
     LatencyPressure worst;
     for (const auto& [key, run] : worker.runs) {
@@ -356,6 +356,7 @@
             continue;
         log("filler-throttled", key.job, { { "worker", worker.entry.id }, { "percent", std::to_string(share) }, { "latencyMs", std::to_string(worst.latency.count()) }, { "targetMs", std::to_string(worst.target.count()) } });
         run.throttlePercent = share;
+        run.progressAt = at.now; // It can't have made progress while it was paused.
         m_output.orders.emplace_back(ThrottleRun { key, run.run, worker.entry.id, share });
     }
 }
