--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -352,7 +352,8 @@
         if (!run.isFiller || run.phase != WorkerRun::Phase::Confirmed)
             continue;
         const unsigned share = pacedShare(run.throttlePercent, worst);
-        if (share == run.throttlePercent)
+        const bool isShareUnknown = run.isInherited && run.startedBy == at.now; // Its first poll here: an earlier owner may have throttled it.
+        if (share == run.throttlePercent && !isShareUnknown)
             continue;
         log("filler-throttled", key.job, { { "worker", worker.entry.id }, { "percent", std::to_string(share) }, { "latencyMs", std::to_string(worst.latency.count()) }, { "targetMs", std::to_string(worst.target.count()) } });
         run.throttlePercent = share;
