--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -71,11 +71,14 @@
     }
     // StaleRun means that this run or a later one was stopped or has ended there. It may be this run, started by an earlier attempt
     // whose answer was lost: the next poll shows its end, or that it never ran.
-    if (answer.status == WorkerStatus::Done || answer.refusal == Ports::WorkerRefusal::StaleRun) {
+    const bool isStale = answer.refusal == Ports::WorkerRefusal::StaleRun;
+    if (answer.status == WorkerStatus::Done || isStale) {
         if (it->second.phase == WorkerRun::Phase::Ordered)
             it->second.phase = WorkerRun::Phase::Confirmed;
         it->second.confirmedAt = at.now;
-        if (it->second.startedBy == Instant())
+        if (isStale)
+            it->second.sentAt = {}; // No attempt can begin the run there any more: it isn't to blame for a crash.
+        else if (it->second.startedBy == Instant())
             it->second.startedBy = at.now;
         return;
     }
