--- a/Source/UnitTests/Jobs/OrderIntentsTest.cpp
+++ b/Source/UnitTests/Jobs/OrderIntentsTest.cpp
@@ -60,6 +60,31 @@
 
 std::string otherMachine(const std::string& machine) { return machine == "s0" ? "s1" : "s0"; }
 
+/// Machine service whose orders are lost: they aren't carried out, and the calls time out.
+class LostOrders final : public Ports::MachinePort {
+public:
+    explicit LostOrders(JobFleet& fleet)
+        : m_fleet(fleet)
+    {
+    }
+
+    void list(Ports::MachineListCallback callback) override { m_fleet.machinePort.list(std::move(callback)); }
+    void move(const Ports::MachineOrder&, Ports::MachineCallback callback) override { lose(std::move(callback)); }
+    void maintain(const Ports::MachineOrder&, Ports::MachineCallback callback) override { lose(std::move(callback)); }
+    void advise(const TaskKey&, const std::vector<std::string>&, Ports::AdviceCallback) override { }
+
+    unsigned orders = 0;
+
+private:
+    void lose(Ports::MachineCallback callback)
+    {
+        ++orders;
+        m_fleet.loop.after(100ms, [callback = std::move(callback)] { callback(Ports::MachineStatus::NoAnswer); });
+    }
+
+    JobFleet& m_fleet;
+};
+
 } // namespace
 
 TEST_CASE("a new holder of the fleet duty orders machines without an intent of its predecessor at once")
@@ -294,3 +319,35 @@
     REQUIRE(reply.values.size() == 1);
     CHECK(reply.values.front().value == "completed");
 }
+
+// The cordon holds with the pool's former owner only. Its successor places runs before it is told, and the order ended them.
+TEST_CASE("an order for a machine isn't repeated while runs are reported there again")
+{
+    JobFleet fleet(0, 1);
+    LostOrders machines(fleet);
+    FakeStorePort store(fleet.store, "host-0");
+    fleet.store.put(Ownership::keyOf(fleetDuty), "host-0 1");
+    const auto fence = static_cast<Fence>(fleet.store.state.revision());
+    unsigned runs = 0;
+    const auto requestLoad = [&runs](const LoadCall& call, const std::function<void(const LoadCallAnswer&)>& callback) {
+        LoadCallAnswer answer;
+        answer.isOwner = true;
+        const bool isCordoned = std::ranges::find(call.cordonedMachines, "m0") != call.cordonedMachines.end();
+        answer.load.workers = { { "w0", "m0", runs, runs, isCordoned, {} } };
+        callback(answer);
+    };
+    FleetDuty duty({ fleet.loop, store, machines, fleet.published, "host-0", {}, Predecessor::None, requestLoad, [] { return true; } }, fence);
+    duty.configure(fleet.configuration);
+    duty.begin();
+    duty.addWave({ 1, { "m0" }, 60s, 1 });
+    fleet.runFor(2s);
+    REQUIRE(machines.orders > 1);
+    runs = 1;
+    fleet.runFor(500ms); // The next loads are reported within that time.
+    const auto before = machines.orders;
+    fleet.runFor(2s);
+    CHECK(machines.orders == before);
+    runs = 0;
+    fleet.runFor(2s);
+    CHECK(machines.orders > before);
+}
