Limit how many crashes under unconfirmed starts a task may have, and weigh only crashes that the owner remembers

Cause: (1, 2) "the worker was there when the order must have arrived" isn't an observation of the start; with nothing in its place no limit held. (3) A tally outlives the crashes that it is weighed against: they are this owner's, and the newest 1,000. Change: the observation "isolated" is gone. A start isn't carried out if the worker has since answered a poll without the run, and no evidence. Any other start that was only sent counts to the fifth crash, after which the platform allows no further one, and convicts then. Of a lasting task only crashes that the history holds count.

--- a/Source/Core/Jobs/Decision/CrashEvidence.cpp
+++ b/Source/Core/Jobs/Decision/CrashEvidence.cpp
@@ -12,7 +12,8 @@
     constexpr unsigned fewestConvicting = 2; ///< Crashes under starts that convict; the platform allows to give up a task after two.
     constexpr unsigned guiltyAlone = 2; ///< Suspected, the latest time as the only one.
     constexpr unsigned guiltySuspected = 3; ///< Suspected, whoever else was.
-    constexpr unsigned guiltySinceProven = 4; ///< The platform allows two starts after the third crash.
+    constexpr unsigned guiltySinceProven = 4;
+    constexpr unsigned mostStarts = 5; ///< That crash workers: the platform allows two after the third crash.
     constexpr unsigned repeatedSinceProven = 3; ///< Suspected as well, though others explain each crash.
     constexpr unsigned guiltyThoughExplained = 5; ///< In place of guiltySinceProven, where another task explains the latest crash.
     constexpr unsigned guiltyUnexplained = 5; ///< The same, for tasks that crash workers later than just after their start.
@@ -67,7 +68,7 @@
             verdict.isExplanation = !it.isDoubtful && isAlone && !isExplained;
             const auto enough = (isAlone || isGroup) && !isExplained && !crashesByItself ? guiltyAlone : guiltySuspected;
             const bool isConvicted = (!it.isDoubtful && tally.suspected >= enough + (it.wasDoubtful ? 1 : 0)) || tally.sinceProven >= (isExplained ? guiltyThoughExplained : guiltySinceProven);
-            verdict.isGuilty = isConvicted && mayBeGuilty(tally);
+            verdict.isGuilty = (isConvicted && mayBeGuilty(tally)) || tally.sinceProven >= mostStarts;
         }
         verdict.isGuilty = verdict.isGuilty || (it.isLasting ? isLastingTooOften(tally, it.expected) : isTooOften(tally, it.expected));
         verdicts.push_back(verdict);
@@ -178,6 +179,14 @@
     return static_cast<std::size_t>(std::ranges::count_if(m_tests, [since](const auto& it) { return it >= since; }));
 }
 
+unsigned CrashHistory::countAgainst(const TaskKey& task) const
+{
+    return static_cast<unsigned>(std::ranges::count_if(m_crashes, [&task](const auto& it) {
+        const auto found = it.witnesses.find(task);
+        return found != it.witnesses.end() && found->second.unexplained > 0;
+    }));
+}
+
 double CrashHistory::expectedOf(const TaskKey& task, unsigned unexplained) const
 {
     return shareOf(task, unexplained, &Crash::isByItself);
--- a/Source/Core/Jobs/Decision/CrashEvidence.h
+++ b/Source/Core/Jobs/Decision/CrashEvidence.h
@@ -50,7 +50,7 @@
 /// started less than that before the crash are suspected, if there are any, and those that have crashed several times since they last
 /// outlived a start, whatever explains these crashes. Tasks that were stopped aren't suspected, but a crash that one may have caused
 /// isn't held against its machine, and the others aren't suspected alone. Likely suspects that were tried together are guilty after two
-/// crashes. No task is guilty before two workers have crashed under starts of it that convict, see StartEvidence.h.
+/// crashes. No task is guilty before two workers have crashed under starts of it that convict (see StartEvidence.h), or five under any.
 std::vector<CrashVerdict> judgeCrash(const std::vector<CrashWitness>&, bool crashesByItself, milliseconds window = milliseconds(0));
 
 /// True when so many crashes are left unexplained that the task must not be started again. Where workers also crash by themselves, so often
@@ -105,6 +105,8 @@
     std::unordered_map<std::string_view, MachineCrashes> byMachine() const;
     /// Crashes since then under tasks that had been suspected before.
     std::size_t countOfTests(Common::Instant since) const;
+    /// Remembered crashes that count against the task.
+    unsigned countAgainst(const TaskKey&) const;
     /// How many of the latest `unexplained` crashes, which count against the task, are to be expected of a worker that crashes as often as the
     /// others have since the first of these: crashes elsewhere that no task explains, each divided by the number of other machines at that
     /// time. Those under a task that was on about as many such workers aren't taken into account, as it may have caused them.
--- a/Source/Core/Jobs/Decision/PoolCore.cpp
+++ b/Source/Core/Jobs/Decision/PoolCore.cpp
@@ -147,17 +147,16 @@
     const auto failingSince = std::exchange(worker.failingSince, {});
     std::vector<LostRun> lost = std::exchange(worker.lapsedRuns, {});
     expectLateStarts(worker, runs, loss, at.now);
-    const auto unproven = std::ranges::count_if(runs, [](const auto& it) { return !it.second.isProven && !it.second.isUnsent(); });
     for (const auto& [key, run] : runs) {
         const auto* sent = run.isUnsent() ? "no" : "yes";
-        const bool isAlone = unproven == 1 && !run.isProven;
-        log("run-lost", key.job, { { "task", std::to_string(key.step) + "." + std::to_string(key.index) }, { "run", std::to_string(run.run) }, { "worker", id }, { "reason", nameOf(loss) }, { "ageMs", std::to_string(std::chrono::duration_cast<milliseconds>(at.now - run.orderedAt).count()) }, { "sent", run.isInherited ? "unknown" : sent }, { "confirmed", run.phase == WorkerRun::Phase::Ordered ? "no" : "yes" }, { "start", nameOf(run.startEvidence(isAlone, worker.aliveUntil)) }, { "percent", std::to_string(run.percent) } });
+        const auto evidence = run.startEvidence(worker.answeredPollSentAt);
+        log("run-lost", key.job, { { "task", std::to_string(key.step) + "." + std::to_string(key.index) }, { "run", std::to_string(run.run) }, { "worker", id }, { "reason", nameOf(loss) }, { "ageMs", std::to_string(std::chrono::duration_cast<milliseconds>(at.now - run.orderedAt).count()) }, { "sent", run.isInherited ? "unknown" : sent }, { "confirmed", run.phase == WorkerRun::Phase::Ordered ? "no" : "yes" }, { "start", nameOf(evidence) }, { "percent", std::to_string(run.percent) } });
         const auto* task = m_jobs.findTask(key);
         const bool isCurrent = task && task->state == Task::State::Placed && task->lastRun == run.run && task->worker == id;
         const bool wasAlive = failingSince == Instant() || run.mayHaveStartedAt() < failingSince;
-        const bool mayHaveStarted = run.isInherited || (wasAlive && !run.isUnsent());
+        const bool mayHaveStarted = run.isInherited || (wasAlive && evidence != StartEvidence::NotCarriedOut);
         if (mayHaveStarted && (isCurrent || wasStopped(key.job)))
-            lost.push_back(lostRunOf(key, run, isAlone, worker.aliveUntil, failingSince));
+            lost.push_back(lostRunOf(key, run, evidence, worker.aliveUntil, failingSince));
         if (!isCurrent)
             continue;
         holdLateStart(worker, key, run, at.now);
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -195,7 +195,7 @@
     void settleLateStarts(Worker&, const Ports::PollAnswer&, Instant sentAt);
     /// The worker won't return under its id.
     void releaseLateStarts(Worker&);
-    LostRun lostRunOf(const TaskKey&, const WorkerRun&, bool isAlone, Instant aliveUntil, Instant failingSince) const;
+    LostRun lostRunOf(const TaskKey&, const WorkerRun&, StartEvidence, Instant aliveUntil, Instant failingSince) const;
     Suspicion suspicionOf(const Task&, Instant now) const;
     bool wasStopped(const JobId&) const;
     std::vector<CrashWitness> witnessesOf(const std::string& machine, const std::vector<LostRun>&);
@@ -209,6 +209,9 @@
     void onMachineRestarted(const WorkerEntry& newWorker, Moment);
     /// Replaces the task's tally, also what isn't part of TaskSuspected.
     void recordTally(const TaskKey&, const CrashTally&);
+    /// The task's tally. Of a lasting task, crashes whose surroundings aren't remembered, such as those that an earlier owner saw, don't count
+    /// in `unexplained`, since they can't be weighed against others.
+    CrashTally weighableTallyOf(const TaskKey&, const Task&, bool isLasting) const;
     /// How many of the crashes that count against the task may be by chance.
     double expectedOf(const TaskKey&, const CrashTally&, bool isLasting) const;
     void restoreEvidence(const JobRecord&);
--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -71,14 +71,14 @@
 
 } // namespace
 
-LostRun PoolCore::lostRunOf(const TaskKey& key, const WorkerRun& run, bool isAlone, Instant aliveUntil, Instant failingSince) const
+LostRun PoolCore::lostRunOf(const TaskKey& key, const WorkerRun& run, StartEvidence evidence, Instant aliveUntil, Instant failingSince) const
 {
     const bool hasStarted = run.startedBy != Instant();
     LostRun lost { key, run.run };
     lost.isProven = run.isProven || (hasStarted && aliveUntil - run.startedBy >= provenAfter);
     lost.isDoubtful = !hasStarted || run.isTriedInGroup || failingSince == Instant() || failingSince - run.startedBy >= provenAfter;
     lost.isUnconfirmed = !hasStarted && !run.isInherited && failingSince != Instant() && failingSince - run.mayHaveStartedAt() < provenAfter;
-    lost.start = run.startEvidence(isAlone, aliveUntil);
+    lost.start = evidence;
     if (!lost.isDoubtful)
         lost.age = std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(failingSince - run.startedBy));
     return lost;
@@ -118,14 +118,14 @@
         witness.start = it.start;
         if (task && task->state != Task::State::Done) {
             const auto& spec = m_jobs.find(it.task.job)->spec().steps[it.task.step];
-            witness.tally = task->crashTally;
+            witness.tally = weighableTallyOf(it.task, *task, spec.isLasting);
             witness.isDoubtful = it.isDoubtful || m_crashes.isWitness(machine, it.task);
             witness.isProven = it.isProven || isProvenElsewhere(it, *task);
             witness.isGang = spec.isGang;
             witness.wasDoubtful = m_doubtfulSuspects.contains(it.task);
             witness.isLikely = m_likelySuspects.contains(it.task);
             witness.isLasting = spec.isLasting;
-            witness.expected = expectedOf(it.task, task->crashTally, spec.isLasting);
+            witness.expected = expectedOf(it.task, witness.tally, spec.isLasting);
         } else if (!task && wasStopped(it.task.job)) {
             witness.wasStopped = true;
         } else {
@@ -274,6 +274,7 @@
         ++tally.unexplained;
         recordTally(bystander, tally);
         const bool isLasting = m_jobs.find(bystander.job)->spec().steps[bystander.step].isLasting;
+        tally = weighableTallyOf(bystander, *other, isLasting);
         const auto expected = expectedOf(bystander, tally, isLasting);
         if (isLasting ? isLastingTooOften(tally, expected) : isTooOften(tally, expected))
             giveUp(bystander, tally, at);
--- a/Source/Core/Jobs/Decision/PoolCoreEvidence.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreEvidence.cpp
@@ -35,6 +35,14 @@
         record(CrashesUnconfirmed { key, tally.unconfirmed });
 }
 
+CrashTally PoolCore::weighableTallyOf(const TaskKey& key, const Task& task, bool isLasting) const
+{
+    auto tally = task.crashTally;
+    if (isLasting)
+        tally.unexplained = std::min(tally.unexplained, m_crashes.countAgainst(key));
+    return tally;
+}
+
 double PoolCore::expectedOf(const TaskKey& key, const CrashTally& tally, bool isLasting) const
 {
     const auto byChance = m_crashes.expectedOf(key, tally.unexplained);
@@ -68,11 +76,13 @@
     graded.insert(m_likelySuspects.begin(), m_likelySuspects.end());
     for (const auto& key : graded)
         record(gradeOf(key));
-    for (const auto& key : m_suspects) {
-        const auto* task = m_jobs.findTask(key);
-        if (task && task->crashTally.unconfirmed > 0)
-            record(CrashesUnconfirmed { key, task->crashTally.unconfirmed });
-    }
+    std::vector<CrashesUnconfirmed> unconfirmed;
+    m_jobs.forEachTask([&unconfirmed](const Job&, const TaskKey& key, const Task& task) {
+        if (task.state != Task::State::Done && task.crashTally.unconfirmed > 0)
+            unconfirmed.push_back({ key, task.crashTally.unconfirmed });
+    });
+    for (const auto& it : unconfirmed)
+        record(it);
 }
 
 } // namespace Jobs
--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -47,6 +47,8 @@
     if (it == found->second.runs.end() || it->second.run != order.run)
         return;
     it->second.sentAt = at.now;
+    if (it->second.firstSentAt == Instant())
+        it->second.firstSentAt = at.now;
     if (it->second.startedBy == Instant())
         it->second.progressAt = at.now;
 }
@@ -207,6 +209,7 @@
     worker.failingSince = {};
     worker.lapsedRuns.clear();
     ++worker.pollAnswers;
+    worker.answeredPollSentAt = std::max(worker.answeredPollSentAt, sentAt);
     for (const auto& it : answer.ended)
         onRunEnded(worker, it, at);
     worker.strays = {};
--- a/Source/Core/Jobs/Decision/StartEvidence.h
+++ b/Source/Core/Jobs/Decision/StartEvidence.h
@@ -6,25 +6,23 @@
 
 /// Ordered by strength.
 enum class StartEvidence {
-    Unsent, ///< No attempt was sent: the task has nothing to do with the crash.
+    NotCarriedOut, ///< No attempt was sent, or the worker has answered without the run since: the task has nothing to do with the crash.
     Sent, ///< An attempt was sent, by this owner or an earlier one, and the worker has said nothing of it: the task is tried apart from others.
-    Isolated, ///< Sent, and nothing else had started there lately; the worker was still there when the order must have arrived.
     Confirmed, ///< The worker has answered the order, or has listed the run.
 };
 
-/// Whether the crash may count towards giving the task up. One under any other start only isolates the task.
-constexpr bool convicts(StartEvidence evidence) { return evidence >= StartEvidence::Isolated; }
+/// Whether the crash counts towards giving the task up at once. Under other starts, a task is given up only when it must not be started again
+/// if all of them were carried out.
+constexpr bool convicts(StartEvidence evidence) { return evidence == StartEvidence::Confirmed; }
 
 /// Lower-case name for logs.
 constexpr const char* nameOf(StartEvidence evidence)
 {
     switch (evidence) {
-    case StartEvidence::Unsent:
-        return "unsent";
+    case StartEvidence::NotCarriedOut:
+        return "not-carried-out";
     case StartEvidence::Sent:
         return "sent";
-    case StartEvidence::Isolated:
-        return "isolated";
     case StartEvidence::Confirmed:
         break;
     }
--- a/Source/Core/Jobs/Decision/Worker.h
+++ b/Source/Core/Jobs/Decision/Worker.h
@@ -42,6 +42,7 @@
     std::string image;
     Common::Instant orderedAt {};
     Common::Instant sentAt {}; ///< The latest attempt of the start; zero while the order waits, for example for the store.
+    Common::Instant firstSentAt {}; ///< The first attempt of the start.
     Common::Instant confirmedAt {}; ///< A poll sent later whose answer lacks the run proves that it is gone.
     Common::Instant progressAt {}; ///< When the percentage or the checkpoint last changed.
     std::string checkpoint; ///< Newest one reported; empty for none.
@@ -60,16 +61,14 @@
 
     /// True when no attempt of the start was sent, so that the worker can't have the run.
     bool isUnsent() const { return !isInherited && sentAt == Common::Instant() && startedBy == Common::Instant(); }
-    /// `isAlone`: no other run of the worker hadn't outlived its start. `aliveUntil`: the worker hadn't crashed before then.
-    StartEvidence startEvidence(bool isAlone, Common::Instant aliveUntil) const
+    /// `answeredPollSentAt`: of the latest poll that the worker has answered.
+    StartEvidence startEvidence(Common::Instant answeredPollSentAt) const
     {
-        constexpr milliseconds arrivalLimit { 10 }; ///< Of an order at a worker that answers, and of its connection's end at the owner.
         if (startedBy != Common::Instant())
             return StartEvidence::Confirmed;
-        if (isUnsent())
-            return StartEvidence::Unsent;
-        const bool hasArrived = !isInherited && sentAt != Common::Instant() && aliveUntil - sentAt >= arrivalLimit;
-        return isAlone && hasArrived ? StartEvidence::Isolated : StartEvidence::Sent;
+        constexpr milliseconds arrivalLimit { 10 }; ///< Calls on different connections may overtake each other.
+        const bool isMissing = !isInherited && firstSentAt != Common::Instant() && answeredPollSentAt > firstSentAt + arrivalLimit;
+        return isUnsent() || isMissing ? StartEvidence::NotCarriedOut : StartEvidence::Sent;
     }
     /// From then on, the run may have started.
     Common::Instant mayHaveStartedAt() const { return std::max(orderedAt, sentAt); }
@@ -107,6 +106,7 @@
     Common::Instant avoidUntil {}; ///< Gets no new runs until then, after refusals and failures.
     unsigned failuresInRow = 0; ///< Failed runs since the last one that was done.
     std::uint64_t pollAnswers = 0; ///< Number of poll answers handled so far.
+    Common::Instant answeredPollSentAt {}; ///< When the latest poll that was answered had been sent.
     std::uint64_t lastEndNumber = 0; ///< Number of the newest reported end that was handled; starts over with each incarnation.
     std::map<TaskKey, WorkerRun> runs;
     Resources strays {}; ///< Occupied, at the last answer, by runs that aren't in `runs` and are being stopped.
