--- a/Source/Core/Jobs/Decision/CrashEvidence.cpp
+++ b/Source/Core/Jobs/Decision/CrashEvidence.cpp
@@ -12,8 +12,8 @@
     constexpr unsigned fewestConvicting = 2; ///< Crashes under starts that convict; the platform allows to give up a task after two.
     constexpr unsigned guiltyAlone = 2; ///< Suspected, the latest time as the only one.
     constexpr unsigned guiltySuspected = 3; ///< Suspected, whoever else was.
-    constexpr unsigned guiltySinceProven = 4;
-    constexpr unsigned mostStarts = 5; ///< That crash workers: the platform allows two after the third crash.
+    constexpr unsigned guiltySinceProven = 4; ///< Just after a start, whatever explains them.
+    constexpr unsigned mostStarts = 5; ///< The platform allows two after the third crash.
     constexpr unsigned repeatedSinceProven = 3; ///< Suspected as well, though others explain each crash.
     constexpr unsigned guiltyThoughExplained = 5; ///< In place of guiltySinceProven, where another task explains the latest crash.
     constexpr unsigned guiltyUnexplained = 5; ///< The same, for tasks that crash workers later than just after their start.
--- a/Source/Core/Jobs/Decision/CrashEvidence.h
+++ b/Source/Core/Jobs/Decision/CrashEvidence.h
@@ -56,7 +56,7 @@
 /// True when so many crashes are left unexplained that the task must not be started again. Where workers also crash by themselves, so often
 /// that `expected` of these crashes are to be expected under any task, more are needed.
 bool isTooOften(const CrashTally&, double expected);
-/// The same for a task that lasts, which has no limit of runs: it is never given up for crashes that are to be expected.
+/// The same for a task that lasts, which has no limit of runs: however many crashes are to be expected, more are needed.
 bool isLastingTooOften(const CrashTally&, double expected);
 
 /// Estimates how soon after its start a task crashes its worker, from the tasks that were failed for it, and from that the minimum time
--- a/Source/Core/Jobs/Decision/StartEvidence.h
+++ b/Source/Core/Jobs/Decision/StartEvidence.h
@@ -11,8 +11,8 @@
     Confirmed, ///< The worker has answered the order, or has listed the run.
 };
 
-/// Whether the crash counts towards giving the task up at once. Under other starts, a task is given up only when it must not be started again
-/// if all of them were carried out.
+/// Whether the crash is evidence enough together with another one like it. Crashes under other starts count only towards the number after
+/// which a task that crashes its workers must not be started again.
 constexpr bool convicts(StartEvidence evidence) { return evidence == StartEvidence::Confirmed; }
 
 /// Lower-case name for logs.
--- a/Source/Core/Jobs/Model/JobRecords.h
+++ b/Source/Core/Jobs/Model/JobRecords.h
@@ -52,7 +52,7 @@
     Common::WallTime at {};
 };
 
-/// Replaces a task's tally of crashes, except CrashTally::unconfirmed, which isn't stored: it becomes zero.
+/// Replaces a task's tally of crashes, except that CrashTally::unconfirmed isn't stored and is zero when decoded.
 struct TaskSuspected {
     TaskKey task;
     CrashTally tally;
--- a/Source/UnitTests/Jobs/ChanceCrashesTest.cpp
+++ b/Source/UnitTests/Jobs/ChanceCrashesTest.cpp
@@ -162,7 +162,7 @@
     CHECK(isTooOften({ 10, 0, 0 }, 100));
 }
 
-// Machines that had come to the pool since were taken for some that hadn't crashed, and a lasting job was given up.
+// Machines that joined the pool after the crashes counted as ones that hadn't crashed.
 TEST_CASE("crashes of others are weighed by the machines that the pool had then, not by those that have come since")
 {
     const TaskKey task { jobId(1), 0, 0, 0 };
--- a/Source/UnitTests/Jobs/FillerSpeedTest.cpp
+++ b/Source/UnitTests/Jobs/FillerSpeedTest.cpp
@@ -201,7 +201,7 @@
     CHECK(it.orders<StopRun>().empty());
 }
 
-// The owner counted it as paused and gave no further order, while it worked on beside a task over its target.
+// The order was lost: the filler ran at full speed, and its owner ordered nothing more.
 TEST_CASE("an order for a filler's speed is repeated until it is answered")
 {
     ThrottledSession it;
--- a/Source/UnitTests/Jobs/GivenUpJobsTest.cpp
+++ b/Source/UnitTests/Jobs/GivenUpJobsTest.cpp
@@ -1,4 +1,4 @@
-/// Tests of jobs that are given up although no task of theirs crashes its workers, and of those that have to be.
+/// Tests of jobs that fail although none of their tasks crashes its workers, and of jobs that have to fail because one does.
 
 #include "JobFleet.h"
 
@@ -13,7 +13,7 @@
 
 namespace {
 
-/// Workers that have to have crashed under one of its tasks before a job may be given up, by the platform's rules.
+/// The fewest crashes under one of its tasks after which a job may fail for them, by the platform's rules.
 constexpr unsigned fewestCrashes = 2;
 /// Starts that may follow the third crash, by the same rules.
 constexpr unsigned maximumCrashes = 5;
--- a/Source/UnitTests/Jobs/LostTraceTest.cpp
+++ b/Source/UnitTests/Jobs/LostTraceTest.cpp
@@ -52,7 +52,7 @@
     CHECK(unanswered[0].number("failedPolls") > 0);
     fleet.runFor(10s);
     CHECK(log.last("order-expired").id == jobId(1));
-    CHECK(log.all("order-abandoned").empty());
+    CHECK(log.all("order-refused").empty());
 }
 
 TEST_CASE("a start that no poll shows is logged once and keeps being retried until it is carried out")
@@ -69,7 +69,7 @@
     REQUIRE(events.size() == 1);
     CHECK(events[0].id == jobId(1));
     CHECK(events[0].at("order") == "start");
-    CHECK(log.all("order-abandoned").empty());
+    CHECK(log.all("order-refused").empty());
     CHECK(log.all("order-obsolete").empty());
     CHECK(port.startsToLose < 950);
     port.startsToLose = 0;
@@ -88,7 +88,7 @@
     fleet.runFor(100s);
     CHECK(log.last("order-obsolete").at("order") == "start");
     CHECK(log.all("order-unanswered").empty());
-    CHECK(log.all("order-abandoned").empty());
+    CHECK(log.all("order-refused").empty());
     CHECK(fleet.hosts.at("host-0")->workers->startAnswersToLose >= 990);
     CHECK(fleet.runMonitor.starts == 1);
 }
--- a/Source/UnitTests/Jobs/StartEvidenceReviewTest.cpp
+++ b/Source/UnitTests/Jobs/StartEvidenceReviewTest.cpp
@@ -1,4 +1,4 @@
-/// Cases found by the review of issue 50: tasks given up for starts that weren't carried out or for crashes by chance, and crashing tasks that aren't given up.
+/// Tests of tasks given up for starts that weren't carried out or for crashes by chance, and crashing tasks that aren't given up.
 
 #include "EventLog.h"
 #include "JobFleet.h"
--- a/Source/UnitTests/Jobs/WaitingTaskDay.cpp
+++ b/Source/UnitTests/Jobs/WaitingTaskDay.cpp
@@ -28,7 +28,7 @@
 constexpr milliseconds step { 50 };
 constexpr milliseconds lastingRunTime { 600000 };
 constexpr unsigned permille = 1000;
-/// Workers that have to have crashed under one of its tasks before a job may be given up.
+/// The fewest crashes under one of its tasks after which a job may fail for them.
 constexpr unsigned fewestCrashes = 2;
 
 } // namespace
