Crashes of suspects aren't excused where no worker is without a new task

Cause: Burst::isOutside() took a suspect's crash for one with a cause outside the tasks whenever every worker had a task that had just started, as no worker was left to compare with. Class: the lack of a control group is taken for evidence. Looked for elsewhere, by reading: the comparison by job in the same function isn't made without one; SlotTable::mostFailLike and PoolCore::mayEject count the others that fail alike and need more than half.

Change: without a control group nothing is excused. Test: "crashes of suspects aren't taken for ones with a cause outside ..." failed before (8 of 8 crashes). A fleet of twelve workers with two of five jobs crashing was tried as a test as well; it passes with and without the change and isn't kept.

--- a/Source/Core/Jobs/Decision/CrashBursts.cpp
+++ b/Source/Core/Jobs/Decision/CrashBursts.cpp
@@ -49,7 +49,7 @@
     if (!isByChance(crashedOfJob, workersOfJob, crashed, workers))
         return false;
     const auto afterStart = workersAfterStart();
-    return !task.isSuspect || afterStart == workers || isByChance(crashedAfterStart, afterStart, crashed, workers);
+    return !task.isSuspect || isByChance(crashedAfterStart, afterStart, crashed, workers);
 }
 
 SettledCrash CrashBursts::Burst::settled(WorkerCrash crash) const
--- a/Source/UnitTests/Jobs/BurstCrashesTest.cpp
+++ b/Source/UnitTests/Jobs/BurstCrashesTest.cpp
@@ -1,5 +1,6 @@
 /// Tests of pools in which many workers crash at one moment, for a cause outside the tasks.
 
+#include "Jobs/Decision/CrashBursts.h"
 #include "WaveFleet.h"
 
 #include <doctest/doctest.h>
@@ -106,3 +107,25 @@
             CHECK(fleet.stateOf(n) == JobState::Completed);
     }
 }
+
+// In a backlogged pool, workers that return get tasks at once: those that get crashing ones crash together.
+TEST_CASE("crashes of suspects aren't taken for ones with a cause outside where no worker is without a task that has just started")
+{
+    const Instant at(1h);
+    CrashBursts bursts;
+    constexpr unsigned crashed = 8;
+    CrashBursts::Workers others;
+    for (unsigned n = crashed; n < 12; ++n)
+        others.hadRecentStart["w" + std::to_string(n)] = true;
+    for (unsigned n = 0; n < crashed; ++n) {
+        CrashedTask task { { jobId(n), 0, 0, 0 } };
+        task.isSuspect = true;
+        task.countsToConvict = true;
+        WorkerCrash crash { n + 1, "w" + std::to_string(n), true, { task } };
+        bursts.add(std::move(crash), at + n * 20ms, at + n * 20ms, n == 0 ? others : CrashBursts::Workers());
+    }
+    const auto settled = bursts.settle(at + 1s);
+    CHECK(settled.size() == crashed);
+    for (const auto& it : settled)
+        CHECK(!it.isOutsideAll);
+}
