A new owner keeps confined tasks back for their delay

Cause: the delay is kept by the owner only; a takeover within it starts the task at once. Change: the new owner counts the delay from its takeover, as it doesn't know when the last crash was.

--- a/Source/Core/Jobs/Decision/PoolCore.cpp
+++ b/Source/Core/Jobs/Decision/PoolCore.cpp
@@ -66,6 +66,7 @@
             m_doubtfulSuspects.insert(key); // Grades aren't in snapshots, nor in records of earlier versions.
     });
     std::erase_if(m_confined, [this](const auto& key) { return !m_jobs.findTask(key); });
+    delayConfined(at.now);
     forgetGrades();
     if (!m_crashAges.ages.empty())
         m_startSpacing.onCrash(at.now - std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(at.wall - m_crashAges.at)));
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -226,6 +226,7 @@
     void convict(const TaskKey&, const CrashTally&, Moment);
     /// Starts the task apart from all others from now on, and later with each crash.
     void confine(const TaskKey&, const CrashTally&, Moment);
+    void delayConfined(Instant now);
     /// True while the task must not be placed.
     bool isHeld(const TaskKey& key) const { return m_heldTasks.contains(key) || m_startNotBefore.contains(key); }
     bool isLasting(const TaskKey&) const;
--- a/Source/Core/Jobs/Decision/PoolCoreVerdicts.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreVerdicts.cpp
@@ -117,6 +117,16 @@
     m_startNotBefore[key] = at.now + delay;
 }
 
+/// A new owner doesn't know when confined tasks last crashed their workers.
+void PoolCore::delayConfined(Instant now)
+{
+    for (const auto& key : m_confined) {
+        const auto* task = m_jobs.findTask(key);
+        if (task && task->state == Task::State::Waiting)
+            m_startNotBefore[key] = now + restartDelay(std::max(task->crashTally.sinceProven, task->crashTally.unexplained));
+    }
+}
+
 void PoolCore::giveUp(const TaskKey& key, const CrashTally& tally, Moment at)
 {
     const auto* job = m_jobs.find(key.job);
