--- a/Source/UnitTests/Jobs/BurstCrashesTest.cpp
+++ b/Source/UnitTests/Jobs/BurstCrashesTest.cpp
@@ -129,3 +129,26 @@
     for (const auto& it : settled)
         CHECK(!it.isOutsideAll);
 }
+
+// Connections to some workers are reset at the crash, the others stay silent until the machine list shows the crash.
+TEST_CASE("every job is served while a third of the workers crash at once again and again and are found to have crashed one after the other")
+{
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        CAPTURE(seed);
+        WaveFleet fleet(seed);
+        unsigned workers = 0;
+        const auto prepare = [&workers](FakeWorker& worker) {
+            worker.closesConnections = ++workers % 3 == 0;
+            worker.startup = 300ms;
+        };
+        fleet.onWorkerAdded = prepare;
+        for (auto& [id, worker] : fleet.workers)
+            prepare(*worker);
+        playBursts(fleet, {});
+        CHECK(fleet.accepted.size() > 1000);
+        unsigned unserved = 0;
+        for (const auto n : fleet.accepted)
+            unserved += fleet.stateOf(n) == JobState::Completed ? 0 : 1;
+        CHECK(unserved == 0);
+    }
+}
