Demand for machines in memory and workers, by label and rack

Cause: a pool's demand for machines was counted in cores only. 18 workers with 169 free cores looked like plenty for a step of 21 tasks, one a worker, so that their pool got no machine and lent those that it had. The same holds for full memory, required labels and data racks: free cores of workers that may not take a task don't serve it.

Change: PoolLoad carries the memory demanded, and by label and rack (16 at most) how many workers the waiting tasks need: those that can take no more tasks of a step, and those that its waiting ones need (WorkerDemand). MovePlanner moves machines that can serve the demand (label, rack, size), to the pool that lacks most, and neither lends nor switches off one that its pool needs. A need that no machine can be had for no longer ends the planning for the other pools. A rack is demanded as long as tasks wait for it for 2 s or more.

No moves for machines that return in seconds: only listed workers count as taken, and a machine that has been down for less than 5 s counts as present. For cores it doesn't, as before.

Not done: the choice of evictions, a test in JobFleet, whose machine service doesn't carry out moves, and FleetReport, which still tells shortfalls in cores only. Switch-offs have no test of their own; they ask the same question (Need::canSpare) as transfers.

--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -11,6 +11,7 @@
 #include "Jobs/Decision/PoolOutput.h"
 #include "Jobs/Decision/QueueOrder.h"
 #include "Jobs/Decision/Worker.h"
+#include "Jobs/Decision/WorkerDemand.h"
 #include "Ports/JobPort.h"
 #include "Ports/WorkerPort.h"
 
@@ -50,6 +51,8 @@
     std::uint64_t lastingMilliCores = 0; ///< The part of it that lasting tasks reserve.
     std::uint64_t capacityMilliCores = 0; ///< Of workers on which runs may be placed.
     std::uint64_t waitingWork = 0; ///< Estimated core-milliseconds of tasks that are ready to be placed.
+    std::uint64_t demandedMemoryMb = 0; ///< Reserved by runs, or needed by tasks that wait and aren't late.
+    std::vector<WorkerDemand> demands; ///< Of waiting tasks that not every worker can take.
     std::vector<WorkerLoad> workers;
 };
 
@@ -280,7 +283,10 @@
     bool placeStep(const WaitingStep&, std::vector<Candidate>&, Moment);
     void placeGang(const WaitingStep&, std::vector<Candidate>&, const PlacementRequest&, Moment);
     void placeTask(Job&, const TaskKey&, RunNumber, Candidate&, Moment);
-    bool mayRunRemote(const WaitingStep&, Moment) const;
+    /// How much longer the step's tasks wait for a worker on their data rack; zero when they may run on any rack.
+    milliseconds rackWait(const Job&, unsigned occurrence, unsigned step, Moment) const;
+    /// The demand of a step with waiting tasks for workers.
+    void addDemand(DemandCounter&, const Job&, unsigned occurrence, unsigned step, unsigned waiting, Moment) const;
     bool needsAdvice(const Job& job) const { return m_advisedQueues.contains(job.accepted.queue); }
     bool isAdvised(const WaitingStep&, const Worker&, Instant now) const;
     void requestAdvice(const WaitingStep&, const std::vector<Candidate>&, Moment);
--- a/Source/Core/Jobs/Decision/PoolCoreReport.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreReport.cpp
@@ -7,6 +7,20 @@
 
 namespace Jobs {
 
+namespace {
+
+    constexpr milliseconds arrivalTime { 2000 }; ///< Of a machine that is moved: tasks that wait less for their rack get none.
+
+} // namespace
+
+void PoolCore::addDemand(DemandCounter& demand, const Job& job, unsigned occurrence, unsigned step, unsigned waiting, Moment at) const
+{
+    const auto& spec = job.spec().steps[step];
+    const auto rack = rackWait(job, occurrence, step, at) > arrivalTime ? spec.dataRack : std::string();
+    if (DemandCounter::isNeededFor(spec, rack))
+        demand.add({ spec, rack, job.occurrences.at(occurrence).steps[step].placedByWorker(), waiting });
+}
+
 PoolLoad PoolCore::loadReport(Moment at) const
 {
     PoolLoad load;
@@ -16,6 +30,7 @@
             load.capacityMilliCores += worker.entry.capacity.milliCores;
         for (const auto& [key, run] : worker.runs) {
             load.busyMilliCores += run.reserved.milliCores;
+            load.demandedMemoryMb += run.reserved.memoryMb;
             if (!run.isLasting)
                 continue;
             load.lastingMilliCores += run.reserved.milliCores;
@@ -24,14 +39,20 @@
         }
         load.workers.push_back(std::move(report));
     }
+    DemandCounter demand(m_workers);
     forEachWaitingStep(m_jobs, [&](const Job& job, unsigned occurrence, unsigned step, unsigned waiting) {
         const auto& spec = job.spec().steps[step];
         const auto milliCores = waiting * reservedBy(spec).milliCores;
         load.waitingMilliCores += milliCores;
         load.waitingWork += milliCores * static_cast<std::uint64_t>(std::max<std::int64_t>(0, spec.estimate.count())) / 1000;
-        if (queueKeyOf(job, occurrence, step, at.wall).prospect != Prospect::InTime)
+        if (queueKeyOf(job, occurrence, step, at.wall).prospect != Prospect::InTime) {
             load.lateMilliCores += milliCores;
+            return;
+        }
+        load.demandedMemoryMb += waiting * reservedBy(spec).memoryMb;
+        addDemand(demand, job, occurrence, step, waiting, at);
     });
+    load.demands = demand.result();
     return load;
 }
 
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -185,16 +185,16 @@
     return waiting;
 }
 
-bool PoolCore::mayRunRemote(const WaitingStep& it, Moment at) const
+milliseconds PoolCore::rackWait(const Job& job, unsigned occurrence, unsigned step, Moment at) const
 {
-    const auto& spec = it.job->spec().steps[it.step];
+    const auto& spec = job.spec().steps[step];
     const auto isOnDataRack = [&spec](const auto& entry) { return entry.second.isListed && entry.second.entry.rack == spec.dataRack; };
     if (spec.dataRack.empty() || std::ranges::none_of(m_workers, isOnDataRack))
-        return true;
+        return milliseconds(0);
     // Waiting for the data rack is worthwhile as long as it takes less than the extra run time on another rack.
     constexpr int permille = 1000;
     const auto extra = spec.estimate * static_cast<int>(m_limits.remoteFactorPermille - permille) / permille;
-    return at.wall - it.job->dueAt(it.occurrence) > extra;
+    return std::max(milliseconds(0), extra - (at.wall - job.dueAt(occurrence)) + milliseconds(1));
 }
 
 bool PoolCore::isAdvised(const WaitingStep& it, const Worker& worker, Instant now) const
@@ -229,7 +229,7 @@
 PlacementRequest PoolCore::requestFor(const WaitingStep& it, const std::map<std::string, unsigned>& placed, Moment at) const
 {
     PlacementRequest request { &it.job->spec().steps[it.step], &placed };
-    request.mayRunRemote = mayRunRemote(it, at);
+    request.mayRunRemote = rackWait(*it.job, it.occurrence, it.step, at) == milliseconds(0);
     if (needsAdvice(*it.job))
         request.isAllowed = [this, it, at](const Worker& worker) { return isAdvised(it, worker, at.now); };
     return request;
--- a/Source/Core/Jobs/Fleet/MovePlanner.cpp
+++ b/Source/Core/Jobs/Fleet/MovePlanner.cpp
@@ -14,6 +14,7 @@
     constexpr milliseconds forecastLead { 500 }; ///< Moves for an expected peak start earlier by the time of a move and this.
     constexpr milliseconds forecastTail { 1200 }; ///< An expected peak that is overdue by more than this is no longer prepared for.
     constexpr milliseconds idleBeforeOff { 2500 }; ///< Moving a machine out and back costs as much as keeping it on for this long.
+    constexpr milliseconds returnTime { 5000 }; ///< A machine that has been down for less is expected to return to its pool.
     constexpr double shortageThreshold = 0.35; ///< Number of missing machines above which a pool is short.
 
 } // namespace
@@ -31,8 +32,8 @@
     }
     removeExpiredPlans(machines, now);
     auto needs = computeNeeds(pools, machines, excluded, now);
-    planTransfers(needs, pools, now);
-    planSwitchOffs(needs, pools, now);
+    planTransfers(needs, pools, machines, now);
+    planSwitchOffs(needs, pools, machines, now);
 }
 
 void MovePlanner::removeExpiredPlans(const std::map<std::string, MachineView>& machines, Instant now)
@@ -48,18 +49,44 @@
     });
 }
 
-std::map<std::string, MovePlanner::Need> MovePlanner::computeNeeds(const std::map<std::string, PoolView>& pools, const std::map<std::string, MachineView>& machines, const std::set<std::string>& excluded, Instant now)
+bool MovePlanner::KindNeed::isServedBy(const Machine& machine) const
+{
+    const auto has = [&machine](const std::string& label) { return label.empty() || std::ranges::find(machine.labels, label) != machine.labels.end(); };
+    return has(demand.label) && has(demand.rack);
+}
+
+bool MovePlanner::Need::canSpare(const Machine& machine) const
+{
+    return shortage() <= -1 && std::ranges::all_of(kinds, [&machine](const auto& it) { return !it.isServedBy(machine) || it.shortage() <= -1; });
+}
+
+void MovePlanner::Need::count(const Machine& machine, int change)
+{
+    present += static_cast<unsigned>(change);
+    for (auto& it : kinds)
+        it.present += it.isServedBy(machine) ? static_cast<unsigned>(change) : 0;
+}
+
+bool MovePlanner::isAvailable(const std::string& name, const MachineView& view, const std::set<std::string>& excluded, Instant now)
+{
+    const auto state = view.machine.state;
+    if (state == Machine::State::Down)
+        return now - m_downSince.emplace(name, now).first->second <= returnTime;
+    m_downSince.erase(name);
+    const bool isVacated = excluded.contains(name) && view.load && view.load->isCordoned;
+    return (state == Machine::State::Up || state == Machine::State::Moving) && !isVacated;
+}
+
+void MovePlanner::countMachines(std::map<std::string, Need>& needs, const Machines& machines, const std::set<std::string>& excluded, Instant now)
 {
-    std::map<std::string, Need> result;
-    double coresEach = 0;
-    unsigned counted = 0;
     for (const auto& [name, view] : machines) {
-        coresEach += static_cast<double>(view.machine.capacity.milliCores);
-        ++counted;
         const auto plan = m_plans.find(name);
-        auto& need = result[plan == m_plans.end() ? view.machine.pool : plan->second.pool];
+        auto& need = needs[plan == m_plans.end() ? view.machine.pool : plan->second.pool];
         if (view.machine.state == Machine::State::Up || view.machine.state == Machine::State::Moving)
             ++need.present;
+        const bool counts = isAvailable(name, view, excluded, now);
+        for (auto& it : need.kinds)
+            it.present += counts && it.isServedBy(view.machine) ? 1 : 0;
         const bool isIdle = view.machine.state == Machine::State::Up && plan == m_plans.end() && !excluded.contains(name) && (view.isOff || (view.load && view.load->runs == 0));
         if (!isIdle) {
             m_idleSince.erase(name);
@@ -68,7 +95,20 @@
         m_idleSince.emplace(name, now);
         need.idle.push_back(name);
     }
-    coresEach = counted > 0 ? std::max(1.0, coresEach / counted) : 1.0;
+}
+
+std::map<std::string, MovePlanner::Need> MovePlanner::computeNeeds(const std::map<std::string, PoolView>& pools, const std::map<std::string, MachineView>& machines, const std::set<std::string>& excluded, Instant now)
+{
+    std::map<std::string, Need> result;
+    Resources total;
+    for (const auto& [name, view] : machines)
+        total += view.machine.capacity;
+    const auto count = static_cast<double>(std::max<std::size_t>(1, machines.size()));
+    const auto coresEach = std::max(1.0, static_cast<double>(total.milliCores) / count);
+    const auto memoryEach = static_cast<double>(total.memoryMb) / count;
+    const auto machinesFor = [&](double milliCores, std::uint64_t memoryMb) {
+        return std::max(milliCores * headroom / coresEach, memoryEach < 1 ? 0 : static_cast<double>(memoryMb) * headroom / memoryEach);
+    };
     const auto expected = m_forecast.next(now);
     for (const auto& [name, pool] : pools) {
         if (pool.isStandby)
@@ -78,55 +118,82 @@
         const bool isExpected = expected && expected->pool == name && now >= expected->startsAt - m_moveTime - forecastLead && now <= expected->startsAt + forecastTail;
         if (isExpected)
             cores = std::max(cores, expected->milliCores + static_cast<double>(load.lastingMilliCores));
-        result[name].machines = std::max(1.0, cores * headroom / coresEach);
+        auto& need = result[name];
+        need.machines = std::max(1.0, machinesFor(cores, load.demandedMemoryMb));
+        for (const auto& it : load.demands)
+            need.kinds.push_back({ it, std::max(static_cast<double>(it.workers), machinesFor(static_cast<double>(it.milliCores), it.memoryMb)) });
     }
+    countMachines(result, machines, excluded, now);
     return result;
 }
 
+/// Of those that a machine may still be had for.
+MovePlanner::Shortage MovePlanner::largestShortage(std::map<std::string, Need>& needs, const std::map<std::string, PoolView>& pools)
+{
+    Shortage largest;
+    largest.machines = shortageThreshold;
+    for (auto& [name, need] : needs) {
+        const auto pool = pools.find(name);
+        if (pool == pools.end() || pool->second.isStandby || !pool->second.hasReported)
+            continue;
+        if (!need.isUnmet && need.shortage() > largest.machines)
+            largest = { &need, nullptr, name, need.shortage() };
+        for (auto& it : need.kinds) {
+            if (!it.isUnmet && it.shortage() > largest.machines)
+                largest = { &need, &it, name, it.shortage() };
+        }
+    }
+    return largest;
+}
+
+/// The idle machine that serves the need, of the pool with the largest surplus, then of a standby pool.
+MovePlanner::Resident MovePlanner::chooseDonor(std::map<std::string, Need>& needs, const Shortage& shortage, const std::map<std::string, PoolView>& pools, const Machines& machines)
+{
+    Resident donor;
+    for (auto& [name, need] : needs) {
+        const auto pool = pools.find(name);
+        if (pool == pools.end() || name == shortage.pool)
+            continue;
+        const bool isOff = pool->second.isStandby;
+        const bool isBetter = !donor.need || (donor.isOff && !isOff) || (donor.isOff == isOff && need.shortage() < donor.need->shortage());
+        if (!isBetter)
+            continue;
+        for (auto index = need.idle.size(); index-- > 0;) {
+            const auto& machine = machines.at(need.idle[index]).machine;
+            const bool isUseful = !shortage.kind || (shortage.kind->isServedBy(machine) && shortage.kind->demand.need.fitsInto(machine.capacity));
+            if (!isUseful || !(isOff || need.canSpare(machine)))
+                continue;
+            donor = { &need, index, isOff };
+            break;
+        }
+    }
+    return donor;
+}
+
 /// Plans transfers to pools that are short of machines, the one that lacks most first. Idle machines come from the pools with the
 /// largest surplus, then from standby pools.
-void MovePlanner::planTransfers(std::map<std::string, Need>& needs, const std::map<std::string, PoolView>& pools, Instant now)
+void MovePlanner::planTransfers(std::map<std::string, Need>& needs, const std::map<std::string, PoolView>& pools, const Machines& machines, Instant now)
 {
-    const auto shortageOf = [](const Need& it) { return it.machines - it.present; };
     for (;;) {
-        Need* neediest = nullptr;
-        std::string target;
-        Need* donor = nullptr;
-        bool isDonorOff = false;
-        for (auto& [name, need] : needs) {
-            const auto pool = pools.find(name);
-            if (pool == pools.end())
-                continue;
-            if (!pool->second.isStandby && pool->second.hasReported && shortageOf(need) > shortageThreshold && (!neediest || shortageOf(need) > shortageOf(*neediest))) {
-                neediest = &need;
-                target = name;
-            }
-        }
-        if (!neediest)
+        const auto shortage = largestShortage(needs, pools);
+        if (!shortage.need)
             return;
-        for (auto& [name, need] : needs) {
-            const auto pool = pools.find(name);
-            if (pool == pools.end() || need.idle.empty() || name == target)
-                continue;
-            const bool isOff = pool->second.isStandby;
-            const bool canSpareMachine = isOff || shortageOf(need) <= -1;
-            const bool isBetter = !donor || (isDonorOff && !isOff) || (isDonorOff == isOff && shortageOf(need) < shortageOf(*donor));
-            if (canSpareMachine && isBetter) {
-                donor = &need;
-                isDonorOff = isOff;
-            }
+        const auto donor = chooseDonor(needs, shortage, pools, machines);
+        if (!donor.need) {
+            (shortage.kind ? shortage.kind->isUnmet : shortage.need->isUnmet) = true;
+            continue;
         }
-        if (!donor)
-            return;
-        m_plans[donor->idle.back()] = { target, now, false, {} };
-        donor->idle.pop_back();
-        --donor->present;
-        ++neediest->present;
+        const auto name = donor.need->idle[donor.index];
+        const auto& machine = machines.at(name).machine;
+        m_plans[name] = { shortage.pool, now, false, {} };
+        donor.need->idle.erase(donor.need->idle.begin() + static_cast<std::ptrdiff_t>(donor.index));
+        donor.need->count(machine, -1);
+        shortage.need->count(machine, 1);
     }
 }
 
 /// Plans to switch off surplus machines that have been idle for a while and aren't needed for a peak.
-void MovePlanner::planSwitchOffs(std::map<std::string, Need>& needs, const std::map<std::string, PoolView>& pools, Instant now)
+void MovePlanner::planSwitchOffs(std::map<std::string, Need>& needs, const std::map<std::string, PoolView>& pools, const Machines& machines, Instant now)
 {
     const auto standby = std::ranges::find_if(pools, [](const auto& it) { return it.second.isStandby; });
     // The first samples show only a part of a peak; idle machines are kept as a reserve until its size is known.
@@ -136,13 +203,13 @@
         const auto pool = pools.find(name);
         if (pool == pools.end() || pool->second.isStandby || !pool->second.hasReported || m_forecast.isPeaking(name))
             continue;
-        while (!need.idle.empty() && need.present - need.machines >= 1) {
-            const auto machine = need.idle.back();
-            need.idle.pop_back();
-            if (now - m_idleSince[machine] < idleBeforeOff)
+        for (; !need.idle.empty(); need.idle.pop_back()) {
+            const auto& idle = need.idle.back();
+            const auto& machine = machines.at(idle).machine;
+            if (now - m_idleSince[idle] < idleBeforeOff || !need.canSpare(machine))
                 continue;
-            m_plans[machine] = { standby->first, now, false, {} };
-            --need.present;
+            m_plans[idle] = { standby->first, now, false, {} };
+            need.count(machine, -1);
         }
     }
 }
--- a/Source/Core/Jobs/Fleet/MovePlanner.h
+++ b/Source/Core/Jobs/Fleet/MovePlanner.h
@@ -56,21 +56,62 @@
         Instant arrivesAt {}; ///< When a move that was carried out is complete; zero before.
     };
 
+    /// What a pool needs of the machines that have a label and are on a rack.
+    struct KindNeed {
+        WorkerDemand demand;
+        double machines = 0;
+        unsigned present = 0; ///< Those that take tasks, are on the way, or were lost a short time ago.
+        bool isUnmet = false; ///< No machine can be had for it.
+
+        double shortage() const { return machines - present; }
+        bool isServedBy(const Machine&) const;
+    };
+
     struct Need {
-        double machines = 0; ///< Needed for the current or expected demand.
+        double machines = 0; ///< Needed for the current or expected demand for cores and memory.
         unsigned present = 0; ///< In the pool or on the way to it.
         std::vector<std::string> idle; ///< Machines that could be moved away.
+        std::vector<KindNeed> kinds; ///< For tasks that not every worker can take.
+        bool isUnmet = false; ///< No machine can be had for cores and memory.
+
+        double shortage() const { return machines - present; }
+        /// True when the pool has enough without the machine.
+        bool canSpare(const Machine&) const;
+        /// A machine comes (1) or leaves (-1).
+        void count(const Machine&, int change);
+    };
+
+    /// A need that machines are to be moved for.
+    struct Shortage {
+        Need* need = nullptr; ///< Null for none.
+        KindNeed* kind = nullptr; ///< Null when any machine serves.
+        std::string pool;
+        double machines = 0;
     };
 
+    struct Resident {
+        Need* need = nullptr;
+        std::size_t index = 0; ///< In the pool's idle machines.
+        bool isOff = false;
+    };
+
+    using Machines = std::map<std::string, MachineView>;
+
+    static Shortage largestShortage(std::map<std::string, Need>&, const std::map<std::string, PoolView>&);
+    static Resident chooseDonor(std::map<std::string, Need>&, const Shortage&, const std::map<std::string, PoolView>&, const Machines&);
+    void countMachines(std::map<std::string, Need>&, const Machines&, const std::set<std::string>& excluded, Instant now);
+    /// True when the machine counts as one of its pool's for tasks that not every worker can take.
+    bool isAvailable(const std::string& name, const MachineView&, const std::set<std::string>& excluded, Instant now);
     std::map<std::string, Need> computeNeeds(const std::map<std::string, PoolView>&, const std::map<std::string, MachineView>&, const std::set<std::string>& excluded, Instant now);
     void removeExpiredPlans(const std::map<std::string, MachineView>&, Instant now);
-    void planTransfers(std::map<std::string, Need>&, const std::map<std::string, PoolView>&, Instant now);
-    void planSwitchOffs(std::map<std::string, Need>&, const std::map<std::string, PoolView>&, Instant now);
+    void planTransfers(std::map<std::string, Need>&, const std::map<std::string, PoolView>&, const Machines&, Instant now);
+    void planSwitchOffs(std::map<std::string, Need>&, const std::map<std::string, PoolView>&, const Machines&, Instant now);
 
     milliseconds m_moveTime;
     PeakForecast m_forecast;
     std::map<std::string, Plan> m_plans; ///< By machine.
     std::map<std::string, Instant> m_idleSince; ///< By machine.
+    std::map<std::string, Instant> m_downSince; ///< By machine.
 };
 
 } // namespace Jobs
--- a/Source/UnitTests/Jobs/NodeMessagesTest.cpp
+++ b/Source/UnitTests/Jobs/NodeMessagesTest.cpp
@@ -36,6 +36,8 @@
     LoadCallAnswer answer { 9, true, 12, {} };
     answer.load.pool = "desk";
     answer.load.waitingMilliCores = 500;
+    answer.load.demandedMemoryMb = 256;
+    answer.load.demands.push_back({ "large", "r-1", { 500, 256, 0 }, 3, 1500, 768 });
     answer.load.workers.push_back({ "i-1", "m-1", 2, 1, false, { 500, 256, 0 } });
     return answer;
 }
@@ -65,6 +67,26 @@
     CHECK_FALSE(isReadWith<LoadCallAnswer>(someLoad(), [](auto& it) { it.load.waitingMilliCores = most; }));
     CHECK_FALSE(isReadWith<LoadCallAnswer>(someLoad(), [](auto& it) { it.load.busyMilliCores = most; }));
     CHECK_FALSE(isReadWith<LoadCallAnswer>(someLoad(), [](auto& it) { it.load.workers[0].lasting.memoryMb = most; }));
+    CHECK_FALSE(isReadWith<LoadCallAnswer>(someLoad(), [](auto& it) { it.load.demandedMemoryMb = most; }));
+    CHECK_FALSE(isReadWith<LoadCallAnswer>(someLoad(), [](auto& it) { it.load.demands[0].workers = most; }));
+    CHECK_FALSE(isReadWith<LoadCallAnswer>(someLoad(), [](auto& it) { it.load.demands[0].milliCores = most; }));
+    CHECK_FALSE(isReadWith<LoadCallAnswer>(someLoad(), [](auto& it) { it.load.demands[0].memoryMb = most; }));
+    CHECK_FALSE(isReadWith<LoadCallAnswer>(someLoad(), [](auto& it) { it.load.demands[0].need.milliCores = most; }));
+}
+
+TEST_CASE("a pool's demand for workers is read as it was sent")
+{
+    const auto message = decodeNodeMessage(encodeNodeMessage(someLoad()));
+    REQUIRE(message);
+    const auto& load = std::get<LoadCallAnswer>(*message).load;
+    CHECK(load.demandedMemoryMb == 256);
+    REQUIRE(load.demands.size() == 1);
+    CHECK(load.demands[0].label == "large");
+    CHECK(load.demands[0].rack == "r-1");
+    CHECK(load.demands[0].need == Resources { 500, 256, 0 });
+    CHECK(load.demands[0].workers == 3);
+    CHECK(load.demands[0].milliCores == 1500);
+    CHECK(load.demands[0].memoryMb == 768);
 }
 
 TEST_CASE("whatever is read from a damaged message lies in its ranges")
