Demand that no machine can serve neither keeps machines nor hides other demand

Cause: a worker or machine counted as one that serves a demand by label and rack only, whatever its size, and demands of one label and rack were joined under the need of the larger one. Change: demands are kept by label, rack and what one task needs; only workers and machines that are large enough count.

--- a/Source/Core/Jobs/Decision/WorkerDemand.cpp
+++ b/Source/Core/Jobs/Decision/WorkerDemand.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-    constexpr std::size_t maximumSteps = 100; ///< Steps looked at for one report. Bounds its time; the others' turn comes once those are served.
+    constexpr std::size_t maximumSteps = 100; ///< Steps looked at for one report. Bounds its time.
     constexpr std::size_t maximumDemands = 16; ///< Bounds the size of a report.
 
     bool matches(const WorkerEntry& entry, const std::string& label, const std::string& rack)
@@ -58,7 +58,7 @@
     std::uint64_t full = 0;
     std::uint64_t free = 0;
     for (const auto& it : m_places) {
-        if (!matches(it.worker->entry, step.spec.requiredLabel, step.rack))
+        if (!matches(it.worker->entry, step.spec.requiredLabel, step.rack) || !need.fitsInto(it.worker->entry.capacity))
             continue;
         const auto placed = step.placed.find(it.worker->entry.id);
         const std::uint64_t taken = placed == step.placed.end() ? 0 : placed->second;
@@ -82,11 +82,12 @@
         return;
     --m_stepsLeft;
     const auto need = reservedBy(step.spec);
-    const auto [it, isNew] = m_demands.try_emplace({ step.spec.requiredLabel, step.rack });
+    const auto [it, isNew] = m_demands.try_emplace({ step.spec.requiredLabel, step.rack, need.milliCores, need.memoryMb, need.accelerators });
     auto& demand = it->second;
     if (isNew) {
         demand.label = step.spec.requiredLabel;
         demand.rack = step.rack;
+        demand.need = need;
     }
     const bool isOfSome = !demand.label.empty() || !demand.rack.empty();
     if (isNew && isOfSome) {
@@ -102,10 +103,7 @@
         demand.milliCores += step.waiting * need.milliCores;
         demand.memoryMb += step.waiting * need.memoryMb;
     }
-    if (const auto workers = workersFor(step); workers > demand.workers) {
-        demand.workers = workers;
-        demand.need = need;
-    }
+    demand.workers = std::max(demand.workers, workersFor(step));
 }
 
 std::vector<WorkerDemand> DemandCounter::result() const
--- a/Source/Core/Jobs/Decision/WorkerDemand.h
+++ b/Source/Core/Jobs/Decision/WorkerDemand.h
@@ -7,16 +7,16 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 namespace Jobs {
 
-/// What a pool needs of the workers that have a label and are on a rack.
+/// What a pool needs of the workers that have a label, are on a rack and are large enough for a task.
 struct WorkerDemand {
     std::string label; ///< Empty for workers with any labels.
     std::string rack; ///< Empty for workers on any rack.
-    Resources need; ///< Of one of the tasks that wait.
+    Resources need; ///< Of one task.
     std::uint64_t workers = 0; ///< Those that can take no more of the tasks, and those that the waiting ones need.
     std::uint64_t milliCores = 0; ///< Reserved on such workers, and needed by tasks that wait for one. Zero without label and rack.
     std::uint64_t memoryMb = 0; ///< The same.
@@ -54,7 +54,9 @@
     std::vector<Place> m_places;
     Resources m_largestCapacity;
     std::size_t m_stepsLeft;
-    std::map<std::pair<std::string, std::string>, WorkerDemand> m_demands; ///< By label and rack.
+    /// Label, rack, and the resources that one task needs.
+    using Kind = std::tuple<std::string, std::string, std::uint64_t, std::uint64_t, std::uint64_t>;
+    std::map<Kind, WorkerDemand> m_demands;
 };
 
 } // namespace Jobs
--- a/Source/Core/Jobs/Fleet/MovePlanner.cpp
+++ b/Source/Core/Jobs/Fleet/MovePlanner.cpp
@@ -52,7 +52,7 @@
 bool MovePlanner::KindNeed::isServedBy(const Machine& machine) const
 {
     const auto has = [&machine](const std::string& label) { return label.empty() || std::ranges::find(machine.labels, label) != machine.labels.end(); };
-    return has(demand.label) && has(demand.rack);
+    return has(demand.label) && has(demand.rack) && demand.need.fitsInto(machine.capacity);
 }
 
 bool MovePlanner::Need::canSpare(const Machine& machine) const
@@ -127,7 +127,7 @@
     return result;
 }
 
-/// Of those that a machine may still be had for.
+/// The largest shortage, without those that no idle machine can serve.
 MovePlanner::Shortage MovePlanner::largestShortage(std::map<std::string, Need>& needs, const std::map<std::string, PoolView>& pools)
 {
     Shortage largest;
@@ -147,9 +147,9 @@
 }
 
 /// The idle machine that serves the need, of the pool with the largest surplus, then of a standby pool.
-MovePlanner::Resident MovePlanner::chooseDonor(std::map<std::string, Need>& needs, const Shortage& shortage, const std::map<std::string, PoolView>& pools, const Machines& machines)
+MovePlanner::IdleMachine MovePlanner::chooseDonor(std::map<std::string, Need>& needs, const Shortage& shortage, const std::map<std::string, PoolView>& pools, const Machines& machines)
 {
-    Resident donor;
+    IdleMachine donor;
     for (auto& [name, need] : needs) {
         const auto pool = pools.find(name);
         if (pool == pools.end() || name == shortage.pool)
@@ -160,7 +160,7 @@
             continue;
         for (auto index = need.idle.size(); index-- > 0;) {
             const auto& machine = machines.at(need.idle[index]).machine;
-            const bool isUseful = !shortage.kind || (shortage.kind->isServedBy(machine) && shortage.kind->demand.need.fitsInto(machine.capacity));
+            const bool isUseful = !shortage.kind || shortage.kind->isServedBy(machine);
             if (!isUseful || !(isOff || need.canSpare(machine)))
                 continue;
             donor = { &need, index, isOff };
--- a/Source/Core/Jobs/Fleet/MovePlanner.h
+++ b/Source/Core/Jobs/Fleet/MovePlanner.h
@@ -56,7 +56,7 @@
         Instant arrivesAt {}; ///< When a move that was carried out is complete; zero before.
     };
 
-    /// What a pool needs of the machines that have a label and are on a rack.
+    /// What a pool needs of the machines that have a label, are on a rack and are large enough.
     struct KindNeed {
         WorkerDemand demand;
         double machines = 0;
@@ -89,7 +89,8 @@
         double machines = 0;
     };
 
-    struct Resident {
+    /// An idle machine of a pool.
+    struct IdleMachine {
         Need* need = nullptr;
         std::size_t index = 0; ///< In the pool's idle machines.
         bool isOff = false;
@@ -98,7 +99,7 @@
     using Machines = std::map<std::string, MachineView>;
 
     static Shortage largestShortage(std::map<std::string, Need>&, const std::map<std::string, PoolView>&);
-    static Resident chooseDonor(std::map<std::string, Need>&, const Shortage&, const std::map<std::string, PoolView>&, const Machines&);
+    static IdleMachine chooseDonor(std::map<std::string, Need>&, const Shortage&, const std::map<std::string, PoolView>&, const Machines&);
     void countMachines(std::map<std::string, Need>&, const Machines&, const std::set<std::string>& excluded, Instant now);
     /// True when the machine counts as one of its pool's for tasks that not every worker can take.
     bool isAvailable(const std::string& name, const MachineView&, const std::set<std::string>& excluded, Instant now);
--- a/Source/UnitTests/Jobs/WorkerDemandTest.cpp
+++ b/Source/UnitTests/Jobs/WorkerDemandTest.cpp
@@ -29,14 +29,15 @@
 /// The pool "desk", whose machines and one job's placed tasks are given, and the machines of other pools.
 class DemandingPool {
 public:
-    /// `workers` are the numbers of the workers that the first tasks are placed on; the others wait.
-    DemandingPool(const StepSpec& step, const std::vector<unsigned>& workers)
+    /// `workers` are the numbers of the workers that the first tasks are placed on; the others wait, and all tasks of other steps.
+    DemandingPool(const StepSpec& step, const std::vector<unsigned>& workers, const std::vector<StepSpec>& otherSteps = {})
     {
         JobAccepted accepted;
         accepted.job = demandingJob;
         accepted.queue = "bookings";
         accepted.objective = 1h;
         accepted.spec.steps.push_back(step);
+        accepted.spec.steps.insert(accepted.spec.steps.end(), otherSteps.begin(), otherSteps.end());
         std::vector<JobRecord> records { accepted };
         for (unsigned n = 0; n < workers.size(); ++n)
             records.emplace_back(RunStarted { { demandingJob, 0, 0, n }, 1, nameOfWorker(workers[n]) });
@@ -214,3 +215,27 @@
         CHECK(pool.plan().size() == 1);
     }
 }
+
+TEST_CASE("moves: a task that no machine can hold doesn't keep idle machines from other pools")
+{
+    for (const std::string label : { "", "small" }) {
+        CAPTURE(label);
+        auto step = lastingStep(2, { 500, 500, 1 });
+        step.requiredLabel = label;
+        DemandingPool pool(step, { 100 });
+        pool.addMachines(10);
+        pool.addShortPool();
+        CHECK(pool.plan().size() >= 8);
+    }
+}
+
+TEST_CASE("moves: tasks that no machine can hold don't hide a step that takes one task a worker")
+{
+    auto step = stepOfOneAWorker();
+    step.taskCount = 3;
+    DemandingPool pool(step, numbersBelow(2), { lastingStep(10, { 500, 500, 1 }) });
+    pool.addMachines(2);
+    for (const std::string name : { "s-0", "s-1", "s-2", "s-3", "s-4" })
+        pool.addMachine(name, "off");
+    CHECK(pool.plan().size() == 1);
+}
