A takeover after 20 s beside silent workers stays checked outside the known red

The case of silent connections over a takeover is listed for other times of the owner's loss; at 20 s its plays passed on as a part of a case that wasn't listed, and they pass now.

--- a/Source/UnitTests/Jobs/LastingSuspectsTest.cpp
+++ b/Source/UnitTests/Jobs/LastingSuspectsTest.cpp
@@ -130,3 +130,9 @@
             checkTakeOver(crashDelay, false, killAt);
     }
 }
+
+TEST_CASE("a lasting task whose workers fall silent as they crash is started again and again, alone, on one worker at a time, with the owner lost after 20 s")
+{
+    for (const auto crashDelay : crashDelays)
+        checkTakeOver(crashDelay, false, killTimes.front());
+}
