--- a/Source/UnitTests/Jobs/BurstCrashesTest.cpp
+++ b/Source/UnitTests/Jobs/BurstCrashesTest.cpp
@@ -3,7 +3,9 @@
 #include "Jobs/Decision/CrashBursts.h"
 #include "WaveFleet.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <utility>
 
 using namespace Jobs;
 using namespace std::chrono_literals;
@@ -56,6 +58,30 @@
     return unserved;
 }
 
+/// Eight workers with suspects that have just started crash together, and one of those `withoutStart`. The other workers of twelve have a new task.
+void checkAreHeldAgainstSuspects(unsigned withoutStart)
+{
+    constexpr unsigned suspects = 8;
+    CAPTURE(withoutStart);
+    const Instant at(1h);
+    CrashBursts bursts;
+    CrashBursts::Workers others;
+    for (unsigned n = suspects; n < 12; ++n)
+        others.hadRecentStart["w" + std::to_string(n)] = n >= suspects + withoutStart;
+    const auto crashed = suspects + std::min(withoutStart, 1U);
+    for (unsigned n = 0; n < crashed; ++n) {
+        CrashedTask task { { jobId(n), 0, 0, 0 } };
+        task.isSuspect = n < suspects;
+        task.countsToConvict = n < suspects;
+        WorkerCrash crash { n + 1, "w" + std::to_string(n), n < suspects, { task } };
+        bursts.add(std::move(crash), at + n * 20ms, at + n * 20ms, n == 0 ? others : CrashBursts::Workers());
+    }
+    const auto settled = bursts.settle(at + 1s);
+    REQUIRE(settled.size() == crashed);
+    for (unsigned n = 0; n < suspects; ++n)
+        CHECK(!settled[n].isOutsideAll);
+}
+
 } // namespace
 
 TEST_CASE("every job is served while a third of the workers crash at once again and again, by themselves")
@@ -111,23 +137,13 @@
 // In a backlogged pool, workers that return get tasks at once: those that get crashing ones crash together.
 TEST_CASE("crashes of suspects aren't taken for ones with a cause outside where no worker is without a task that has just started")
 {
-    const Instant at(1h);
-    CrashBursts bursts;
-    constexpr unsigned crashed = 8;
-    CrashBursts::Workers others;
-    for (unsigned n = crashed; n < 12; ++n)
-        others.hadRecentStart["w" + std::to_string(n)] = true;
-    for (unsigned n = 0; n < crashed; ++n) {
-        CrashedTask task { { jobId(n), 0, 0, 0 } };
-        task.isSuspect = true;
-        task.countsToConvict = true;
-        WorkerCrash crash { n + 1, "w" + std::to_string(n), true, { task } };
-        bursts.add(std::move(crash), at + n * 20ms, at + n * 20ms, n == 0 ? others : CrashBursts::Workers());
-    }
-    const auto settled = bursts.settle(at + 1s);
-    CHECK(settled.size() == crashed);
-    for (const auto& it : settled)
-        CHECK(!it.isOutsideAll);
+    checkAreHeldAgainstSuspects(0);
+}
+
+TEST_CASE("crashes of suspects aren't taken for ones with a cause outside where a single worker without a task that has just started crashes")
+{
+    for (const unsigned withoutStart : { 1U, 2U, 3U })
+        checkAreHeldAgainstSuspects(withoutStart);
 }
 
 // Connections to some workers are reset at the crash, the others stay silent until the machine list shows the crash.
