--- a/Source/Core/Jobs/Decision/WorkerDemand.cpp
+++ b/Source/Core/Jobs/Decision/WorkerDemand.cpp
@@ -89,8 +89,8 @@
         demand.rack = step.rack;
         demand.need = need;
     }
-    const bool isOfSome = !demand.label.empty() || !demand.rack.empty();
-    if (isNew && isOfSome) {
+    const bool isRestricted = !demand.label.empty() || !demand.rack.empty();
+    if (isNew && isRestricted) {
         for (const auto& place : m_places) {
             if (!matches(place.worker->entry, demand.label, demand.rack))
                 continue;
@@ -99,7 +99,7 @@
             demand.memoryMb += reserved.memoryMb;
         }
     }
-    if (isOfSome) {
+    if (isRestricted) {
         demand.milliCores += step.waiting * need.milliCores;
         demand.memoryMb += step.waiting * need.memoryMb;
     }
--- a/Source/UnitTests/Jobs/LastingChecks.h
+++ b/Source/UnitTests/Jobs/LastingChecks.h
@@ -1,7 +1,7 @@
 #pragma once
 
-/// What a lasting task that crashes its workers may cost others: it is never given up. The bounds follow from docs/design/jobs.md,
-/// "When a task isn't started again", and from the platform's rule LOST.
+/// Limits for what a lasting task that crashes its workers may cost other tasks; its job never fails for these crashes. They are derived
+/// in docs/design/jobs.md, "When a task isn't started again", and from the platform's limit for a lasting task without a run.
 
 #include "Standins/JobWorker.h"
 
@@ -11,7 +11,7 @@
 #include <cstddef>
 #include <doctest/doctest.h>
 
-/// From the end of a lasting task's last run, by the platform's rules, where there is capacity.
+/// The platform's limit for a lasting task without a run, where there is capacity.
 constexpr std::chrono::seconds longestWithoutRun { 9 };
 
 struct LastingBounds {
--- a/Source/UnitTests/Jobs/WorkerDemandTest.cpp
+++ b/Source/UnitTests/Jobs/WorkerDemandTest.cpp
@@ -121,7 +121,6 @@
 
 } // namespace
 
-// Seen in day chance-four --seed 1 of benjelloun-oukaimeden-grown: three of 21 tasks waited for 29 s beside 169 free cores of 18 workers.
 TEST_CASE("moves: a step that takes one task a worker gets machines although its pool has free cores")
 {
     DemandingPool pool(stepOfOneAWorker(), numbersBelow(18));
