Lasting tasks of a step: the one that has waited longest is placed first

Cause: the pool has 24 machines, as many as the step needs, of which two to five are down at any moment under crashing tasks of another queue (pool-load: 12 to 23 workers that take tasks from 34 to 47 s). Each worker that came back took one of the step's waiting tasks by index: 14 starts of tasks lost later than 0.23 (0.16 at 36.7 s, lost at 35.6; 0.13 at 46.0, lost at 44.6) went before the last index. Ruled out: confinement and suspicion (no task-confined or task-suspected for 0.23), the owner's takeover at 42.5 s (nine seconds after the wait began; recovered in 33 ms), the cut zone (the worker crashed; its entry had no lease to wait for). Change: waiting tasks of a lasting step are placed in the order in which their last runs ended. Tasks of other steps keep their order. Test: new, failed before (the third and fourth task of four got the workers of the first two). What remains: demand counts crashed workers that are still listed as places, so that no 25th machine is asked for; that is by design (a crash asks for no other machine), and such tasks still wait until a machine is back.

--- a/Source/Core/Jobs/Decision/JobTable.cpp
+++ b/Source/Core/Jobs/Decision/JobTable.cpp
@@ -136,6 +136,7 @@
         --step.placedCount;
         task.state = Task::State::Waiting;
         task.worker.clear();
+        task.waitingSince = record.at;
     }
     if (record.how == RunEnd::Done && !spec.isLasting) {
         // When one member of a gang is done, the whole gang is.
--- a/Source/Core/Jobs/Decision/JobTable.h
+++ b/Source/Core/Jobs/Decision/JobTable.h
@@ -24,6 +24,7 @@
     RunNumber lastRun = 0; ///< Number of the newest run; zero before the first.
     std::string worker; ///< While placed.
     Common::WallTime placedAfter {}; ///< While placed: the run wasn't placed before then.
+    Common::WallTime waitingSince {}; ///< While waiting: when its latest run ended. Zero before the first, or where a snapshot is all that is known.
     std::string checkpoint; ///< Newest one known; empty for none.
     CrashTally crashTally;
 };
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -11,6 +11,20 @@
 
     constexpr std::size_t workersPerAdvice = 12; ///< A call takes a fixed time, and some more for each worker named.
 
+    /// Indices of the step's waiting tasks in the order in which they are placed: of lasting ones, each of which serves by itself, the
+    /// longest waiting first.
+    std::vector<unsigned> waitingTasks(const StepRun& step, bool isLasting)
+    {
+        std::vector<unsigned> indices;
+        for (unsigned n = 0; n < step.tasks.size(); ++n) {
+            if (step.tasks[n].state == Task::State::Waiting)
+                indices.push_back(n);
+        }
+        if (isLasting)
+            std::ranges::stable_sort(indices, {}, [&step](unsigned n) { return step.tasks[n].waitingSince; });
+        return indices;
+    }
+
 } // namespace
 
 void PoolCore::decide(Moment at)
@@ -253,12 +267,13 @@
         return true;
     }
     bool isFull = false;
-    for (key.index = 0; key.index < step.tasks.size(); ++key.index) {
-        const auto& task = step.tasks[key.index];
+    for (const auto index : waitingTasks(step, spec.isLasting)) {
+        key.index = index;
+        const auto& task = step.tasks[index];
         request.suspicion = placementSuspicionOf(key, task, spec.isLasting, at.now);
         request.needsReliable = task.crashTally.unexplained > 0;
         const bool isSuspect = request.suspicion != Suspicion::None;
-        if (task.state != Task::State::Waiting || isHeld(key) || (isFull && !isSuspect))
+        if (isHeld(key) || (isFull && !isSuspect))
             continue;
         if (auto* place = choosePlace(candidates, request)) {
             ++placed[place->worker->entry.id];
--- a/Source/UnitTests/Jobs/WaitingTasksTest.cpp
+++ b/Source/UnitTests/Jobs/WaitingTasksTest.cpp
@@ -173,6 +173,43 @@
     CHECK(fleet.runningTasks(jobId(4)) == 1);
 }
 
+// Where each worker takes one task, one that has lost its worker would wait behind every other one that loses its worker later.
+TEST_CASE("of the lasting tasks of a step that each need a worker, the one that has waited longest gets the next worker")
+{
+    constexpr unsigned tasks = 4;
+    LongRunFleet fleet(60s);
+    for (unsigned n = 1; n < tasks; ++n) {
+        const auto number = std::to_string(n);
+        fleet.addWorker("w" + number, "m" + number, 4)->closesConnections = true;
+        fleet.publishWorker("w" + number);
+    }
+    fleet.setRunTime(10min);
+    fleet.runFor(200ms);
+    auto spec = longRunningStep(tasks);
+    spec.steps.front().maximumPerWorker = 1;
+    fleet.start(1, spec);
+    fleet.runFor(15s);
+    std::vector<TaskKey> lost;
+    for (const unsigned n : { 2U, 3U, 1U, 0U }) {
+        fleet.crashWorker("w" + std::to_string(n));
+        fleet.runFor(5s);
+        for (const auto& [task, runs] : fleet.runMonitor.running) {
+            if (runs == 0 && std::ranges::find(lost, task) == lost.end())
+                lost.push_back(task);
+        }
+    }
+    REQUIRE(lost.size() == tasks);
+    REQUIRE(!std::ranges::is_sorted(lost));
+    for (unsigned n = 0; n < tasks; ++n) {
+        CAPTURE(n);
+        const auto number = std::to_string(tasks + n);
+        fleet.addWorker("w" + number, "m" + number, 4);
+        fleet.publishWorker("w" + number);
+        fleet.runFor(1s);
+        CHECK(fleet.runMonitor.running[lost[n]] == 1);
+    }
+}
+
 TEST_CASE("on random days of small fleets no task waits beside free capacity once the day's faults have ended")
 {
     for (std::uint64_t seed = 1; seed <= 60; ++seed) {
