Rules for suspects stand as one table

SuspectRules has the states in the order in which they are tried, the workers that admit each, the limits of workers set aside, and the numbers of crashes that convict; the others ask it. Behaviour is meant to be the same.

--- a/Source/Core/Jobs/Decision/CrashEvidence.cpp
+++ b/Source/Core/Jobs/Decision/CrashEvidence.cpp
@@ -9,16 +9,6 @@
 
 namespace {
 
-    constexpr unsigned fewestConvicting = 2; ///< Crashes under starts that convict; the platform allows to give up a task after two.
-    constexpr unsigned guiltyAlone = 2; ///< Suspected, the latest time as the only one.
-    constexpr unsigned guiltySuspected = 3; ///< Suspected, whoever else was.
-    constexpr unsigned guiltySinceProven = 4; ///< Just after a start, whatever explains them.
-    constexpr unsigned mostStarts = 5; ///< The platform allows two after the third crash.
-    constexpr unsigned repeatedSinceProven = 3; ///< Suspected as well, though others explain each crash.
-    constexpr unsigned guiltyThoughExplained = 5; ///< In place of guiltySinceProven, where another task explains the latest crash.
-    constexpr unsigned guiltyUnexplained = 5; ///< The same, for tasks that crash workers later than just after their start.
-    constexpr double chanceFactor = 2; ///< Of the crashes that are to be expected by chance.
-    constexpr unsigned mostByChance = 5; ///< A task that crashes its workers is given up in the end, however often others crash.
     constexpr milliseconds timingError { 12 }; ///< Of the times of starts and crashes, as their owner sees them.
     constexpr milliseconds unlearntSpacing { 50 };
     constexpr milliseconds longestSpacing { 100 };
@@ -27,10 +17,6 @@
     constexpr std::chrono::minutes historyLength { 10 };
     constexpr std::size_t maximumCrashes = 1000;
 
-    bool mayBeGuilty(const CrashTally& tally) { return tally.sinceProven >= tally.unconfirmed + fewestConvicting; }
-
-    unsigned allowedByChance(double expected) { return static_cast<unsigned>(chanceFactor * expected); }
-
     bool isSameSuspect(const CrashWitness& left, const CrashWitness& right)
     {
         const auto stepOf = [](const CrashWitness& it) { return std::tie(it.task.job, it.task.occurrence, it.task.step); };
@@ -43,7 +29,7 @@
 {
     const auto isRecent = [&](const CrashWitness& it) { return !it.isProven && (it.isDoubtful ? it.isUnconfirmed && window > milliseconds(0) : it.age < window); };
     const bool hasRecent = std::ranges::any_of(witnesses, isRecent);
-    const auto isCrashedAgain = [](const CrashWitness& it) { return !it.isProven && !it.isDoubtful && it.tally.sinceProven + 1 >= repeatedSinceProven; };
+    const auto isCrashedAgain = [](const CrashWitness& it) { return !it.isProven && !it.isDoubtful && isSuspectedThoughExplained(it.tally); };
     const auto isPresumed = [&](const CrashWitness& it) { return hasRecent ? isRecent(it) : !it.isProven; };
     const auto first = std::ranges::find_if(witnesses, isPresumed);
     const bool isAlone = std::ranges::all_of(witnesses, [&](const auto& it) { return !isPresumed(it) || isSameSuspect(it, *first); });
@@ -59,7 +45,7 @@
         }
         CrashVerdict verdict { it.tally, isPresumed(it) || (isExplained && isCrashedAgain(it)) };
         auto& tally = verdict.tally;
-        bool isConvicted = false;
+        bool convictsNow = false;
         const bool isNearStart = verdict.isSuspect || (isExplained && !it.isProven && !it.isDoubtful);
         tally.unexplained += convicts(it.start) && (verdict.isSuspect || blamesBystanders) ? 1 : 0;
         tally.sinceProven += isNearStart ? 1 : 0;
@@ -67,10 +53,10 @@
         if (verdict.isSuspect) {
             tally.suspected = it.isDoubtful ? std::max(tally.suspected, 1U) : tally.suspected + 1;
             verdict.isExplanation = !it.isDoubtful && isAlone && !isExplained;
-            const auto enough = (isAlone || isGroup) && !isExplained && !crashesByItself ? guiltyAlone : guiltySuspected;
-            isConvicted = (!it.isDoubtful && tally.suspected >= enough + (it.wasDoubtful ? 1 : 0)) || tally.sinceProven >= (isExplained ? guiltyThoughExplained : guiltySinceProven);
+            const auto blame = (isAlone || isGroup) && !crashesByItself ? Blame::Sole : Blame::Shared;
+            convictsNow = isConvicted(tally, isExplained ? Blame::Explained : blame, it.isDoubtful, it.wasDoubtful);
         }
-        const bool isFound = verdict.isSuspect ? isGuilty(tally, isConvicted, it.expected) : isTooOften(tally, it.expected);
+        const bool isFound = verdict.isSuspect ? isGuilty(tally, convictsNow, it.expected) : isTooOften(tally, it.expected);
         (it.isLasting ? verdict.isConfined : verdict.isGuilty) = isFound;
         verdicts.push_back(verdict);
     }
@@ -100,16 +86,6 @@
     return m_ages.empty() || spacing == milliseconds(0) ? milliseconds(0) : spacing - timingError;
 }
 
-bool isTooOften(const CrashTally& tally, double expected)
-{
-    return tally.unexplained >= guiltyUnexplained + std::min(mostByChance, allowedByChance(expected));
-}
-
-bool isGuilty(const CrashTally& tally, bool isConvicted, double expected)
-{
-    return (isConvicted && mayBeGuilty(tally)) || tally.sinceProven >= mostStarts || isTooOften(tally, expected);
-}
-
 std::uint64_t CrashHistory::add(const std::string& machine, Witnesses witnesses, bool isTest, Common::Instant now, bool isExcused, std::size_t otherMachines)
 {
     if (isTest)
--- a/Source/Core/Jobs/Decision/CrashEvidence.h
+++ b/Source/Core/Jobs/Decision/CrashEvidence.h
@@ -6,6 +6,7 @@
 
 #include "Common/Time.h"
 #include "Jobs/Decision/StartEvidence.h"
+#include "Jobs/Decision/SuspectRules.h"
 #include "Jobs/Model/JobRecords.h"
 
 #include <algorithm>
@@ -55,12 +56,6 @@
 /// crashes. No task is guilty before two workers have crashed under starts of it that convict (see StartEvidence.h), or five under any.
 std::vector<CrashVerdict> judgeCrash(const std::vector<CrashWitness>&, bool crashesByItself, milliseconds window = milliseconds(0));
 
-/// True when so many crashes are left unexplained that the task must not be started again. Where workers also crash by themselves, so often
-/// that `expected` of these crashes are to be expected under any task, more are needed.
-bool isTooOften(const CrashTally&, double expected);
-/// The same for a task that is suspected: `isConvicted` says whether its latest crash convicts it, if enough of those before do as well.
-bool isGuilty(const CrashTally&, bool isConvicted, double expected);
-
 /// Estimates how soon after its start a task crashes its worker, from the tasks that were failed for it, and from that the minimum time
 /// between starts on one worker at which a crash has a single suspect.
 class StartSpacing {
--- a/Source/Core/Jobs/Decision/Placement.cpp
+++ b/Source/Core/Jobs/Decision/Placement.cpp
@@ -26,22 +26,9 @@
         return !request.isAllowed || request.isAllowed(worker);
     }
 
-    bool passesQuarantine(const Candidate& candidate, Suspicion suspicion)
-    {
-        if (suspicion == Suspicion::None)
-            return !candidate.isQuarantined;
-        if (suspicion == Suspicion::Grouped)
-            return candidate.takesGroup || candidate.takesStrongSuspects;
-        if (suspicion == Suspicion::Doubtful)
-            return candidate.roomForDoubtful > 0 || candidate.takesStrongSuspects;
-        if (suspicion == Suspicion::Confined)
-            return candidate.takesStrongSuspects && candidate.worker->runs.empty();
-        return suspicion == Suspicion::Some ? candidate.takesSuspects : candidate.takesStrongSuspects;
-    }
-
     bool isSuitable(const Candidate& candidate, const PlacementRequest& request)
     {
-        return !candidate.isSpaced && passesQuarantine(candidate, request.suspicion) && reservedBy(*request.step).fitsInto(candidate.room) && meetsConstraints(*candidate.worker, request);
+        return !candidate.isSpaced && isAdmitted(request.suspicion, candidate.openings(), candidate.worker->runs.empty()) && reservedBy(*request.step).fitsInto(candidate.room) && meetsConstraints(*candidate.worker, request);
     }
 
     /// Number of runs that would slow down a task of the step, or be slowed down by it.
--- a/Source/Core/Jobs/Decision/Placement.h
+++ b/Source/Core/Jobs/Decision/Placement.h
@@ -4,6 +4,7 @@
 /// that large ones find room. Lasting tasks are spread, so that the loss of one worker or rack takes few tasks of a step.
 /// Fillers are kept apart from tasks that serve users.
 
+#include "Jobs/Decision/SuspectRules.h"
 #include "Jobs/Decision/Worker.h"
 
 #include <functional>
@@ -28,16 +29,8 @@
     std::size_t roomForDoubtful = 0; ///< Number of suspects of the kind Doubtful that may still join those placed in this pass.
     bool hasUnprovenRuns = false; ///< Only known for workers that could be set aside.
     bool isSpaced = false; ///< Takes no more starts in this pass; see StartSpacing.
-};
 
-/// Whether a task may crash its worker, so that it must be kept apart from others.
-enum class Suspicion {
-    None,
-    Some, ///< Other starts on the worker must be spaced from its own.
-    Strong, ///< No other run may start on its worker before it has outlived its start.
-    Grouped, ///< The same, apart from other such tasks that start there at the same time.
-    Doubtful, ///< The same, apart from a limited number of other such tasks.
-    Confined, ///< No other run may be on its worker before it counts as reliable.
+    Openings openings() const { return { !isQuarantined, takesSuspects, takesStrongSuspects, takesGroup, roomForDoubtful > 0 }; }
 };
 
 /// A candidate with the worker's current free capacity.
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -200,7 +200,7 @@
     /// The worker won't return under its id.
     void releaseLateStarts(Worker&);
     LostRun lostRunOf(const TaskKey&, const WorkerRun&, StartEvidence, Instant aliveUntil, Instant failingSince) const;
-    Suspicion suspicionOf(const Task&, Instant now) const;
+    SuspectFacts factsOf(const TaskKey&, const Task&, Instant now) const;
     bool wasStopped(const JobId&) const;
     std::vector<CrashWitness> witnessesOf(const std::string& machine, const std::vector<LostRun>&);
     /// `failingSince`: about when it has crashed; zero when that isn't known.
@@ -240,15 +240,6 @@
     void updateProof(const TaskKey&, WorkerRun&, Moment);
     void clearSuspicion(const TaskKey&, Moment);
     std::vector<TaskKey> waitingSuspects(Instant now);
-    /// True for a likely suspect that has waited too long for a worker of its own: it may start together with others like it.
-    bool isGrouped(const TaskKey&, Instant now) const;
-    /// True for a suspect that may not even have started on the worker that crashed. Most of these are innocent, so that several are
-    /// tried together; those of a group that crashes its worker are then tried one by one.
-    bool isDoubtful(const TaskKey&, const Task&, Instant now) const;
-    /// How a suspect has to be kept apart on a worker that is set aside.
-    Suspicion isolationOf(const TaskKey&, const Task&, Instant now) const;
-    /// The same on any worker: a lasting suspect that has waited too long for a worker of its own is placed like others.
-    Suspicion placementSuspicionOf(const TaskKey&, const Task&, bool isLasting, Instant now) const;
     void quarantineWorkers(std::vector<Candidate>&, Moment);
     /// Places suspects on the workers that take them, the longest waiting first.
     void placeSuspects(std::vector<Candidate>&, Moment);
--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -3,7 +3,6 @@
 #include "Jobs/Decision/PoolCore.h"
 
 #include <algorithm>
-#include <cmath>
 #include <iterator>
 #include <string_view>
 #include <tuple>
@@ -13,15 +12,6 @@
 
 namespace {
 
-    constexpr milliseconds provenAfter { 200 }; ///< Age at which a run has outlived its start.
-    constexpr milliseconds reliableAfter { 10000 }; ///< Age from which earlier crashes no longer count against the task.
-    constexpr milliseconds maximumIsolationWait { 1500 }; ///< The platform allows 3 s without a run where there is capacity.
-    constexpr milliseconds workerReturnTime { 4000 }; ///< About the time from a crash until the machine has a worker again.
-    constexpr std::size_t minimumQuarantine = 2;
-    constexpr milliseconds overdueWait { 5000 };
-    constexpr std::size_t overdueDivisor = 2; ///< Instead of the next, once a suspect has waited for so long.
-    constexpr std::size_t quarantineDivisor = 3; ///< The rest of the workers is left to tasks that aren't suspected.
-
     /// Lets the workers take suspects. Where starts aren't spaced, nothing else may have started there a moment ago.
     void openForSuspects(const std::vector<Candidate*>& workers, bool isSpacing)
     {
@@ -31,13 +21,6 @@
         }
     }
 
-    /// The number of workers that may be set aside for suspects. Those that crashed under suspects count as well.
-    std::size_t quarantineLimit(std::size_t pool, bool isOverdue)
-    {
-        const auto share = pool / (isOverdue ? overdueDivisor : quarantineDivisor);
-        return std::max<std::size_t>(1, std::min(pool - 1, std::max(minimumQuarantine, share)));
-    }
-
     /// Candidates that may be set aside, those that the other tasks miss least first.
     std::vector<Candidate*> byQuarantineCost(std::vector<Candidate>& candidates, const std::map<std::string, Instant>& previous)
     {
@@ -62,7 +45,7 @@
     std::vector<Candidate*>::iterator findForSuspect(std::vector<Candidate*>& available, const PlacementRequest& request, bool hasWaited)
     {
         const auto need = reservedBy(*request.step);
-        const auto mayStart = [&](const auto* it) { return !it->hasUnprovenRuns && (hasWaited || !it->crashesByItself) && (request.suspicion != Suspicion::Confined || it->worker->runs.empty()) && need.fitsInto(it->room) && couldRunOn(*it->worker, request); };
+        const auto mayStart = [&](const auto* it) { return !it->hasUnprovenRuns && (hasWaited || !it->crashesByItself) && (it->worker->runs.empty() || !ruleOf(request.suspicion).needsEmptyWorker) && need.fitsInto(it->room) && couldRunOn(*it->worker, request); };
         const auto found = std::ranges::find_if(available, mayStart);
         return found != available.end() ? found : std::ranges::find_if(available, [&request](const auto* it) { return couldRunOn(*it->worker, request); });
     }
@@ -94,12 +77,19 @@
     return lost;
 }
 
-Suspicion PoolCore::suspicionOf(const Task& task, Instant now) const
+SuspectFacts PoolCore::factsOf(const TaskKey& key, const Task& task, Instant now) const
 {
-    if (task.crashTally.suspected == 0)
-        return Suspicion::None;
-    const bool isSpacing = m_startSpacing.window(now) > milliseconds(0);
-    return task.crashTally.suspected > 1 || task.crashTally.sinceProven > 2 || !isSpacing ? Suspicion::Strong : Suspicion::Some;
+    SuspectFacts facts { task.crashTally };
+    facts.isConfined = m_confined.contains(key);
+    if (facts.tally.suspected == 0 && !facts.isConfined)
+        return facts;
+    facts.isDoubtful = m_doubtfulSuspects.contains(key);
+    facts.isLikely = m_likelySuspects.contains(key);
+    facts.isLasting = isLasting(key);
+    facts.isSpaced = m_startSpacing.window(now) > milliseconds(0);
+    if (const auto it = m_suspectsWaitingSince.find(key); it != m_suspectsWaitingSince.end())
+        facts.waited = now - it->second;
+    return facts;
 }
 
 /// True when runs of the job were or are being stopped, as it was cancelled or has failed.
@@ -290,34 +280,6 @@
     return waiting;
 }
 
-bool PoolCore::isGrouped(const TaskKey& key, Instant now) const
-{
-    const auto it = m_suspectsWaitingSince.find(key);
-    return it != m_suspectsWaitingSince.end() && now - it->second > maximumIsolationWait && m_likelySuspects.contains(key);
-}
-
-bool PoolCore::isDoubtful(const TaskKey& key, const Task& task, Instant now) const
-{
-    const bool isFirst = task.crashTally.suspected == 1 && task.crashTally.sinceProven == 1;
-    return isFirst && m_doubtfulSuspects.contains(key) && !m_likelySuspects.contains(key) && suspicionOf(task, now) == Suspicion::Strong;
-}
-
-Suspicion PoolCore::placementSuspicionOf(const TaskKey& key, const Task& task, bool isLasting, Instant now) const
-{
-    const auto it = m_suspectsWaitingSince.find(key);
-    const bool hasWaitedTooLong = isLasting && it != m_suspectsWaitingSince.end() && now - it->second > maximumIsolationWait;
-    return hasWaitedTooLong ? Suspicion::None : isolationOf(key, task, now);
-}
-
-Suspicion PoolCore::isolationOf(const TaskKey& key, const Task& task, Instant now) const
-{
-    if (m_confined.contains(key))
-        return Suspicion::Confined;
-    if (isGrouped(key, now))
-        return Suspicion::Grouped;
-    return isDoubtful(key, task, now) ? Suspicion::Doubtful : suspicionOf(task, now);
-}
-
 /// Sets workers aside for suspects, and keeps others away from suspects that haven't outlived their starts. A worker takes its
 /// first suspect once all its runs have outlived theirs, so that a crash leaves no doubt.
 void PoolCore::quarantineWorkers(std::vector<Candidate>& candidates, Moment at)
@@ -332,42 +294,37 @@
         it.takesSuspects = it.isQuarantined && isSpacing && !it.worker->isTestingAlone() && !it.worker->hasConfinedRun();
     }
     const auto crashed = m_crashes.countOfTests(at.now - workerReturnTime);
-    const auto inUse = crashed + static_cast<std::size_t>(std::ranges::count_if(candidates, [](const auto& it) { return it.worker->isTestingSuspect(); }));
-    const auto pool = candidates.size() + crashed;
-    const bool isOverdue = !suspects.empty() && at.now - m_suspectsWaitingSince.at(suspects.front()) > overdueWait;
-    const auto limit = quarantineLimit(pool, isOverdue);
-    const bool isTesting = inUse > crashed;
-    const bool isTestingAlone = std::ranges::any_of(candidates, [](const auto& it) { return it.worker->isTestingAlone(); });
+    const auto testing = static_cast<std::size_t>(std::ranges::count_if(candidates, [](const auto& it) { return it.worker->isTestingSuspect(); }));
+    QuarantineUse use { candidates.size() + crashed, crashed + testing, 0, testing > 0 };
+    use.isTestingAlone = std::ranges::any_of(candidates, [](const auto& it) { return it.worker->isTestingAlone(); });
+    use.isOverdue = !suspects.empty() && at.now - m_suspectsWaitingSince.at(suspects.front()) > overdueWait;
     std::vector<Candidate*> chosen;
     std::vector<Candidate*> groups;
-    // One task at most of those lost in a crash has caused it: about as many groups as tasks in each take the fewest trials (Dorfman, 1943).
-    const auto doubtful = std::ranges::count_if(suspects, [&](const auto& key) { return isDoubtful(key, *m_jobs.findTask(key), at.now); });
-    m_doubtfulGroupSize = std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(std::sqrt(static_cast<double>(doubtful)))));
+    const auto doubtful = std::ranges::count_if(suspects, [&](const auto& key) { return mayJoinDoubtful(factsOf(key, *m_jobs.findTask(key), at.now)); });
+    m_doubtfulGroupSize = doubtfulGroupSize(static_cast<std::size_t>(doubtful));
     const Candidate* doubtfulGroup = nullptr;
     std::size_t doubtfulRoom = 0;
     auto available = byQuarantineCost(candidates, previous);
     for (const auto& key : suspects) {
-        const bool joinsGroup = isGrouped(key, at.now);
-        const bool isConfined = m_confined.contains(key);
-        const bool needsOwnWorker = joinsGroup || isConfined || suspicionOf(*m_jobs.findTask(key), at.now) == Suspicion::Strong;
-        const auto count = chosen.size() + groups.size();
-        // However many workers have crashed, suspects are tried on one at a time. The others may join it unless it is for one alone.
-        const bool mustBeTried = (joinsGroup || isOverdue) && count == 0 && (needsOwnWorker ? !isTestingAlone : !isTesting);
-        if (inUse + count >= limit && !mustBeTried)
+        const auto facts = factsOf(key, *m_jobs.findTask(key), at.now);
+        const auto suspicion = suspicionOf(facts);
+        const bool joinsGroup = mayJoinGroup(facts);
+        use.chosen = chosen.size() + groups.size();
+        if (!maySetAside(use, suspicion, joinsGroup))
             continue;
         const WaitingStep step { {}, m_jobs.find(key.job), key.occurrence, key.step };
         const bool isLimited = step.job->spec().steps[key.step].maximumPerWorker > 0;
         const auto placed = isLimited ? step.job->stepOf(key)->placedByWorker() : std::map<std::string, unsigned>();
         auto request = requestFor(step, placed, at);
-        request.suspicion = isConfined ? Suspicion::Confined : Suspicion::None;
+        request.suspicion = suspicion;
         if (joinsGroup && std::ranges::any_of(groups, [&request](const auto* it) { return couldRunOn(*it->worker, request); }))
             continue;
-        const bool isInDoubt = !joinsGroup && isDoubtful(key, *m_jobs.findTask(key), at.now);
+        const bool isInDoubt = mayJoinDoubtful(facts);
         if (isInDoubt && doubtfulRoom > 0 && couldRunOn(*doubtfulGroup->worker, request)) {
             --doubtfulRoom;
             continue;
         }
-        const auto best = findForSuspect(available, request, at.now - m_suspectsWaitingSince.at(key) > maximumIsolationWait);
+        const auto best = findForSuspect(available, request, facts.hasWaitedTooLong());
         if (best == available.end())
             continue;
         setAside(**best, previous, at.now);
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -75,7 +75,7 @@
         const auto placed = job.stepOf(key)->placedByWorker();
         const auto& task = *m_jobs.findTask(key);
         auto request = requestFor({ {}, &job, key.occurrence, key.step }, placed, at);
-        request.suspicion = isolationOf(key, task, at.now);
+        request.suspicion = suspicionOf(factsOf(key, task, at.now));
         request.needsReliable = task.crashTally.unexplained > 0;
         if (auto* place = choosePlace(candidates, request))
             placeTask(job, key, task.lastRun + 1, *place, at);
@@ -270,7 +270,7 @@
     for (const auto index : waitingTasks(step, spec.isLasting)) {
         key.index = index;
         const auto& task = step.tasks[index];
-        request.suspicion = placementSuspicionOf(key, task, spec.isLasting, at.now);
+        request.suspicion = placementSuspicionOf(factsOf(key, task, at.now));
         request.needsReliable = task.crashTally.unexplained > 0;
         const bool isSuspect = request.suspicion != Suspicion::None;
         if (isHeld(key) || (isFull && !isSuspect))
@@ -319,15 +319,16 @@
 void PoolCore::placeTask(Job& job, const TaskKey& key, RunNumber run, Candidate& place, Moment at)
 {
     const auto& spec = job.spec().steps[key.step];
-    const bool startsInGroup = place.takesGroup && isGrouped(key, at.now);
+    const auto facts = factsOf(key, *m_jobs.findTask(key), at.now);
+    const bool startsInGroup = place.takesGroup && mayJoinGroup(facts);
     const bool isOpenForDoubtful = place.takesStrongSuspects || place.roomForDoubtful > 0;
-    const bool startsWithDoubtful = !startsInGroup && isOpenForDoubtful && isDoubtful(key, *m_jobs.findTask(key), at.now);
+    const bool startsWithDoubtful = !startsInGroup && isOpenForDoubtful && mayJoinDoubtful(facts);
     auto& worker = *place.worker;
-    const bool isConfined = place.isQuarantined && worker.runs.empty() && m_confined.contains(key);
+    const bool isConfined = place.isQuarantined && worker.runs.empty() && facts.isConfined;
     const auto checkpoint = m_jobs.findTask(key)->checkpoint;
     place.room -= reservedBy(spec);
     auto& placed = worker.runs[key] = makeRun(spec, run, at.now);
-    if (const auto suspicion = suspicionOf(*m_jobs.findTask(key), at.now); suspicion != Suspicion::None || isConfined) {
+    if (const auto suspicion = ownSuspicionOf(facts); suspicion != Suspicion::None || isConfined) {
         placed.isSuspect = true;
         placed.isConfined = isConfined;
         placed.mustBeAlone = startsInGroup || isConfined || suspicion == Suspicion::Strong;
--- a/Source/Core/Jobs/Decision/PoolCoreVerdicts.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreVerdicts.cpp
@@ -8,21 +8,6 @@
 
 namespace Jobs {
 
-namespace {
-
-    constexpr milliseconds firstRestartDelay { 500 };
-    constexpr milliseconds longestRestartDelay { 4000 }; ///< The platform allows 9 s without a run where there is capacity.
-    constexpr unsigned mostDoublings = 3;
-
-    milliseconds restartDelay(unsigned crashes)
-    {
-        constexpr unsigned fewest = 2; // A task is convicted after two crashes or more.
-        const auto doublings = std::min(mostDoublings, std::max(crashes, fewest) - fewest);
-        return std::min(longestRestartDelay, firstRestartDelay * (1 << doublings));
-    }
-
-} // namespace
-
 bool PoolCore::isLasting(const TaskKey& key) const
 {
     const auto* job = m_jobs.find(key.job);
@@ -109,7 +94,7 @@
 
 void PoolCore::confine(const TaskKey& key, const CrashTally& tally, Moment at)
 {
-    const auto delay = restartDelay(std::max(tally.sinceProven, tally.unexplained));
+    const auto delay = restartDelay(tally);
     log("task-confined", key.job, { { "task", nameOfTask(key) }, { "sinceProven", std::to_string(tally.sinceProven) }, { "unexplained", std::to_string(tally.unexplained) }, { "suspected", std::to_string(tally.suspected) }, { "delayMs", std::to_string(delay.count()) } });
     if (m_confined.insert(key).second)
         record(TaskConfined { key, true });
@@ -123,7 +108,7 @@
     for (const auto& key : m_confined) {
         const auto* task = m_jobs.findTask(key);
         if (task && task->state == Task::State::Waiting)
-            m_startNotBefore[key] = now + restartDelay(std::max(task->crashTally.sinceProven, task->crashTally.unexplained));
+            m_startNotBefore[key] = now + restartDelay(task->crashTally);
     }
 }
 
