A confined suspect that waits doesn't take a worker for a group that it can't join

A lasting task that is confined and had been a likely suspect got a worker set aside for a group after 1.5 s, on which it may not start, and waited 1.5 s more beside it or started on another worker beside other runs; on a worker lent to suspects a group could start beside it. The same for a confined task whose one crash since is doubtful (by reading). Grouped and Doubtful were asked for beside the state; now each decision goes by the first state of the table that holds.

--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -300,7 +300,7 @@
     use.isOverdue = !suspects.empty() && at.now - m_suspectsWaitingSince.at(suspects.front()) > overdueWait;
     std::vector<Candidate*> chosen;
     std::vector<Candidate*> groups;
-    const auto doubtful = std::ranges::count_if(suspects, [&](const auto& key) { return mayJoinDoubtful(factsOf(key, *m_jobs.findTask(key), at.now)); });
+    const auto doubtful = std::ranges::count_if(suspects, [&](const auto& key) { return suspicionOf(factsOf(key, *m_jobs.findTask(key), at.now)) == Suspicion::Doubtful; });
     m_doubtfulGroupSize = doubtfulGroupSize(static_cast<std::size_t>(doubtful));
     const Candidate* doubtfulGroup = nullptr;
     std::size_t doubtfulRoom = 0;
@@ -308,9 +308,9 @@
     for (const auto& key : suspects) {
         const auto facts = factsOf(key, *m_jobs.findTask(key), at.now);
         const auto suspicion = suspicionOf(facts);
-        const bool joinsGroup = mayJoinGroup(facts);
+        const bool joinsGroup = suspicion == Suspicion::Grouped;
         use.chosen = chosen.size() + groups.size();
-        if (!maySetAside(use, suspicion, joinsGroup))
+        if (!maySetAside(use, suspicion))
             continue;
         const WaitingStep step { {}, m_jobs.find(key.job), key.occurrence, key.step };
         const bool isLimited = step.job->spec().steps[key.step].maximumPerWorker > 0;
@@ -319,7 +319,7 @@
         request.suspicion = suspicion;
         if (joinsGroup && std::ranges::any_of(groups, [&request](const auto* it) { return couldRunOn(*it->worker, request); }))
             continue;
-        const bool isInDoubt = mayJoinDoubtful(facts);
+        const bool isInDoubt = suspicion == Suspicion::Doubtful;
         if (isInDoubt && doubtfulRoom > 0 && couldRunOn(*doubtfulGroup->worker, request)) {
             --doubtfulRoom;
             continue;
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -319,27 +319,24 @@
 void PoolCore::placeTask(Job& job, const TaskKey& key, RunNumber run, Candidate& place, Moment at)
 {
     const auto& spec = job.spec().steps[key.step];
-    const auto facts = factsOf(key, *m_jobs.findTask(key), at.now);
-    const bool startsInGroup = place.takesGroup && mayJoinGroup(facts);
-    const bool isOpenForDoubtful = place.takesStrongSuspects || place.roomForDoubtful > 0;
-    const bool startsWithDoubtful = !startsInGroup && isOpenForDoubtful && mayJoinDoubtful(facts);
     auto& worker = *place.worker;
-    const bool isConfined = place.isQuarantined && worker.runs.empty() && facts.isConfined;
+    const auto& rule = ruleOf(startSuspicionOf(factsOf(key, *m_jobs.findTask(key), at.now), place.openings(), worker.runs.empty()));
     const auto checkpoint = m_jobs.findTask(key)->checkpoint;
     place.room -= reservedBy(spec);
     auto& placed = worker.runs[key] = makeRun(spec, run, at.now);
-    if (const auto suspicion = ownSuspicionOf(facts); suspicion != Suspicion::None || isConfined) {
+    if (rule.state != Suspicion::None) {
+        const bool isDoubtful = rule.state == Suspicion::Doubtful;
         placed.isSuspect = true;
-        placed.isConfined = isConfined;
-        placed.mustBeAlone = startsInGroup || isConfined || suspicion == Suspicion::Strong;
+        placed.isConfined = rule.state == Suspicion::Confined;
+        placed.mustBeAlone = rule.startsAlone;
+        placed.isTriedInGroup = isDoubtful && m_doubtfulGroupSize > 1;
         place.takesSuspects = false;
         place.takesStrongSuspects = false;
-        place.takesGroup = startsInGroup;
-        placed.isTriedInGroup = startsWithDoubtful && m_doubtfulGroupSize > 1;
+        place.takesGroup = rule.state == Suspicion::Grouped;
         const auto roomForGroup = place.roomForDoubtful > 0 ? place.roomForDoubtful : m_doubtfulGroupSize;
-        place.roomForDoubtful = startsWithDoubtful ? roomForGroup - 1 : 0;
+        place.roomForDoubtful = isDoubtful ? roomForGroup - 1 : 0;
     }
-    place.isSpaced = !startsInGroup && !startsWithDoubtful && m_startSpacing.at(at.now) > milliseconds(0);
+    place.isSpaced = !rule.hasCompany && m_startSpacing.at(at.now) > milliseconds(0);
     if (job.state == JobState::Queued) {
         job.firstPlacedAt = at.wall;
         m_output.firstStarts.push_back(at.wall - job.dueAt(key.occurrence));
--- a/Source/Core/Jobs/Decision/SuspectRules.cpp
+++ b/Source/Core/Jobs/Decision/SuspectRules.cpp
@@ -36,13 +36,26 @@
         return isSuspect(it) && (it.tally.suspected > 1 || it.tally.sinceProven > 2 || !it.isSpaced);
     }
 
+    /// A likely suspect that has waited too long for a worker of its own may start together with others like it.
+    bool isGrouped(const SuspectFacts& it) { return it.isLikely && it.hasWaitedTooLong(); }
+
+    /// A suspect that may not even have started on the worker that crashed. Most of these are innocent, so that several are tried together;
+    /// those of a group that crashes its worker are then tried one by one.
+    bool isDoubtful(const SuspectFacts& it)
+    {
+        const bool isFirst = it.tally.suspected == 1 && it.tally.sinceProven == 1;
+        return isFirst && it.isDoubtful && !it.isLikely && isStrong(it);
+    }
+
+    constexpr Openings s_anyWorker { true, true, true, true, true };
+
     constexpr SuspectRules s_rules { {
-        { Suspicion::Confined, [](const auto& it) { return it.isConfined; }, { .alone = true }, true, true },
-        { Suspicion::Grouped, mayJoinGroup, { .alone = true, .group = true }, false, true },
-        { Suspicion::Doubtful, mayJoinDoubtful, { .alone = true, .doubtful = true }, false, true },
-        { Suspicion::Strong, isStrong, { .alone = true }, false, true },
-        { Suspicion::Some, isSuspect, { .spaced = true }, false, false },
-        { Suspicion::None, [](const auto&) { return true; }, { .others = true }, false, false },
+        { Suspicion::Confined, [](const auto& it) { return it.isConfined; }, { .alone = true }, { .alone = true }, true, true, false },
+        { Suspicion::Grouped, isGrouped, { .alone = true, .group = true }, { .group = true }, false, true, true },
+        { Suspicion::Doubtful, isDoubtful, { .alone = true, .doubtful = true }, { .alone = true, .doubtful = true }, false, true, true },
+        { Suspicion::Strong, isStrong, { .alone = true }, s_anyWorker, false, true, false },
+        { Suspicion::Some, isSuspect, { .spaced = true }, s_anyWorker, false, false, false },
+        { Suspicion::None, [](const auto&) { return true; }, { .others = true }, s_anyWorker, false, false, false },
     } };
 
     std::size_t quarantineLimit(std::size_t workers, bool isOverdue)
@@ -78,22 +91,10 @@
     return facts.isLasting && facts.hasWaitedTooLong() ? Suspicion::None : suspicionOf(facts);
 }
 
-Suspicion ownSuspicionOf(const SuspectFacts& facts)
-{
-    if (!isSuspect(facts))
-        return Suspicion::None;
-    return isStrong(facts) ? Suspicion::Strong : Suspicion::Some;
-}
-
-bool mayJoinGroup(const SuspectFacts& facts)
-{
-    return facts.isLikely && facts.hasWaitedTooLong();
-}
-
-bool mayJoinDoubtful(const SuspectFacts& facts)
+Suspicion startSuspicionOf(const SuspectFacts& facts, const Openings& openings, bool isEmpty)
 {
-    const bool isFirst = facts.tally.suspected == 1 && facts.tally.sinceProven == 1;
-    return isFirst && facts.isDoubtful && !facts.isLikely && isStrong(facts);
+    const auto isKept = [&](const SuspectRule& it) { return it.keptOn.overlaps(openings) && (isEmpty || !it.needsEmptyWorker); };
+    return std::ranges::find_if(s_rules, [&](const auto& it) { return it.holds(facts) && isKept(it); })->state;
 }
 
 bool isAdmitted(Suspicion state, const Openings& openings, bool isEmpty)
@@ -102,12 +103,12 @@
     return rule.admittedBy.overlaps(openings) && (isEmpty || !rule.needsEmptyWorker);
 }
 
-bool maySetAside(const QuarantineUse& use, Suspicion state, bool joinsGroup)
+bool maySetAside(const QuarantineUse& use, Suspicion state)
 {
     if (use.inUse + use.chosen < quarantineLimit(use.workers, use.isOverdue))
         return true;
     // However many workers have crashed, suspects are tried on one at a time. The others may join it unless it is for one alone.
-    return (joinsGroup || use.isOverdue) && use.chosen == 0 && (ruleOf(state).startsAlone ? !use.isTestingAlone : !use.isTesting);
+    return (state == Suspicion::Grouped || use.isOverdue) && use.chosen == 0 && (ruleOf(state).startsAlone ? !use.isTestingAlone : !use.isTesting);
 }
 
 std::size_t doubtfulGroupSize(std::size_t waiting)
--- a/Source/Core/Jobs/Decision/SuspectRules.h
+++ b/Source/Core/Jobs/Decision/SuspectRules.h
@@ -60,8 +60,10 @@
     Suspicion state = Suspicion::None;
     bool (*holds)(const SuspectFacts&) = nullptr;
     Openings admittedBy; ///< It may start on workers that are open to one of these.
+    Openings keptOn; ///< On others it starts in the next state that holds.
     bool needsEmptyWorker = false;
-    bool startsAlone = false; ///< Nothing but suspects in the same state may start beside it before it has outlived its start.
+    bool startsAlone = false; ///< No others may start beside it before it has outlived its start.
+    bool hasCompany = false; ///< Apart from suspects in the same state that start there at the same time.
 };
 
 /// The states in the order in which they are tried: a task is in the first one that holds.
@@ -73,13 +75,8 @@
 Suspicion suspicionOf(const SuspectFacts&);
 /// The state on a worker that isn't: a lasting suspect that has waited too long is placed like others.
 Suspicion placementSuspicionOf(const SuspectFacts&);
-/// The state without what applies only to the first suspect of several that start together.
-Suspicion ownSuspicionOf(const SuspectFacts&);
-/// A likely suspect that has waited too long for a worker of its own may start together with others like it.
-bool mayJoinGroup(const SuspectFacts&);
-/// A suspect that may not even have started on the worker that crashed. Most of these are innocent, so that several are tried together; those
-/// of a group that crashes its worker are then tried one by one.
-bool mayJoinDoubtful(const SuspectFacts&);
+/// The state in which the task starts on a worker with these openings.
+Suspicion startSuspicionOf(const SuspectFacts&, const Openings&, bool isEmpty);
 /// Whether a worker with these openings admits a task in that state.
 bool isAdmitted(Suspicion, const Openings&, bool isEmpty);
 
@@ -94,7 +91,7 @@
 };
 
 /// Whether another worker may be set aside, for a suspect in that state.
-bool maySetAside(const QuarantineUse&, Suspicion, bool joinsGroup);
+bool maySetAside(const QuarantineUse&, Suspicion);
 /// The number of suspects in the state Doubtful that start together where so many wait.
 std::size_t doubtfulGroupSize(std::size_t waiting);
 
