--- a/Source/Core/Jobs/Decision/JobTable.h
+++ b/Source/Core/Jobs/Decision/JobTable.h
@@ -127,6 +127,7 @@
     static void applyRecord(const SuspicionGraded&) { } ///< PoolCore keeps these.
     static void applyRecord(const CrashAgesLearnt&) { }
     static void applyRecord(const TaskConfined&) { }
+    static void applyRecord(const SourceCrashesLearnt&) { }
     /// Like findTask(), but begins the occurrences up to the task's if they haven't begun.
     Task* reachTask(const TaskKey&);
     void endTask(Job&, StepRun&, const RunEnded&);
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -10,6 +10,7 @@
 #include "Jobs/Decision/Placement.h"
 #include "Jobs/Decision/PoolOutput.h"
 #include "Jobs/Decision/QueueOrder.h"
+#include "Jobs/Decision/SourceEvidence.h"
 #include "Jobs/Decision/Worker.h"
 #include "Jobs/Decision/WorkerDemand.h"
 #include "Ports/JobPort.h"
@@ -240,6 +241,13 @@
     void updateProof(const TaskKey&, WorkerRun&, Moment);
     void clearSuspicion(const TaskKey&, Moment);
     std::vector<TaskKey> waitingSuspects(Instant now);
+    static TaskSource sourceOf(const Job& job) { return { job.accepted.queue, {} }; }
+    /// A run of the job has outlived its start.
+    void noteOutlived(const JobId&, Moment);
+    /// Counts a crash that is settled for the sources of the tasks that may have caused it.
+    void noteSourcesOf(const SettledCrash&, Moment);
+    /// Records and logs which sources are bounded from now on, or no longer.
+    void updateBoundedSources(Moment);
     void quarantineWorkers(std::vector<Candidate>&, Moment);
     /// Places suspects on the workers that take them, the longest waiting first.
     void placeSuspects(std::vector<Candidate>&, Moment);
@@ -290,6 +298,8 @@
     std::set<std::string> m_cordoned;
     CrashHistory m_crashes;
     CrashBursts m_bursts;
+    SourceEvidence m_sources;
+    std::set<TaskSource> m_boundedSources; ///< As of the latest decision.
     StartSpacing m_startSpacing;
     CrashAgesLearnt m_crashAges; ///< As last recorded.
     std::set<TaskKey> m_suspects; ///< Tasks with suspected crashes. May contain tasks that are done or gone.
--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -221,6 +221,7 @@
         return;
     if (!run.isProven) {
         run.isProven = true;
+        noteOutlived(key.job, at);
         clearSuspicion(key, at);
     }
     if (age < reliableAfter)
--- a/Source/Core/Jobs/Decision/PoolCoreEvidence.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreEvidence.cpp
@@ -48,6 +48,8 @@
     if (const auto* learnt = std::get_if<CrashAgesLearnt>(&record)) {
         m_crashAges = *learnt;
         m_startSpacing.restore(learnt->ages);
+    } else if (const auto* source = std::get_if<SourceCrashesLearnt>(&record)) {
+        m_sources.restore(*source);
     } else if (const auto* confined = std::get_if<TaskConfined>(&record)) {
         if (confined->isConfined)
             m_confined.insert(confined->task);
@@ -59,10 +61,52 @@
         restore(tally->task, false, false);
 }
 
+void PoolCore::noteOutlived(const JobId& id, Moment at)
+{
+    const auto* job = m_sources.hasCrashes() ? m_jobs.find(id) : nullptr;
+    if (job)
+        m_sources.onOutlived(sourceOf(*job), at.wall);
+}
+
+void PoolCore::noteSourcesOf(const SettledCrash& settled, Moment at)
+{
+    std::map<TaskSource, double> suspectsBySource;
+    double suspects = 0;
+    for (std::size_t n = 0; n < settled.crash.tasks.size(); ++n) {
+        const auto& it = settled.crash.tasks[n];
+        if (settled.isOutside[n] || !it.isSuspect)
+            continue;
+        ++suspects;
+        if (const auto* job = m_jobs.find(it.task.job))
+            ++suspectsBySource[sourceOf(*job)];
+    }
+    for (const auto& [source, count] : suspectsBySource) {
+        if (m_sources.onCrash(source, count / suspects, at.wall))
+            record(m_sources.recordOf(source));
+    }
+}
+
+void PoolCore::updateBoundedSources(Moment at)
+{
+    const auto before = std::exchange(m_boundedSources, {});
+    for (const auto& it : m_sources.records()) {
+        const TaskSource source { it.queue, it.client };
+        const bool isBounded = m_sources.isBounded(source, at.wall);
+        if (isBounded)
+            m_boundedSources.insert(source);
+        if (isBounded == before.contains(source))
+            continue;
+        record(m_sources.recordOf(source));
+        log(isBounded ? "source-bounded" : "source-released", source.queue, { { "crashesPermille", std::to_string(it.crashesPermille) }, { "outlivedPermille", std::to_string(it.outlivedPermille) } });
+    }
+}
+
 void PoolCore::recordEvidence()
 {
     if (!m_crashAges.ages.empty())
         record(m_crashAges);
+    for (auto& it : m_sources.records())
+        record(std::move(it));
     auto graded = m_doubtfulSuspects;
     graded.insert(m_likelySuspects.begin(), m_likelySuspects.end());
     for (const auto& key : graded)
--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -235,6 +235,8 @@
     if (it != worker.runs.end() && it->second.run <= end.run) {
         if (it->second.hasUnansweredStart)
             noteUnansweredStart(worker, end.task, it->second, at.now);
+        if (!it->second.isProven && end.runEnd == RunEnd::Done)
+            noteOutlived(end.task.job, at);
         worker.runs.erase(it);
     }
     const auto* task = m_jobs.findTask(end.task);
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -30,6 +30,7 @@
 void PoolCore::decide(Moment at)
 {
     settleCrashes(at);
+    updateBoundedSources(at);
     releaseTasksHeldTooLong(at.now);
     beginDueOccurrences(at);
     evictLastingTasks(at);
--- a/Source/Core/Jobs/Decision/PoolCoreVerdicts.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreVerdicts.cpp
@@ -44,6 +44,7 @@
     std::erase_if(m_startNotBefore, [&](const auto& it) { return it.second <= at.now; });
     for (const auto& settled : m_bursts.settle(at.now)) {
         const auto& crash = settled.crash;
+        noteSourcesOf(settled, at);
         if (settled.isOutsideAll) {
             log("crash-outside-tasks", crash.worker, { { "crashed", std::to_string(settled.crashed) }, { "workers", std::to_string(settled.workers) }, { "crashedAfterStart", std::to_string(settled.crashedAfterStart) }, { "workersAfterStart", std::to_string(settled.workersAfterStart) }, { "runs", std::to_string(crash.tasks.size()) } });
             m_crashes.excuse(crash.number);
--- a/Source/Core/Jobs/Model/JobFields.h
+++ b/Source/Core/Jobs/Model/JobFields.h
@@ -94,6 +94,12 @@
     v(m.task, m.isConfined);
 }
 
+template<typename V, MaybeConst<SourceCrashesLearnt> M>
+void visitFields(V& v, M& m)
+{
+    v(m.queue, m.client, m.crashesPermille, m.outlivedPermille, m.isBounded, m.at);
+}
+
 template<typename V, MaybeConst<JobFinished> M>
 void visitFields(V& v, M& m)
 {
--- a/Source/Core/Jobs/Model/JobRecords.h
+++ b/Source/Core/Jobs/Model/JobRecords.h
@@ -83,13 +83,23 @@
     bool isConfined = false;
 };
 
+/// Replaces how often starts of tasks of a source have crashed their workers; see SourceEvidence.h.
+struct SourceCrashesLearnt {
+    std::string queue;
+    std::string client;
+    std::uint64_t crashesPermille = 0; ///< Thousandths, as older ones count less.
+    std::uint64_t outlivedPermille = 0; ///< Starts that crashed nothing.
+    bool isBounded = false;
+    Common::WallTime at {};
+};
+
 /// The kind is stored as the index, so new ones go to the end. Earlier versions can't read the kinds that they don't know.
-using JobRecord = std::variant<JobAccepted, JobCancelled, RunStarted, RunEnded, JobFinished, TaskSuspected, SuspicionGraded, CrashAgesLearnt, CrashesUnconfirmed, TaskConfined>;
+using JobRecord = std::variant<JobAccepted, JobCancelled, RunStarted, RunEnded, JobFinished, TaskSuspected, SuspicionGraded, CrashAgesLearnt, CrashesUnconfirmed, TaskConfined, SourceCrashesLearnt>;
 
 /// True for kinds that versions since TaskSuspected don't know. They can't load snapshots with such records.
 inline bool isEvidence(const JobRecord& record)
 {
-    return std::holds_alternative<SuspicionGraded>(record) || std::holds_alternative<CrashAgesLearnt>(record) || std::holds_alternative<CrashesUnconfirmed>(record) || std::holds_alternative<TaskConfined>(record);
+    return std::holds_alternative<SuspicionGraded>(record) || std::holds_alternative<CrashAgesLearnt>(record) || std::holds_alternative<CrashesUnconfirmed>(record) || std::holds_alternative<TaskConfined>(record) || std::holds_alternative<SourceCrashesLearnt>(record);
 }
 
 /// Appends the encoded record to `out`.
