--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -43,6 +43,13 @@
     Resources lasting {}; ///< Reserved by runs of lasting tasks.
 };
 
+/// What tasks of a tier add to the demand of the tiers before it.
+struct TierDemand {
+    std::uint64_t milliCores = 0;
+    std::uint64_t memoryMb = 0;
+    std::vector<WorkerDemand> workers; ///< Of this tier and those before it together; empty when this one adds none.
+};
+
 /// Load of a pool, input for machine moves and maintenance.
 struct PoolLoad {
     std::string pool;
@@ -53,7 +60,8 @@
     std::uint64_t capacityMilliCores = 0; ///< Of workers on which runs may be placed.
     std::uint64_t waitingWork = 0; ///< Estimated core-milliseconds of tasks that are ready to be placed.
     std::uint64_t demandedMemoryMb = 0; ///< Reserved by runs, or needed by tasks that wait and aren't late.
-    std::vector<WorkerDemand> demands; ///< Of waiting tasks that not every worker can take.
+    std::vector<WorkerDemand> demands; ///< Of waiting tasks that not every worker can take and that aren't late.
+    TierDemand late; ///< Demand of late tasks.
     std::vector<WorkerLoad> workers;
 };
 
@@ -284,8 +292,10 @@
     void placeTask(Job&, const TaskKey&, RunNumber, Candidate&, Moment);
     /// How much longer the step's tasks wait for a worker on their data rack; zero when they may run on any rack.
     milliseconds rackWait(const Job&, unsigned occurrence, unsigned step, Moment) const;
-    /// The demand of a step with waiting tasks for workers.
-    void addDemand(DemandCounter&, const Job&, unsigned occurrence, unsigned step, unsigned waiting, Moment) const;
+    /// Adds the waiting tasks, and the demand for workers on which they can run.
+    void addWaiting(PoolLoad&, Moment) const;
+    /// The demand of a step with waiting tasks for workers. Returns false when it isn't one for particular workers.
+    bool addDemand(DemandCounter&, const Job&, unsigned occurrence, unsigned step, unsigned waiting, Moment) const;
     bool needsAdvice(const Job& job) const { return m_advisedQueues.contains(job.accepted.queue); }
     bool isAdvised(const WaitingStep&, const Worker&, Instant now) const;
     void requestAdvice(const WaitingStep&, const std::vector<Candidate>&, Moment);
--- a/Source/Core/Jobs/Decision/PoolCoreReport.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreReport.cpp
@@ -3,6 +3,7 @@
 #include "Jobs/Decision/PoolCore.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace Jobs {
@@ -13,12 +14,50 @@
 
 } // namespace
 
-void PoolCore::addDemand(DemandCounter& demand, const Job& job, unsigned occurrence, unsigned step, unsigned waiting, Moment at) const
+bool PoolCore::addDemand(DemandCounter& demand, const Job& job, unsigned occurrence, unsigned step, unsigned waiting, Moment at) const
 {
     const auto& spec = job.spec().steps[step];
     const auto rack = rackWait(job, occurrence, step, at) > arrivalTime ? spec.dataRack : std::string();
-    if (DemandCounter::isNeededFor(spec, rack))
-        demand.add({ spec, rack, job.occurrences.at(occurrence).steps[step].placedByWorker(), waiting });
+    if (!DemandCounter::isNeededFor(spec, rack))
+        return false;
+    demand.add({ spec, rack, job.occurrences.at(occurrence).steps[step].placedByWorker(), waiting });
+    return true;
+}
+
+void PoolCore::addWaiting(PoolLoad& load, Moment at) const
+{
+    struct Waiting {
+        const Job* job;
+        unsigned occurrence;
+        unsigned step;
+        unsigned tasks;
+    };
+    std::array<std::vector<Waiting>, demandTiers.size()> demanding;
+    forEachWaitingStep(m_jobs, [&](const Job& job, unsigned occurrence, unsigned step, unsigned waiting) {
+        const auto& spec = job.spec().steps[step];
+        const auto need = reservedBy(spec);
+        load.waitingMilliCores += waiting * need.milliCores;
+        load.waitingWork += waiting * need.milliCores * static_cast<std::uint64_t>(std::max<std::int64_t>(0, spec.estimate.count())) / 1000;
+        const auto tier = queueKeyOf(job, occurrence, step, at.wall).prospect == Prospect::InTime ? DemandTier::InTime : DemandTier::Late;
+        if (tier == DemandTier::Late) {
+            load.lateMilliCores += waiting * need.milliCores;
+            load.late.milliCores += waiting * need.milliCores;
+            load.late.memoryMb += waiting * need.memoryMb;
+        } else {
+            load.demandedMemoryMb += waiting * need.memoryMb;
+        }
+        if (DemandCounter::isNeededFor(spec, spec.dataRack))
+            demanding[static_cast<std::size_t>(tier)].push_back({ &job, occurrence, step, waiting });
+    });
+    DemandCounter counter(m_workers);
+    const auto addTier = [&](DemandTier tier) {
+        bool isAdded = false;
+        for (const auto& it : demanding[static_cast<std::size_t>(tier)])
+            isAdded = addDemand(counter, *it.job, it.occurrence, it.step, it.tasks, at) || isAdded;
+        return isAdded ? counter.result() : std::vector<WorkerDemand>();
+    };
+    load.demands = addTier(DemandTier::InTime);
+    load.late.workers = addTier(DemandTier::Late);
 }
 
 PoolLoad PoolCore::loadReport(Moment at) const
@@ -39,20 +78,7 @@
         }
         load.workers.push_back(std::move(report));
     }
-    DemandCounter demand(m_workers);
-    forEachWaitingStep(m_jobs, [&](const Job& job, unsigned occurrence, unsigned step, unsigned waiting) {
-        const auto& spec = job.spec().steps[step];
-        const auto milliCores = waiting * reservedBy(spec).milliCores;
-        load.waitingMilliCores += milliCores;
-        load.waitingWork += milliCores * static_cast<std::uint64_t>(std::max<std::int64_t>(0, spec.estimate.count())) / 1000;
-        if (queueKeyOf(job, occurrence, step, at.wall).prospect != Prospect::InTime) {
-            load.lateMilliCores += milliCores;
-            return;
-        }
-        load.demandedMemoryMb += waiting * reservedBy(spec).memoryMb;
-        addDemand(demand, job, occurrence, step, waiting, at);
-    });
-    load.demands = demand.result();
+    addWaiting(load, at);
     return load;
 }
 
--- a/Source/Core/Jobs/Decision/WorkerDemand.h
+++ b/Source/Core/Jobs/Decision/WorkerDemand.h
@@ -4,6 +4,7 @@
 
 #include "Jobs/Decision/Worker.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -12,6 +13,14 @@
 
 namespace Jobs {
 
+/// Order in which machines are given to waiting work of all pools.
+enum class DemandTier {
+    InTime, ///< Tasks whose jobs can still meet their objective.
+    Late, ///< Tasks whose jobs can't. They are owed all the same.
+};
+
+inline constexpr std::array demandTiers { DemandTier::InTime, DemandTier::Late };
+
 /// What a pool needs of the workers that have a label, are on a rack and are large enough for a task.
 struct WorkerDemand {
     std::string label; ///< Empty for workers with any labels.
--- a/Source/Core/Jobs/Fleet/MovePlanner.cpp
+++ b/Source/Core/Jobs/Fleet/MovePlanner.cpp
@@ -32,7 +32,8 @@
     }
     removeExpiredPlans(machines, now);
     auto needs = computeNeeds(pools, machines, excluded, now);
-    planTransfers(needs, pools, machines, now);
+    for (const auto tier : demandTiers)
+        planTransfers(needs, pools, machines, tier, now);
     planSwitchOffs(needs, pools, machines, now);
 }
 
@@ -55,9 +56,9 @@
     return has(demand.label) && has(demand.rack) && demand.need.fitsInto(machine.capacity);
 }
 
-bool MovePlanner::Need::canSpare(const Machine& machine) const
+bool MovePlanner::Need::canSpare(const Machine& machine, DemandTier tier) const
 {
-    return shortage() <= -1 && std::ranges::all_of(kinds, [&machine](const auto& it) { return !it.isServedBy(machine) || it.shortage() <= -1; });
+    return shortage(tier) <= -1 && std::ranges::all_of(kinds, [&](const auto& it) { return it.tier > tier || !it.isServedBy(machine) || it.shortage() <= -1; });
 }
 
 void MovePlanner::Need::count(const Machine& machine, int change)
@@ -97,6 +98,17 @@
     }
 }
 
+double MovePlanner::MachineMeasure::machinesFor(double demandedMilliCores, double demandedMemoryMb) const
+{
+    return std::max(demandedMilliCores * headroom / milliCores, memoryMb < 1 ? 0 : demandedMemoryMb * headroom / memoryMb);
+}
+
+void MovePlanner::addKinds(Need& need, const std::vector<WorkerDemand>& demands, DemandTier tier, const MachineMeasure& measure)
+{
+    for (const auto& it : demands)
+        need.kinds.push_back({ it, std::max(static_cast<double>(it.workers), measure.machinesFor(static_cast<double>(it.milliCores), static_cast<double>(it.memoryMb))), 0, tier });
+}
+
 std::map<std::string, MovePlanner::Need> MovePlanner::computeNeeds(const std::map<std::string, PoolView>& pools, const std::map<std::string, MachineView>& machines, const std::set<std::string>& excluded, Instant now)
 {
     std::map<std::string, Need> result;
@@ -104,31 +116,29 @@
     for (const auto& [name, view] : machines)
         total += view.machine.capacity;
     const auto count = static_cast<double>(std::max<std::size_t>(1, machines.size()));
-    const auto coresEach = std::max(1.0, static_cast<double>(total.milliCores) / count);
-    const auto memoryEach = static_cast<double>(total.memoryMb) / count;
-    const auto machinesFor = [&](double milliCores, std::uint64_t memoryMb) {
-        return std::max(milliCores * headroom / coresEach, memoryEach < 1 ? 0 : static_cast<double>(memoryMb) * headroom / memoryEach);
-    };
+    const MachineMeasure measure { std::max(1.0, static_cast<double>(total.milliCores) / count), static_cast<double>(total.memoryMb) / count };
     const auto expected = m_forecast.next(now);
     for (const auto& [name, pool] : pools) {
         if (pool.isStandby)
             continue;
         const auto& load = pool.load;
-        auto cores = static_cast<double>(load.waitingMilliCores - std::min(load.waitingMilliCores, load.lateMilliCores) + load.busyMilliCores);
         const bool isExpected = expected && expected->pool == name && now >= expected->startsAt - m_moveTime - forecastLead && now <= expected->startsAt + forecastTail;
-        if (isExpected)
-            cores = std::max(cores, expected->milliCores + static_cast<double>(load.lastingMilliCores));
+        const auto expectedCores = isExpected ? expected->milliCores + static_cast<double>(load.lastingMilliCores) : 0;
+        const auto needed = [&](std::uint64_t milliCores, std::uint64_t memoryMb) {
+            return std::max(1.0, measure.machinesFor(std::max(static_cast<double>(milliCores), expectedCores), static_cast<double>(memoryMb)));
+        };
+        const auto inTime = load.waitingMilliCores - std::min(load.waitingMilliCores, load.late.milliCores) + load.busyMilliCores;
         auto& need = result[name];
-        need.machines = std::max(1.0, machinesFor(cores, load.demandedMemoryMb));
-        for (const auto& it : load.demands)
-            need.kinds.push_back({ it, std::max(static_cast<double>(it.workers), machinesFor(static_cast<double>(it.milliCores), it.memoryMb)) });
+        need.machines = { needed(inTime, load.demandedMemoryMb), needed(inTime + load.late.milliCores, load.demandedMemoryMb + load.late.memoryMb) };
+        addKinds(need, load.demands, DemandTier::InTime, measure);
+        addKinds(need, load.late.workers, DemandTier::Late, measure);
     }
     countMachines(result, machines, excluded, now);
     return result;
 }
 
 /// The largest shortage, without those that no idle machine can serve.
-MovePlanner::Shortage MovePlanner::largestShortage(std::map<std::string, Need>& needs, const std::map<std::string, PoolView>& pools)
+MovePlanner::Shortage MovePlanner::largestShortage(std::map<std::string, Need>& needs, const std::map<std::string, PoolView>& pools, DemandTier tier)
 {
     Shortage largest;
     largest.machines = shortageThreshold;
@@ -136,11 +146,11 @@
         const auto pool = pools.find(name);
         if (pool == pools.end() || pool->second.isStandby || !pool->second.hasReported)
             continue;
-        if (!need.isUnmet && need.shortage() > largest.machines)
-            largest = { &need, nullptr, name, need.shortage() };
+        if (!need.isUnmet && need.shortage(tier) > largest.machines)
+            largest = { &need, nullptr, name, need.shortage(tier), tier };
         for (auto& it : need.kinds) {
-            if (!it.isUnmet && it.shortage() > largest.machines)
-                largest = { &need, &it, name, it.shortage() };
+            if (!it.isUnmet && it.tier <= tier && it.shortage() > largest.machines)
+                largest = { &need, &it, name, it.shortage(), tier };
         }
     }
     return largest;
@@ -155,13 +165,13 @@
         if (pool == pools.end() || name == shortage.pool)
             continue;
         const bool isOff = pool->second.isStandby;
-        const bool isBetter = !donor.need || (donor.isOff && !isOff) || (donor.isOff == isOff && need.shortage() < donor.need->shortage());
+        const bool isBetter = !donor.need || (donor.isOff && !isOff) || (donor.isOff == isOff && need.shortage(shortage.tier) < donor.need->shortage(shortage.tier));
         if (!isBetter)
             continue;
         for (auto index = need.idle.size(); index-- > 0;) {
             const auto& machine = machines.at(need.idle[index]).machine;
             const bool isUseful = !shortage.kind || shortage.kind->isServedBy(machine);
-            if (!isUseful || !(isOff || need.canSpare(machine)))
+            if (!isUseful || !(isOff || need.canSpare(machine, shortage.tier)))
                 continue;
             donor = { &need, index, isOff };
             break;
@@ -170,12 +180,12 @@
     return donor;
 }
 
-/// Plans transfers to pools that are short of machines, the one that lacks most first. Idle machines come from the pools with the
+/// Plans transfers to pools that are short of machines for work up to the tier, the one that lacks most first. Idle machines come from the pools with the
 /// largest surplus, then from standby pools.
-void MovePlanner::planTransfers(std::map<std::string, Need>& needs, const std::map<std::string, PoolView>& pools, const Machines& machines, Instant now)
+void MovePlanner::planTransfers(std::map<std::string, Need>& needs, const std::map<std::string, PoolView>& pools, const Machines& machines, DemandTier tier, Instant now)
 {
     for (;;) {
-        const auto shortage = largestShortage(needs, pools);
+        const auto shortage = largestShortage(needs, pools, tier);
         if (!shortage.need)
             return;
         const auto donor = chooseDonor(needs, shortage, pools, machines);
@@ -206,7 +216,7 @@
         for (; !need.idle.empty(); need.idle.pop_back()) {
             const auto& idle = need.idle.back();
             const auto& machine = machines.at(idle).machine;
-            if (now - m_idleSince[idle] < idleBeforeOff || !need.canSpare(machine))
+            if (now - m_idleSince[idle] < idleBeforeOff || !need.canSpare(machine, demandTiers.back()))
                 continue;
             m_plans[idle] = { standby->first, now, false, {} };
             need.count(machine, -1);
--- a/Source/Core/Jobs/Fleet/MovePlanner.h
+++ b/Source/Core/Jobs/Fleet/MovePlanner.h
@@ -7,6 +7,7 @@
 #include "Jobs/Fleet/PeakForecast.h"
 #include "Jobs/Fleet/WaveRun.h"
 
+#include <array>
 #include <map>
 #include <set>
 #include <string>
@@ -61,6 +62,7 @@
         WorkerDemand demand;
         double machines = 0;
         unsigned present = 0; ///< Those that take tasks, are on the way, or were lost a short time ago.
+        DemandTier tier = DemandTier::InTime; ///< That needs them; `machines` includes the need of the tiers before it.
         bool isUnmet = false; ///< No machine can be had for it.
 
         double shortage() const { return machines - present; }
@@ -68,15 +70,15 @@
     };
 
     struct Need {
-        double machines = 0; ///< Needed for the current or expected demand for cores and memory.
+        std::array<double, demandTiers.size()> machines {}; ///< Needed for the current or expected demand for cores and memory, up to each tier.
         unsigned present = 0; ///< In the pool or on the way to it.
         std::vector<std::string> idle; ///< Machines that could be moved away.
         std::vector<KindNeed> kinds; ///< For tasks that not every worker can take.
         bool isUnmet = false; ///< No machine can be had for cores and memory.
 
-        double shortage() const { return machines - present; }
-        /// True when the pool has enough without the machine.
-        bool canSpare(const Machine&) const;
+        double shortage(DemandTier tier) const { return machines[static_cast<std::size_t>(tier)] - present; }
+        /// True when the pool has enough for the work up to the tier without the machine.
+        bool canSpare(const Machine&, DemandTier) const;
         /// A machine comes (1) or leaves (-1).
         void count(const Machine&, int change);
     };
@@ -87,6 +89,7 @@
         KindNeed* kind = nullptr; ///< Null when any machine serves.
         std::string pool;
         double machines = 0;
+        DemandTier tier = DemandTier::InTime;
     };
 
     /// An idle machine of a pool.
@@ -96,16 +99,25 @@
         bool isOff = false;
     };
 
+    /// Converts a demand for cores and memory to machines of the fleet's average size.
+    struct MachineMeasure {
+        double milliCores = 1;
+        double memoryMb = 0;
+
+        double machinesFor(double demandedMilliCores, double demandedMemoryMb) const;
+    };
+
     using Machines = std::map<std::string, MachineView>;
 
-    static Shortage largestShortage(std::map<std::string, Need>&, const std::map<std::string, PoolView>&);
+    static Shortage largestShortage(std::map<std::string, Need>&, const std::map<std::string, PoolView>&, DemandTier);
     static IdleMachine chooseDonor(std::map<std::string, Need>&, const Shortage&, const std::map<std::string, PoolView>&, const Machines&);
+    static void addKinds(Need&, const std::vector<WorkerDemand>&, DemandTier, const MachineMeasure&);
     void countMachines(std::map<std::string, Need>&, const Machines&, const std::set<std::string>& excluded, Instant now);
     /// True when the machine counts as one of its pool's for tasks that not every worker can take.
     bool isAvailable(const std::string& name, const MachineView&, const std::set<std::string>& excluded, Instant now);
     std::map<std::string, Need> computeNeeds(const std::map<std::string, PoolView>&, const std::map<std::string, MachineView>&, const std::set<std::string>& excluded, Instant now);
     void removeExpiredPlans(const std::map<std::string, MachineView>&, Instant now);
-    void planTransfers(std::map<std::string, Need>&, const std::map<std::string, PoolView>&, const Machines&, Instant now);
+    void planTransfers(std::map<std::string, Need>&, const std::map<std::string, PoolView>&, const Machines&, DemandTier, Instant now);
     void planSwitchOffs(std::map<std::string, Need>&, const std::map<std::string, PoolView>&, const Machines&, Instant now);
 
     milliseconds m_moveTime;
--- a/Source/Core/Jobs/Runtime/NodeMessages.cpp
+++ b/Source/Core/Jobs/Runtime/NodeMessages.cpp
@@ -45,10 +45,16 @@
     v(m.label, m.rack, m.need, m.workers, m.milliCores, m.memoryMb);
 }
 
+template<typename V, MaybeConst<TierDemand> M>
+void visitFields(V& v, M& m)
+{
+    v(m.milliCores, m.memoryMb, m.workers);
+}
+
 template<typename V, MaybeConst<PoolLoad> M>
 void visitFields(V& v, M& m)
 {
-    v(m.pool, m.waitingMilliCores, m.lateMilliCores, m.busyMilliCores, m.lastingMilliCores, m.capacityMilliCores, m.waitingWork, m.demandedMemoryMb, m.demands, m.workers);
+    v(m.pool, m.waitingMilliCores, m.lateMilliCores, m.busyMilliCores, m.lastingMilliCores, m.capacityMilliCores, m.waitingWork, m.demandedMemoryMb, m.demands, m.late, m.workers);
 }
 
 template<typename V, MaybeConst<LoadCallAnswer> M>
@@ -77,12 +83,18 @@
     bool isTotal(const Resources& it) { return isTotal(it.milliCores) && isTotal(it.memoryMb) && isTotal(it.accelerators); }
     bool isInRange(const WorkerDemand& it) { return isTotal(it.need) && isTotal(it.workers) && isTotal(it.milliCores) && isTotal(it.memoryMb); }
 
+    bool isInRange(const std::vector<WorkerDemand>& demands)
+    {
+        return std::ranges::all_of(demands, [](const auto& it) { return isInRange(it); });
+    }
+
+    bool isInRange(const TierDemand& it) { return isTotal(it.milliCores) && isTotal(it.memoryMb) && isInRange(it.workers); }
+
     bool isInRange(const LoadCallAnswer& it)
     {
         const auto isWorkerInRange = [](const WorkerLoad& worker) { return isTotal(worker.lasting); };
-        const auto isDemandInRange = [](const WorkerDemand& demand) { return isInRange(demand); };
         const auto& load = it.load;
-        return isFence(it.fence) && isTotal(load.waitingMilliCores) && isTotal(load.lateMilliCores) && isTotal(load.busyMilliCores) && isTotal(load.lastingMilliCores) && isTotal(load.capacityMilliCores) && isTotal(load.demandedMemoryMb) && std::ranges::all_of(load.demands, isDemandInRange) && std::ranges::all_of(load.workers, isWorkerInRange);
+        return isFence(it.fence) && isTotal(load.waitingMilliCores) && isTotal(load.lateMilliCores) && isTotal(load.busyMilliCores) && isTotal(load.lastingMilliCores) && isTotal(load.capacityMilliCores) && isTotal(load.demandedMemoryMb) && isInRange(load.demands) && isInRange(load.late) && std::ranges::all_of(load.workers, isWorkerInRange);
     }
 
     using Decoder = std::optional<NodeMessage> (*)(std::string_view);
