Bursts of crashes: jobs with few workers, and idle workers that fell silent with the others

Change: suspects have the workers without a new task as control group; their job speaks against them where it is hit harder than is to be expected of any of the jobs hit (binomial). Tasks without a recent start are compared by job as before. And workers that fell silent together with the crashed ones count with these: those without runs are known to have crashed later, and looked like survivors of the burst. Tried and dropped: waiting 150 ms again for crashes known late (no effect on these tests); no conviction where too few workers are without a new task ("each job ends soon after the last one came" fails: that many more workers crash).

--- a/Source/Core/Jobs/Decision/CrashBursts.cpp
+++ b/Source/Core/Jobs/Decision/CrashBursts.cpp
@@ -1,6 +1,7 @@
 #include "Jobs/Decision/CrashBursts.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -15,6 +16,24 @@
     constexpr std::size_t fewestInBurst = 3;
     constexpr double mostByChance = 0.25; ///< Of crashes just after a start, the share at which they no longer count to convict.
 
+    constexpr double fewestJobsByChance = 0.05; ///< The expected number of jobs hit as hard as one, from which that one's tasks aren't taken for the cause.
+
+    /// The probability that at least `crashed` of `workers` crash where each does with the probability `share`.
+    double atLeast(std::size_t crashed, std::size_t workers, double share)
+    {
+        if (crashed == 0 || share >= 1)
+            return 1;
+        if (share <= 0)
+            return 0;
+        const auto logFactorial = [](std::size_t n) { return std::lgamma(static_cast<double>(n) + 1); };
+        double sum = 0;
+        for (auto n = crashed; n <= workers; ++n) {
+            const auto ways = logFactorial(workers) - logFactorial(n) - logFactorial(workers - n);
+            sum += std::exp(ways + static_cast<double>(n) * std::log(share) + static_cast<double>(workers - n) * std::log1p(-share));
+        }
+        return sum;
+    }
+
     /// True when about as large a share of the workers that aren't exposed to a possible cause crashed as of those that are.
     bool isByChance(std::size_t crashedExposed, std::size_t exposed, std::size_t crashed, std::size_t workers)
     {
@@ -37,6 +56,8 @@
     return crashedAfterStart + static_cast<std::size_t>(std::ranges::count_if(others.hadRecentStart, [](const auto& it) { return it.second; }));
 }
 
+/// The control group of a suspect are the workers without a new task. Its job only speaks against it where the job is hit harder than is to
+/// be expected of any of the jobs: of a job with few workers all may crash by chance. Other tasks have no control group but by job.
 bool CrashBursts::Burst::isOutside(const CrashedTask& task) const
 {
     if (crashed < fewestInBurst)
@@ -46,10 +67,12 @@
     const auto crashedOfJob = ofJob == crashedByJob.end() ? 0 : ofJob->second;
     const auto elsewhere = others.countByJob.find(task.task.job);
     const auto workersOfJob = crashedOfJob + (elsewhere == others.countByJob.end() ? 0 : elsewhere->second);
-    if (!isByChance(crashedOfJob, workersOfJob, crashed, workers))
+    if (!task.isSuspect)
+        return isByChance(crashedOfJob, workersOfJob, crashed, workers);
+    if (!isByChance(crashedAfterStart + silentAfterStart, workersAfterStart(), crashed + silent, workers) || workers <= workersOfJob)
         return false;
-    const auto afterStart = workersAfterStart();
-    return !task.isSuspect || isByChance(crashedAfterStart, afterStart, crashed, workers);
+    const auto share = static_cast<double>(crashed - crashedOfJob) / static_cast<double>(workers - workersOfJob);
+    return atLeast(crashedOfJob, workersOfJob, share) * static_cast<double>(crashedByJob.size()) >= fewestJobsByChance;
 }
 
 SettledCrash CrashBursts::Burst::settled(WorkerCrash crash) const
@@ -70,7 +93,7 @@
 {
     auto burst = std::ranges::find_if(m_bursts, [crashedAt](const auto& it) { return it.includes(crashedAt); });
     if (burst == m_bursts.end()) {
-        m_bursts.push_back({ crashedAt, crashedAt, now + settleTime, std::move(others), 0, 0, {}, {} });
+        m_bursts.push_back({ crashedAt, crashedAt, now + settleTime, std::move(others), 0, 0, {}, {}, 0, 0 });
         burst = std::prev(m_bursts.end());
     }
     if (burst->unsettled.empty())
@@ -92,12 +115,25 @@
     return burst->settleAt;
 }
 
-std::vector<SettledCrash> CrashBursts::settle(Common::Instant now)
+void CrashBursts::Burst::countSilent(const std::map<std::string, Common::Instant>& silentSince)
+{
+    silent = silentAfterStart = 0;
+    for (const auto& [id, hadRecentStart] : others.hadRecentStart) {
+        const auto since = silentSince.find(id);
+        if (since == silentSince.end() || !includes(since->second))
+            continue;
+        ++silent;
+        silentAfterStart += hadRecentStart ? 1 : 0;
+    }
+}
+
+std::vector<SettledCrash> CrashBursts::settle(Common::Instant now, const std::map<std::string, Common::Instant>& silentSince)
 {
     std::vector<SettledCrash> settled;
     for (auto& burst : m_bursts) {
         if (burst.settleAt > now)
             continue;
+        burst.countSilent(silentSince);
         for (auto& it : std::exchange(burst.unsettled, {}))
             settled.push_back(burst.settled(std::move(it)));
     }
--- a/Source/Core/Jobs/Decision/CrashBursts.h
+++ b/Source/Core/Jobs/Decision/CrashBursts.h
@@ -65,8 +65,9 @@
     bool isFirst(Common::Instant crashedAt) const;
     /// Returns when the crash is settled.
     Common::Instant add(WorkerCrash, Common::Instant crashedAt, Common::Instant now, Workers others = {});
-    /// Returns the crashes that are due.
-    std::vector<SettledCrash> settle(Common::Instant now);
+    /// Returns the crashes that are due. `silentSince` says since when workers don't answer that aren't known to have crashed: those that fell
+    /// silent together with the others have most likely crashed as well, which is found out late where they have no runs.
+    std::vector<SettledCrash> settle(Common::Instant now, const std::map<std::string, Common::Instant>& silentSince = {});
     /// When settle() has to run next.
     std::optional<Common::Instant> nextSettlement() const;
 
@@ -80,8 +81,11 @@
         std::size_t crashedAfterStart = 0;
         std::map<JobId, std::size_t> crashedByJob;
         std::vector<WorkerCrash> unsettled;
+        std::size_t silent = 0; ///< See settle().
+        std::size_t silentAfterStart = 0;
 
         bool includes(Common::Instant) const;
+        void countSilent(const std::map<std::string, Common::Instant>& silentSince);
         bool isOutside(const CrashedTask&) const;
         std::size_t workersAfterStart() const;
         SettledCrash settled(WorkerCrash) const;
--- a/Source/Core/Jobs/Decision/PoolCoreVerdicts.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreVerdicts.cpp
@@ -42,7 +42,15 @@
 void PoolCore::settleCrashes(Moment at)
 {
     std::erase_if(m_startNotBefore, [&](const auto& it) { return it.second <= at.now; });
-    for (const auto& settled : m_bursts.settle(at.now)) {
+    const auto settlement = m_bursts.nextSettlement();
+    if (!settlement || *settlement > at.now)
+        return;
+    std::map<std::string, Instant> silentSince;
+    for (const auto& [id, worker] : m_workers) {
+        if (worker.failingSince != Instant())
+            silentSince[id] = worker.failingSince;
+    }
+    for (const auto& settled : m_bursts.settle(at.now, silentSince)) {
         const auto& crash = settled.crash;
         noteSourcesOf(settled, at);
         if (settled.isOutsideAll) {
--- a/Source/UnitTests/Jobs/BurstCrashesTest.cpp
+++ b/Source/UnitTests/Jobs/BurstCrashesTest.cpp
@@ -99,6 +99,17 @@
     CHECK(unservedIn({ .interval = 1s, .permille = 100 }) == 0);
 }
 
+// All workers of a job that has one may crash by chance, however few crash.
+TEST_CASE("every job is served while a fifth of the workers crash at once again and again, by themselves")
+{
+    CHECK(unservedIn({ .permille = 200 }) == 0);
+}
+
+TEST_CASE("every job is served while a fifth of the workers crash at once every second, by themselves")
+{
+    CHECK(unservedIn({ .interval = 1s, .permille = 200 }) == 0);
+}
+
 TEST_CASE("tasks that crash their workers are given up in time beside bursts of other crashes, and the other jobs are served")
 {
     for (std::uint64_t seed = 1; seed <= 6; ++seed) {
@@ -114,6 +125,49 @@
     }
 }
 
+TEST_CASE("a step of tasks that crash their workers is given up in time beside bursts of other crashes, and the other jobs are served")
+{
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        CAPTURE(seed);
+        WaveFleet fleet(seed);
+        for (unsigned n = 0; n < 12; ++n)
+            fleet.runMonitor.crashing.insert({ jobId(9999), 0, 0, n });
+        fleet.submitLater(9999, oneStep(12, 700ms, 4000));
+        const auto jobs = playBursts(fleet, { .permille = 200, .jobsEach = 3 });
+        for (const auto& [task, crashes] : fleet.runMonitor.crashes)
+            CHECK(crashes <= maximumCrashes);
+        CHECK(fleet.stateOf(9999) == JobState::Failed);
+        for (unsigned n = 1; n <= jobs; ++n)
+            CHECK(fleet.stateOf(n) == JobState::Completed);
+    }
+}
+
+TEST_CASE("in a burst of other crashes, a job whose workers all crash is taken for their cause, unless it has as few as may all crash by chance")
+{
+    constexpr unsigned workers = 100;
+    constexpr unsigned small = 20; // Jobs with one worker each.
+    const Instant at(1h);
+    for (const unsigned large : { 2U, 12U }) {
+        CAPTURE(large);
+        CrashBursts bursts;
+        CrashBursts::Workers others;
+        const auto crashed = small + large;
+        for (unsigned n = crashed; n < workers; ++n)
+            others.hadRecentStart["w" + std::to_string(n)] = n % 4 != 0;
+        for (unsigned n = 0; n < crashed; ++n) {
+            CrashedTask task { { jobId(std::min(n, small)), 0, 0, n } };
+            task.isSuspect = n % 4 != 0;
+            bursts.add({ n + 1, "w" + std::to_string(n), task.isSuspect, { task } }, at, at, n == 0 ? others : CrashBursts::Workers());
+        }
+        const auto settled = bursts.settle(at + 1s);
+        REQUIRE(settled.size() == crashed);
+        for (unsigned n = 0; n < crashed; ++n) {
+            if (n % 4 != 0)
+                CHECK(settled[n].isOutsideAll == (n < small || large == 2));
+        }
+    }
+}
+
 // The tasks of a step start together, so that they crash their workers together.
 TEST_CASE("a step of tasks that all crash their workers at one moment is given up in time")
 {
