--- a/Source/Core/Jobs/Decision/JobTable.h
+++ b/Source/Core/Jobs/Decision/JobTable.h
@@ -27,6 +27,7 @@
     Common::WallTime waitingSince {}; ///< While waiting: when its latest run ended. Zero before the first, or where a snapshot is all that is known.
     std::string checkpoint; ///< Newest one known; empty for none.
     CrashTally crashTally;
+    bool hasOutlivedStart = false; ///< As this owner knows. Not in snapshots.
 };
 
 /// Progress of a step in one occurrence.
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -59,9 +59,10 @@
     std::uint64_t lastingMilliCores = 0; ///< The part of it that lasting tasks reserve.
     std::uint64_t capacityMilliCores = 0; ///< Of workers on which runs may be placed.
     std::uint64_t waitingWork = 0; ///< Estimated core-milliseconds of tasks that are ready to be placed.
-    std::uint64_t demandedMemoryMb = 0; ///< Reserved by runs, or needed by tasks that wait and aren't late.
-    std::vector<WorkerDemand> demands; ///< Of waiting tasks that not every worker can take and that aren't late.
-    TierDemand late; ///< Demand of late tasks.
+    std::uint64_t demandedMemoryMb = 0; ///< Reserved by runs, or needed by tasks that wait and are neither late nor bounded.
+    std::vector<WorkerDemand> demands; ///< Of waiting tasks that not every worker can take and are neither late nor bounded.
+    TierDemand late; ///< Demand of late tasks, without bounded ones.
+    TierDemand bounded; ///< Demand of first starts of bounded sources, in time or late.
     std::vector<WorkerLoad> workers;
 };
 
@@ -250,8 +251,8 @@
     void clearSuspicion(const TaskKey&, Moment);
     std::vector<TaskKey> waitingSuspects(Instant now);
     static TaskSource sourceOf(const Job& job) { return { job.accepted.queue, {} }; }
-    /// A run of the job has outlived its start.
-    void noteOutlived(const JobId&, Moment);
+    /// A run of the task has outlived its start.
+    void noteOutlived(const TaskKey&, Moment);
     /// Counts a crash that is settled for the sources of the tasks that may have caused it.
     void noteSourcesOf(const SettledCrash&, Moment);
     /// Records and logs which sources are bounded from now on, or no longer.
@@ -292,6 +293,9 @@
     void placeTask(Job&, const TaskKey&, RunNumber, Candidate&, Moment);
     /// How much longer the step's tasks wait for a worker on their data rack; zero when they may run on any rack.
     milliseconds rackWait(const Job&, unsigned occurrence, unsigned step, Moment) const;
+    /// Number of the step's waiting tasks that are first starts of a bounded source. Lasting tasks never are: they are few, and those that crash
+    /// their workers are confined.
+    unsigned boundedCount(const Job&, unsigned occurrence, unsigned step) const;
     /// Adds the waiting tasks, and the demand for workers on which they can run.
     void addWaiting(PoolLoad&, Moment) const;
     /// The demand of a step with waiting tasks for workers. Returns false when it isn't one for particular workers.
--- a/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreCrashes.cpp
@@ -221,7 +221,7 @@
         return;
     if (!run.isProven) {
         run.isProven = true;
-        noteOutlived(key.job, at);
+        noteOutlived(key, at);
         clearSuspicion(key, at);
     }
     if (age < reliableAfter)
--- a/Source/Core/Jobs/Decision/PoolCoreEvidence.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreEvidence.cpp
@@ -61,9 +61,11 @@
         restore(tally->task, false, false);
 }
 
-void PoolCore::noteOutlived(const JobId& id, Moment at)
+void PoolCore::noteOutlived(const TaskKey& key, Moment at)
 {
-    const auto* job = m_sources.hasCrashes() ? m_jobs.find(id) : nullptr;
+    if (auto* task = m_jobs.findTask(key))
+        task->hasOutlivedStart = true;
+    const auto* job = m_sources.hasCrashes() ? m_jobs.find(key.job) : nullptr;
     if (job)
         m_sources.onOutlived(sourceOf(*job), at.wall);
 }
--- a/Source/Core/Jobs/Decision/PoolCoreReport.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreReport.cpp
@@ -24,6 +24,14 @@
     return true;
 }
 
+unsigned PoolCore::boundedCount(const Job& job, unsigned occurrence, unsigned step) const
+{
+    if (job.spec().steps[step].isLasting || !m_boundedSources.contains(sourceOf(job)))
+        return 0;
+    const auto& tasks = job.occurrences.at(occurrence).steps[step].tasks;
+    return static_cast<unsigned>(std::ranges::count_if(tasks, [](const auto& it) { return it.state == Task::State::Waiting && !it.hasOutlivedStart; }));
+}
+
 void PoolCore::addWaiting(PoolLoad& load, Moment at) const
 {
     struct Waiting {
@@ -33,31 +41,38 @@
         unsigned tasks;
     };
     std::array<std::vector<Waiting>, demandTiers.size()> demanding;
+    TierDemand inTime;
+    const std::array<TierDemand*, demandTiers.size()> demands { &inTime, &load.late, &load.bounded };
+    const auto addTo = [&](DemandTier tier, const Waiting& waiting) {
+        const auto& spec = waiting.job->spec().steps[waiting.step];
+        const auto index = static_cast<std::size_t>(tier);
+        demands[index]->milliCores += waiting.tasks * reservedBy(spec).milliCores;
+        demands[index]->memoryMb += waiting.tasks * reservedBy(spec).memoryMb;
+        if (waiting.tasks > 0 && DemandCounter::isNeededFor(spec, spec.dataRack))
+            demanding[index].push_back(waiting);
+    };
     forEachWaitingStep(m_jobs, [&](const Job& job, unsigned occurrence, unsigned step, unsigned waiting) {
         const auto& spec = job.spec().steps[step];
-        const auto need = reservedBy(spec);
-        load.waitingMilliCores += waiting * need.milliCores;
-        load.waitingWork += waiting * need.milliCores * static_cast<std::uint64_t>(std::max<std::int64_t>(0, spec.estimate.count())) / 1000;
-        const auto tier = queueKeyOf(job, occurrence, step, at.wall).prospect == Prospect::InTime ? DemandTier::InTime : DemandTier::Late;
-        if (tier == DemandTier::Late) {
-            load.lateMilliCores += waiting * need.milliCores;
-            load.late.milliCores += waiting * need.milliCores;
-            load.late.memoryMb += waiting * need.memoryMb;
-        } else {
-            load.demandedMemoryMb += waiting * need.memoryMb;
-        }
-        if (DemandCounter::isNeededFor(spec, spec.dataRack))
-            demanding[static_cast<std::size_t>(tier)].push_back({ &job, occurrence, step, waiting });
+        const auto milliCores = waiting * reservedBy(spec).milliCores;
+        const bool isLate = queueKeyOf(job, occurrence, step, at.wall).prospect != Prospect::InTime;
+        const auto bounded = boundedCount(job, occurrence, step);
+        load.waitingMilliCores += milliCores;
+        load.lateMilliCores += isLate ? milliCores : 0;
+        load.waitingWork += milliCores * static_cast<std::uint64_t>(std::max<std::int64_t>(0, spec.estimate.count())) / 1000;
+        addTo(DemandTier::Bounded, { &job, occurrence, step, bounded });
+        addTo(isLate ? DemandTier::Late : DemandTier::InTime, { &job, occurrence, step, waiting - bounded });
     });
+    load.demandedMemoryMb += inTime.memoryMb;
     DemandCounter counter(m_workers);
-    const auto addTier = [&](DemandTier tier) {
+    for (const auto tier : demandTiers) {
+        const auto index = static_cast<std::size_t>(tier);
         bool isAdded = false;
-        for (const auto& it : demanding[static_cast<std::size_t>(tier)])
+        for (const auto& it : demanding[index])
             isAdded = addDemand(counter, *it.job, it.occurrence, it.step, it.tasks, at) || isAdded;
-        return isAdded ? counter.result() : std::vector<WorkerDemand>();
-    };
-    load.demands = addTier(DemandTier::InTime);
-    load.late.workers = addTier(DemandTier::Late);
+        if (isAdded)
+            demands[index]->workers = counter.result();
+    }
+    load.demands = std::move(inTime.workers);
 }
 
 PoolLoad PoolCore::loadReport(Moment at) const
--- a/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreRuns.cpp
@@ -236,7 +236,7 @@
         if (it->second.hasUnansweredStart)
             noteUnansweredStart(worker, end.task, it->second, at.now);
         if (!it->second.isProven && end.runEnd == RunEnd::Done)
-            noteOutlived(end.task.job, at);
+            noteOutlived(end.task, at);
         worker.runs.erase(it);
     }
     const auto* task = m_jobs.findTask(end.task);
--- a/Source/Core/Jobs/Decision/WorkerDemand.h
+++ b/Source/Core/Jobs/Decision/WorkerDemand.h
@@ -17,9 +17,10 @@
 enum class DemandTier {
     InTime, ///< Tasks whose jobs can still meet their objective.
     Late, ///< Tasks whose jobs can't. They are owed all the same.
+    Bounded, ///< First starts of sources whose tasks crash their workers; see SourceEvidence.h.
 };
 
-inline constexpr std::array demandTiers { DemandTier::InTime, DemandTier::Late };
+inline constexpr std::array demandTiers { DemandTier::InTime, DemandTier::Late, DemandTier::Bounded };
 
 /// What a pool needs of the workers that have a label, are on a rack and are large enough for a task.
 struct WorkerDemand {
--- a/Source/Core/Jobs/Fleet/MovePlanner.cpp
+++ b/Source/Core/Jobs/Fleet/MovePlanner.cpp
@@ -86,6 +86,8 @@
         if (view.machine.state == Machine::State::Up || view.machine.state == Machine::State::Moving)
             ++need.present;
         const bool counts = isAvailable(name, view, excluded, now);
+        if (counts && need.countsReturning && view.machine.state == Machine::State::Down)
+            ++need.returning;
         for (auto& it : need.kinds)
             it.present += counts && it.isServedBy(view.machine) ? 1 : 0;
         const bool isIdle = view.machine.state == Machine::State::Up && plan == m_plans.end() && !excluded.contains(name) && (view.isOff || (view.load && view.load->runs == 0));
@@ -127,16 +129,28 @@
         const auto needed = [&](std::uint64_t milliCores, std::uint64_t memoryMb) {
             return std::max(1.0, measure.machinesFor(std::max(static_cast<double>(milliCores), expectedCores), static_cast<double>(memoryMb)));
         };
-        const auto inTime = load.waitingMilliCores - std::min(load.waitingMilliCores, load.late.milliCores) + load.busyMilliCores;
+        const auto later = load.late.milliCores + load.bounded.milliCores;
+        const auto inTime = load.waitingMilliCores - std::min(load.waitingMilliCores, later) + load.busyMilliCores;
+        const auto lateMemory = load.demandedMemoryMb + load.late.memoryMb;
         auto& need = result[name];
-        need.machines = { needed(inTime, load.demandedMemoryMb), needed(inTime + load.late.milliCores, load.demandedMemoryMb + load.late.memoryMb) };
+        need.countsReturning = load.bounded.milliCores > 0;
+        need.machines = { needed(inTime, load.demandedMemoryMb), needed(inTime + load.late.milliCores, lateMemory), needed(inTime + later, lateMemory + load.bounded.memoryMb) };
         addKinds(need, load.demands, DemandTier::InTime, measure);
         addKinds(need, load.late.workers, DemandTier::Late, measure);
+        addKinds(need, load.bounded.workers, DemandTier::Bounded, measure);
     }
     countMachines(result, machines, excluded, now);
     return result;
 }
 
+bool MovePlanner::isOtherShort(const std::map<std::string, Need>& needs, const std::string& pool)
+{
+    return std::ranges::any_of(needs, [&pool](const auto& it) {
+        const auto isShort = [](const auto& kind) { return kind.tier != DemandTier::Bounded && kind.shortage() > shortageThreshold; };
+        return it.first != pool && (it.second.lack(DemandTier::Late) > shortageThreshold || std::ranges::any_of(it.second.kinds, isShort));
+    });
+}
+
 /// The largest shortage, without those that no idle machine can serve.
 MovePlanner::Shortage MovePlanner::largestShortage(std::map<std::string, Need>& needs, const std::map<std::string, PoolView>& pools, DemandTier tier)
 {
@@ -146,8 +160,11 @@
         const auto pool = pools.find(name);
         if (pool == pools.end() || pool->second.isStandby || !pool->second.hasReported)
             continue;
-        if (!need.isUnmet && need.shortage(tier) > largest.machines)
-            largest = { &need, nullptr, name, need.shortage(tier), tier };
+        // Machines that may crash go to no pool while another one waits for them.
+        if (tier == DemandTier::Bounded && isOtherShort(needs, name))
+            continue;
+        if (!need.isUnmet && need.lack(tier) > largest.machines)
+            largest = { &need, nullptr, name, need.lack(tier), tier };
         for (auto& it : need.kinds) {
             if (!it.isUnmet && it.tier <= tier && it.shortage() > largest.machines)
                 largest = { &need, &it, name, it.shortage(), tier };
--- a/Source/Core/Jobs/Fleet/MovePlanner.h
+++ b/Source/Core/Jobs/Fleet/MovePlanner.h
@@ -72,11 +72,15 @@
     struct Need {
         std::array<double, demandTiers.size()> machines {}; ///< Needed for the current or expected demand for cores and memory, up to each tier.
         unsigned present = 0; ///< In the pool or on the way to it.
+        unsigned returning = 0; ///< Lost a short time ago; only counted in pools with bounded sources.
+        bool countsReturning = false;
         std::vector<std::string> idle; ///< Machines that could be moved away.
         std::vector<KindNeed> kinds; ///< For tasks that not every worker can take.
         bool isUnmet = false; ///< No machine can be had for cores and memory.
 
         double shortage(DemandTier tier) const { return machines[static_cast<std::size_t>(tier)] - present; }
+        /// The same as far as machines that return don't serve it.
+        double lack(DemandTier tier) const { return shortage(tier) - returning; }
         /// True when the pool has enough for the work up to the tier without the machine.
         bool canSpare(const Machine&, DemandTier) const;
         /// A machine comes (1) or leaves (-1).
@@ -92,6 +96,9 @@
         DemandTier tier = DemandTier::InTime;
     };
 
+    /// True when a pool other than the named one lacks machines for work that isn't bounded.
+    static bool isOtherShort(const std::map<std::string, Need>&, const std::string& pool);
+
     /// An idle machine of a pool.
     struct IdleMachine {
         Need* need = nullptr;
--- a/Source/Core/Jobs/Runtime/NodeMessages.cpp
+++ b/Source/Core/Jobs/Runtime/NodeMessages.cpp
@@ -54,7 +54,7 @@
 template<typename V, MaybeConst<PoolLoad> M>
 void visitFields(V& v, M& m)
 {
-    v(m.pool, m.waitingMilliCores, m.lateMilliCores, m.busyMilliCores, m.lastingMilliCores, m.capacityMilliCores, m.waitingWork, m.demandedMemoryMb, m.demands, m.late, m.workers);
+    v(m.pool, m.waitingMilliCores, m.lateMilliCores, m.busyMilliCores, m.lastingMilliCores, m.capacityMilliCores, m.waitingWork, m.demandedMemoryMb, m.demands, m.late, m.bounded, m.workers);
 }
 
 template<typename V, MaybeConst<LoadCallAnswer> M>
@@ -94,7 +94,7 @@
     {
         const auto isWorkerInRange = [](const WorkerLoad& worker) { return isTotal(worker.lasting); };
         const auto& load = it.load;
-        return isFence(it.fence) && isTotal(load.waitingMilliCores) && isTotal(load.lateMilliCores) && isTotal(load.busyMilliCores) && isTotal(load.lastingMilliCores) && isTotal(load.capacityMilliCores) && isTotal(load.demandedMemoryMb) && isInRange(load.demands) && isInRange(load.late) && std::ranges::all_of(load.workers, isWorkerInRange);
+        return isFence(it.fence) && isTotal(load.waitingMilliCores) && isTotal(load.lateMilliCores) && isTotal(load.busyMilliCores) && isTotal(load.lastingMilliCores) && isTotal(load.capacityMilliCores) && isTotal(load.demandedMemoryMb) && isInRange(load.demands) && isInRange(load.late) && isInRange(load.bounded) && std::ranges::all_of(load.workers, isWorkerInRange);
     }
 
     using Decoder = std::optional<NodeMessage> (*)(std::string_view);
--- a/Source/Core/Jobs/Runtime/OwnerActivity.cpp
+++ b/Source/Core/Jobs/Runtime/OwnerActivity.cpp
@@ -57,6 +57,7 @@
     add("oldestWaitingMs", static_cast<std::uint64_t>(pressure.oldestWaiting.count()));
     add("waitingMilliCores", load.waitingMilliCores);
     add("lateMilliCores", load.lateMilliCores);
+    add("boundedMilliCores", load.bounded.milliCores);
     add("waitingCoreMs", load.waitingWork);
     add("runs", pressure.runs);
     add("busyMilliCores", load.busyMilliCores);
--- a/Source/UnitTests/Jobs/LateDemandTest.cpp
+++ b/Source/UnitTests/Jobs/LateDemandTest.cpp
@@ -1,4 +1,4 @@
-/// Tests of machines that a pool gets, or keeps, for work that can no longer meet its objective.
+/// Tests of machines that a pool gets, or keeps, for work that can no longer meet its objective, and for work that may crash them.
 
 #include "Jobs/Decision/PoolCore.h"
 #include "Jobs/Fleet/MovePlanner.h"
@@ -36,6 +36,19 @@
     void addLate(const std::string& pool, const StepSpec& step) { addJob(pool, step, 1ms); }
     void addInTime(const std::string& pool, const StepSpec& step) { addJob(pool, step, 1h); }
 
+    /// Work in time of a source whose tasks crash their workers.
+    void addCrashing(const std::string& pool, const StepSpec& step)
+    {
+        addJob(pool, step, 1h, "crashing");
+        m_records[pool].emplace_back(SourceCrashesLearnt { "crashing", {}, 20000, 1000, true, at().wall });
+    }
+
+    void setDown(const std::string& machine)
+    {
+        m_machines.at(machine).machine.state = Machine::State::Down;
+        m_machines.at(machine).load.reset();
+    }
+
     void addMachines(const std::string& pool, unsigned count, const std::vector<std::string>& labels = anyLabels)
     {
         for (; count > 0; --count) {
@@ -109,16 +122,17 @@
         return text;
     }
 
+    PoolLoad loadOf(const std::string& pool) const { return m_cores.at(pool).loadReport(at()); }
     Moment at() const { return { now, Common::WallTime(std::chrono::duration_cast<milliseconds>(now - Instant(1h))) }; }
 
     Instant now { 1h };
 
 private:
-    void addJob(const std::string& pool, const StepSpec& step, milliseconds objective)
+    void addJob(const std::string& pool, const StepSpec& step, milliseconds objective, const std::string& queue = "sound")
     {
         JobAccepted accepted;
         accepted.job = std::string(15, '0') + std::to_string(m_records[pool].size());
-        accepted.queue = pool;
+        accepted.queue = queue;
         accepted.objective = objective;
         accepted.spec.steps.push_back(step);
         m_records[pool].emplace_back(accepted);
@@ -255,3 +269,70 @@
     CHECK(most > 0);
     CHECK(most <= 31 - 2 - 6);
 }
+
+TEST_CASE("moves: first starts of a source that crashes its workers get no machine while another pool lacks one")
+{
+    WaitingPools pools;
+    pools.addCrashing("desk", stepOf(100, { 2000, 500, 0 }));
+    pools.addLate("rush", stepOf(12, { 2000, 500, 0 }));
+    pools.addMachines("rush", 1);
+    SUBCASE("that is switched off")
+    {
+        pools.addMachines("off", 1);
+        pools.start();
+        CHECK(pools.planText() == "m-1:rush");
+    }
+    SUBCASE("that is idle in their pool")
+    {
+        pools.addMachines("desk", 3);
+        pools.start();
+        CHECK(pools.movesTo("rush") == 2);
+    }
+}
+
+TEST_CASE("moves: first starts of a source that crashes its workers get machines that nothing else needs")
+{
+    WaitingPools pools;
+    pools.addCrashing("desk", stepOf(12, { 2000, 500, 0 }));
+    pools.addMachines("desk", 1);
+    pools.addMachines("off", 5);
+    pools.start();
+    CHECK(pools.movesTo("desk") == 2);
+    CHECK(pools.loadOf("desk").waitingMilliCores == 24000);
+    CHECK(pools.loadOf("desk").bounded.milliCores == 24000);
+}
+
+TEST_CASE("moves: other work of a pool with a source that crashes its workers gets machines as ever")
+{
+    auto lasting = stepOf(12, { 2000, 500, 0 });
+    SUBCASE("of another source") { }
+    SUBCASE("lasting tasks of the same one")
+    {
+        lasting.isLasting = true;
+    }
+    WaitingPools pools;
+    pools.addCrashing("desk", stepOf(100, { 2000, 500, 0 }));
+    if (lasting.isLasting)
+        pools.addCrashing("desk", lasting);
+    else
+        pools.addInTime("desk", lasting);
+    pools.addLate("rush", stepOf(100, { 2000, 500, 0 }));
+    pools.addMachines("off", 2);
+    pools.start();
+    CHECK(pools.movesTo("desk") == 2);
+}
+
+TEST_CASE("moves: machines that crashed a moment ago aren't replaced in a pool with a source that crashes its workers")
+{
+    WaitingPools pools;
+    pools.addCrashing("desk", stepOf(1, { 2000, 500, 0 }));
+    pools.addInTime("desk", stepOf(12, { 2000, 500, 0 }));
+    pools.addMachines("desk", 3);
+    pools.addMachines("off", 3);
+    pools.start();
+    pools.setDown("m-0");
+    pools.setDown("m-1");
+    CHECK(pools.movesTo("desk") == 0);
+    pools.now += 6s;
+    CHECK(pools.movesTo("desk") == 2);
+}
