--- a/Source/Core/Jobs/Decision/PoolCore.cpp
+++ b/Source/Core/Jobs/Decision/PoolCore.cpp
@@ -220,6 +220,12 @@
     accepted.objective = objectiveOf(spec, queue.stretchPermille, queue.targetDuration);
     accepted.acceptedAt = at.wall;
     accepted.spec = std::move(spec);
+    if (const auto refusal = refusalOf(accepted, at)) {
+        answer.outcome = JobOutcome::Refused;
+        answer.reason = "source-crashes-workers";
+        answer.retryAfter = refusal->retryAfter;
+        return answer;
+    }
     log("job-accepted", id, { { "queue", queue.name }, { "steps", std::to_string(accepted.spec.steps.size()) }, { "tasks", std::to_string(taskCountOf(accepted.spec)) }, { "workCoreMs", std::to_string(workOf(accepted.spec)) }, { "criticalPathMs", std::to_string(criticalPathOf(accepted.spec).count()) }, { "objectiveMs", std::to_string(accepted.objective.count()) } });
     record(std::move(accepted));
     answer.outcome = JobOutcome::Accepted;
@@ -288,6 +294,8 @@
     const auto id = end.task.job;
     const auto* job = m_jobs.find(id);
     auto summary = job ? summaryOf(*job, end.at) : JobSummary();
+    if (job)
+        noteSourceEnded(*job, end.task, end.how);
     record(std::move(end));
     const auto* state = m_jobs.stateOf(id);
     if (!state || !isFinal(*state))
--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -10,6 +10,7 @@
 #include "Jobs/Decision/Placement.h"
 #include "Jobs/Decision/PoolOutput.h"
 #include "Jobs/Decision/QueueOrder.h"
+#include "Jobs/Decision/SourceAdmission.h"
 #include "Jobs/Decision/SourceEvidence.h"
 #include "Jobs/Decision/Worker.h"
 #include "Jobs/Decision/WorkerDemand.h"
@@ -117,8 +118,8 @@
     /// Replaces the set of workers to be vacated for maintenance or moves. They get no new runs.
     void cordon(const std::set<std::string>& workers, Moment);
 
-    /// Accepts a job, or rejects it as malformed with a reason. A known id is answered as accepted without any change, so that
-    /// submitting is idempotent. The answer may be sent once the records are stored.
+    /// Accepts a job, rejects it as malformed with a reason, or refuses it if its source crashes its workers and it can't end while it is
+    /// of use; see SourceAdmission. A known id is answered as accepted without any change, so that submitting is idempotent. The answer may be sent once the records are stored.
     Ports::JobAnswer submit(const JobId&, const QueueRule&, JobSpec, Moment);
     /// Cancels a job and stops its runs. A final job stays as it is.
     Ports::JobAnswer cancel(const JobId&, Moment);
@@ -195,6 +196,15 @@
     void logFinished(const JobId&, const JobSummary&);
     void log(const char* event, const std::string& id, std::vector<std::pair<const char*, std::string>> fields);
     std::string submissionError(const JobSpec&) const;
+    /// Whether the job would end too late to be of use, as its source crashes its workers; see SourceAdmission.
+    std::optional<SourceRefusal> refusalOf(const JobAccepted&, Moment);
+    /// Work of the source's tasks that wait and go before a job with that key, or belong to late jobs that it must not make useless.
+    SourceWork workAhead(const TaskSource&, const QueueKey&, Common::WallTime now) const;
+    void noteSourceEnded(const Job&, const TaskKey&, RunEnd);
+    /// The job is given up: its waiting tasks are dropped.
+    void noteSourceDropped(const Job&);
+    /// Notes of which bounded sources a decision has left tasks waiting.
+    void sampleAdmission(Instant now);
 
     /// Remembers an unanswered start of a run that is over at the worker.
     void noteUnansweredStart(Worker&, const TaskKey&, const WorkerRun&, Instant now);
@@ -314,6 +324,7 @@
     CrashBursts m_bursts;
     SourceEvidence m_sources;
     std::set<TaskSource> m_boundedSources; ///< As of the latest decision.
+    SourceAdmission m_admission;
     StartSpacing m_startSpacing;
     CrashAgesLearnt m_crashAges; ///< As last recorded.
     std::set<TaskKey> m_suspects; ///< Tasks with suspected crashes. May contain tasks that are done or gone.
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -49,8 +49,10 @@
         }
         it.isSpaced = spacing > milliseconds(0) && it.worker->hasStartWithin(spacing, at.now);
     }
-    if (candidates.empty())
+    if (candidates.empty()) {
+        sampleAdmission(at.now);
         return;
+    }
     quarantineWorkers(candidates, at);
     placeSuspects(candidates, at);
     releaseUnusedWorkers(candidates, at.now);
@@ -65,6 +67,7 @@
     }
     if (lendIdleWorkers(candidates, unplaceable, at))
         placeSuspects(candidates, at);
+    sampleAdmission(at.now);
 }
 
 void PoolCore::placeSuspects(std::vector<Candidate>& candidates, Moment at)
--- a/Source/Core/Jobs/Decision/PoolOutput.h
+++ b/Source/Core/Jobs/Decision/PoolOutput.h
@@ -52,12 +52,22 @@
     std::vector<std::pair<const char*, std::string>> fields;
 };
 
+/// A submission that was refused, as it couldn't end while it was of use.
+struct RefusedJob {
+    JobId job;
+    std::string queue;
+    milliseconds expected { 0 }; ///< Estimated time to its end.
+    milliseconds usefulFor { 0 };
+    milliseconds retryAfter { 0 };
+};
+
 /// Everything decided since the last PoolCore::takeOutput().
 struct PoolOutput {
     std::vector<JobRecord> records;
     std::vector<PoolOrder> orders;
     std::vector<LogEvent> log;
     std::vector<JobSummary> finished; ///< Summaries of finished jobs, for metrics.
+    std::vector<RefusedJob> refused; ///< For metrics and the log.
     std::vector<milliseconds> firstStarts; ///< Delays from when jobs were due to their first run, for metrics.
 
     /// Ignores the fields for metrics.
--- a/Source/Core/Jobs/Runtime/JobMetrics.cpp
+++ b/Source/Core/Jobs/Runtime/JobMetrics.cpp
@@ -42,6 +42,7 @@
     prometheus::Family<prometheus::Histogram>& decisions = prometheus::BuildHistogram().Name("marigoldstile_pool_decision_duration_seconds").Help("Time of an owner's decision, until its records are handed to the journal.").Register(registry);
     prometheus::Family<prometheus::Histogram>& firstStarts = prometheus::BuildHistogram().Name("marigoldstile_job_first_start_wait_seconds").Help("Time from when a job is due to the placing of its first run.").Register(registry);
     prometheus::Family<prometheus::Counter>& finished = prometheus::BuildCounter().Name("marigoldstile_jobs_finished_total").Help("Jobs that reached their final state, by how that compares with their objective.").Register(registry);
+    prometheus::Family<prometheus::Counter>& refused = prometheus::BuildCounter().Name("marigoldstile_jobs_refused_total").Help("Submissions refused, as the queue's tasks crash their workers and the job couldn't end in time.").Register(registry);
     prometheus::Family<prometheus::Gauge>& activeJobs = prometheus::BuildGauge().Name("marigoldstile_pool_active_jobs").Help("Jobs of an owned pool that aren't final.").Register(registry);
     prometheus::Family<prometheus::Gauge>& candidates = prometheus::BuildGauge().Name("marigoldstile_pool_candidates").Help("Workers of an owned pool that may take tasks.").Register(registry);
     prometheus::Family<prometheus::Gauge>& waitingCores = prometheus::BuildGauge().Name("marigoldstile_pool_waiting_cores").Help("Cores that tasks without a place ask for.").Register(registry);
@@ -59,6 +60,7 @@
     Private(JobMetrics::Private& all, const std::string& pool)
         : name(pool)
         , finished(all.finished)
+        , refused(all.refused)
         , commits(all.commits.Add({ { "pool", pool } }, durationBuckets))
         , decisions(all.decisions.Add({ { "pool", pool } }, decisionBuckets))
         , firstStarts(all.firstStarts.Add({ { "pool", pool } }, durationBuckets))
@@ -75,6 +77,8 @@
     std::string name;
     prometheus::Family<prometheus::Counter>& finished;
     std::map<Outcome, prometheus::Counter*> finishedBy;
+    prometheus::Family<prometheus::Counter>& refused;
+    std::map<std::string, prometheus::Counter*> refusedBy; ///< By queue.
     prometheus::Histogram& commits;
     prometheus::Histogram& decisions;
     prometheus::Histogram& firstStarts;
@@ -106,6 +110,14 @@
     counter->Increment();
 }
 
+void PoolMetrics::countRefused(const std::string& queue)
+{
+    auto& counter = m_private->refusedBy[queue];
+    if (!counter)
+        counter = &m_private->refused.Add({ { "pool", m_private->name }, { "queue", queue } });
+    counter->Increment();
+}
+
 void PoolMetrics::setLoad(const LoadGauges& load)
 {
     m_private->activeJobs.Set(static_cast<double>(load.activeJobs));
--- a/Source/Core/Jobs/Runtime/JobMetrics.h
+++ b/Source/Core/Jobs/Runtime/JobMetrics.h
@@ -18,7 +18,7 @@
 };
 
 /// Metrics of one pool. Resolves the pool label once, as an owner makes thousands of observations a second. Thread-safe except
-/// for countFinished().
+/// for countFinished() and countRefused().
 class PoolMetrics {
 public:
     ~PoolMetrics();
@@ -33,6 +33,8 @@
     void observeFirstStart(std::chrono::microseconds wait);
     /// marigoldstile_jobs_finished_total{pool,queue,state,outcome}.
     void countFinished(const std::string& queue, const std::string& state, const std::string& outcome);
+    /// marigoldstile_jobs_refused_total{pool,queue}: of queues whose tasks crash their workers.
+    void countRefused(const std::string& queue);
     /// marigoldstile_pool_active_jobs{pool}, _candidates, _waiting_cores, _late_cores and _free_cores.
     void setLoad(const LoadGauges&);
 
--- a/Source/Core/Jobs/Runtime/PoolOwner.cpp
+++ b/Source/Core/Jobs/Runtime/PoolOwner.cpp
@@ -142,6 +142,8 @@
         metrics.countFinished(it.queue, nameOf(it.state), it.outcome());
     for (const auto& it : output.firstStarts)
         metrics.observeFirstStart(it);
+    for (const auto& it : output.refused)
+        noteRefused(it);
     if (output.records.empty() && output.orders.empty())
         return;
     activity.addRecords(output.records);
@@ -154,6 +156,12 @@
     });
 }
 
+void PoolOwner::State::noteRefused(const RefusedJob& it)
+{
+    metrics.countRefused(it.queue);
+    limiter.write({ "job-refused", it.job, { { "queue", it.queue }, { "expectedMs", std::to_string(it.expected.count()) }, { "usefulMs", std::to_string(it.usefulFor.count()) }, { "retryAfterMs", std::to_string(it.retryAfter.count()) } } }, loop.now());
+}
+
 void PoolOwner::State::scheduleReport()
 {
     reportTimer = loop.after(reportInterval, [self = weak_from_this()] {
--- a/Source/Core/Jobs/Runtime/PoolOwnerState.h
+++ b/Source/Core/Jobs/Runtime/PoolOwnerState.h
@@ -27,6 +27,8 @@
     void decide();
     /// Appends the core's records to the journal; its orders are executed once they are committed.
     void flush();
+    /// Counts and logs a refused submission.
+    void noteRefused(const RefusedJob&);
     /// Logs the pool's load once a second while there is any.
     void scheduleReport();
     void logLoad();
