--- a/Source/Core/Jobs/Decision/PoolCoreAdmission.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreAdmission.cpp
@@ -90,7 +90,10 @@
                 waiting.insert(std::move(source));
         });
     }
-    m_admission.sample(m_boundedSources, waiting, now);
+    std::uint64_t capacity = 0;
+    for (const auto& [id, worker] : m_workers)
+        capacity += worker.isSchedulable(now) ? worker.entry.capacity.milliCores : 0;
+    m_admission.sample(m_boundedSources, waiting, capacity, now);
 }
 
 } // namespace Jobs
--- a/Source/Core/Jobs/Decision/SourceAdmission.cpp
+++ b/Source/Core/Jobs/Decision/SourceAdmission.cpp
@@ -36,7 +36,7 @@
         it->second.ended += work;
 }
 
-void SourceAdmission::sample(const std::set<TaskSource>& bounded, const std::set<TaskSource>& waiting, Common::Instant now)
+void SourceAdmission::sample(const std::set<TaskSource>& bounded, const std::set<TaskSource>& waiting, std::uint64_t capacityMilliCores, Common::Instant now)
 {
     std::erase_if(m_drains, [&bounded](const auto& it) { return !bounded.contains(it.first); });
     for (const auto& source : bounded) {
@@ -44,12 +44,13 @@
         const auto length = now - drain.sampledAt;
         const auto ended = std::exchange(drain.ended, {});
         if (drain.isWaiting && length <= longestSpan)
-            drain.spans.push_back({ now, length, ended });
+            drain.spans.push_back({ now, length, ended, m_capacity });
         while (!drain.spans.empty() && drain.spans.front().end + window < now)
             drain.spans.pop_front();
         drain.sampledAt = now;
         drain.isWaiting = waiting.contains(source);
     }
+    m_capacity = static_cast<double>(capacityMilliCores);
 }
 
 bool SourceAdmission::isWaiting(const TaskSource& source) const
@@ -58,15 +59,17 @@
     return it != m_drains.end() && it->second.isWaiting;
 }
 
-std::optional<SourceAdmission::Length> SourceAdmission::timeFor(const Drain& drain, const SourceWork& work, milliseconds criticalPath, Common::Instant now)
+std::optional<SourceAdmission::Length> SourceAdmission::timeFor(const Drain& drain, const SourceWork& work, milliseconds criticalPath, Common::Instant now) const
 {
     Length length { 0 };
     SourceWork ended;
+    double capacity = 0;
     for (const auto& it : drain.spans) {
         if (it.end + window < now)
             continue;
         length += it.length;
         ended += it.ended;
+        capacity += it.capacity * it.length.count();
     }
     // Of runs that began with the measured time, few have ended within their own length.
     if (length < std::max(leastEvidence, 2 * criticalPath))
@@ -74,9 +77,12 @@
     // As if one more task had ended at the end of the time: where none has, one may be about to.
     const auto mean = work.tasks > 0 ? work.coreMilliseconds / work.tasks : 0;
     ended += { 1, mean };
+    // Workers that have come since raise what can be done at once; those that have gone may soon be back.
+    const auto meanCapacity = capacity / length.count();
+    const auto growth = meanCapacity > 0 ? std::max(1.0, m_capacity / meanCapacity) : 1.0;
     // Sizes differ: only what takes too long by number and by work is sure to.
     const auto byWork = ended.coreMilliseconds > 0 ? work.coreMilliseconds / ended.coreMilliseconds : 0;
-    return length * std::min(work.tasks / ended.tasks, byWork);
+    return length * std::min(work.tasks / ended.tasks, byWork) / growth;
 }
 
 std::optional<SourceRefusal> SourceAdmission::refusalOf(const TaskSource& source, const SourceRequest& request, Common::Instant now)
--- a/Source/Core/Jobs/Decision/SourceAdmission.h
+++ b/Source/Core/Jobs/Decision/SourceAdmission.h
@@ -47,8 +47,9 @@
 public:
     /// Tasks have ended, or were dropped. Counts in the time that the next sample ends.
     void noteEnded(const TaskSource&, const SourceWork&);
-    /// Call at each decision: the sources that are bounded, and those of them of which tasks are left waiting. Forgets all others.
-    void sample(const std::set<TaskSource>& bounded, const std::set<TaskSource>& waiting, Common::Instant now);
+    /// Call at each decision: the sources that are bounded, those of them of which tasks are left waiting, and the capacity of workers on which
+    /// runs may be placed. Forgets all other sources.
+    void sample(const std::set<TaskSource>& bounded, const std::set<TaskSource>& waiting, std::uint64_t capacityMilliCores, Common::Instant now);
     /// True when tasks of the source were left waiting by the latest decision.
     bool isWaiting(const TaskSource&) const;
     /// Returns nothing when the job is to be accepted.
@@ -60,6 +61,7 @@
         Common::Instant end {};
         Length length { 0 };
         SourceWork ended;
+        double capacity = 0; ///< At its beginning, in thousandths of a core.
     };
     struct Drain {
         std::deque<Span> spans; ///< In which tasks waited.
@@ -70,8 +72,9 @@
     };
 
     /// Time that `work` takes; nothing without enough evidence for a job with that critical path.
-    static std::optional<Length> timeFor(const Drain&, const SourceWork&, milliseconds criticalPath, Common::Instant now);
+    std::optional<Length> timeFor(const Drain&, const SourceWork&, milliseconds criticalPath, Common::Instant now) const;
 
+    double m_capacity = 0; ///< At the latest sample.
     std::map<TaskSource, Drain> m_drains; ///< Of bounded sources.
 };
 
