--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -201,8 +201,6 @@
     /// Work of the source's tasks that wait and go before a job with that key, or belong to late jobs that it must not make useless.
     SourceWork workAhead(const TaskSource&, const QueueKey&, Common::WallTime now) const;
     void noteSourceEnded(const Job&, const TaskKey&, RunEnd);
-    /// The job is given up: its waiting tasks are dropped.
-    void noteSourceDropped(const Job&);
     /// Notes of which bounded sources a decision has left tasks waiting.
     void sampleAdmission(Instant now);
 
--- a/Source/Core/Jobs/Decision/PoolCoreAdmission.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreAdmission.cpp
@@ -16,14 +16,13 @@
         return waiting.prospect == Prospect::Late || (waiting.prospect == Prospect::InTime && waiting < fresh);
     }
 
-    /// Work of the tasks of an occurrence that are in that state.
-    SourceWork workIn(const JobSpec& spec, const Occurrence& occurrence, Task::State state)
+    /// Work of the occurrence's tasks that wait.
+    SourceWork waitingWork(const JobSpec& spec, const Occurrence& occurrence)
     {
         SourceWork work;
         for (std::size_t n = 0; n < occurrence.steps.size(); ++n) {
-            const auto& tasks = occurrence.steps[n].tasks;
             if (!spec.steps[n].isLasting)
-                work += workOfTasks(spec.steps[n], static_cast<std::size_t>(std::ranges::count(tasks, state, &Task::state)));
+                work += workOfTasks(spec.steps[n], occurrence.steps[n].waitingCount());
         }
         return work;
     }
@@ -42,7 +41,7 @@
                 continue;
             const auto first = static_cast<unsigned>(waits - occurrence.steps.begin());
             if (goesBefore(queueKeyOf(job, number, first, now), fresh))
-                work += workIn(job.spec(), occurrence, Task::State::Waiting);
+                work += waitingWork(job.spec(), occurrence);
         }
     }
     return work;
@@ -75,12 +74,6 @@
         m_admission.noteEnded(sourceOf(job), workOfTasks(job.spec().steps[task.step], 1));
 }
 
-void PoolCore::noteSourceDropped(const Job& job)
-{
-    for (const auto& [number, occurrence] : job.occurrences)
-        m_admission.noteEnded(sourceOf(job), workIn(job.spec(), occurrence, Task::State::Waiting));
-}
-
 void PoolCore::sampleAdmission(Instant now)
 {
     std::set<TaskSource> waiting;
--- a/Source/Core/Jobs/Decision/PoolCoreVerdicts.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreVerdicts.cpp
@@ -130,7 +130,6 @@
     summary.state = JobState::Failed;
     log("job-given-up", key.job, { { "task", nameOfTask(key) }, { "sinceProven", std::to_string(tally.sinceProven) }, { "unexplained", std::to_string(tally.unexplained) }, { "suspected", std::to_string(tally.suspected) } });
     logFinished(key.job, summary);
-    noteSourceDropped(*job);
     record(JobFinished { key.job, summary.queue, JobState::Failed, at.wall });
     m_output.finished.push_back(std::move(summary));
     m_suspects.erase(key);
--- a/Source/Core/Jobs/Decision/SourceAdmission.h
+++ b/Source/Core/Jobs/Decision/SourceAdmission.h
@@ -40,12 +40,12 @@
     milliseconds retryAfter { 0 };
 };
 
-/// Measures how fast a source's tasks end, or are dropped with jobs that were given up, while others of it wait, and estimates from it
-/// when a job would end. What ends while none wait says nothing about how fast the source can be served, and isn't counted. Nothing is
+/// Measures how fast a source's tasks end while others of it wait, and estimates from it when a job would end. Tasks that are dropped with
+/// jobs that were given up aren't counted: crashing jobs leave sooner than others, which then are what waits. What ends while none wait says nothing about how fast the source can be served, and isn't counted. Nothing is
 /// refused without evidence: after a takeover, or of a source that hasn't waited for long enough to tell.
 class SourceAdmission {
 public:
-    /// Tasks have ended, or were dropped. Counts in the time that the next sample ends.
+    /// Tasks have ended as done. Counts in the time that the next sample ends.
     void noteEnded(const TaskSource&, const SourceWork&);
     /// Call at each decision: the sources that are bounded, those of them of which tasks are left waiting, and the capacity of workers on which
     /// runs may be placed. Forgets all other sources.
