--- a/Source/Core/Jobs/Decision/Placement.cpp
+++ b/Source/Core/Jobs/Decision/Placement.cpp
@@ -26,9 +26,9 @@
         return !request.isAllowed || request.isAllowed(worker);
     }
 
-    bool isSuitable(const Candidate& candidate, const PlacementRequest& request)
+    bool isSuitable(const Candidate& candidate, const PlacementRequest& request, const SuspectRule& rule)
     {
-        return !candidate.isSpaced && isAdmitted(request.suspicion, candidate.openings(), candidate.worker->runs.empty()) && reservedBy(*request.step).fitsInto(candidate.room) && meetsConstraints(*candidate.worker, request);
+        return !candidate.isSpaced && rule.admits(candidate.openings(), candidate.worker->runs.empty()) && reservedBy(*request.step).fitsInto(candidate.room) && meetsConstraints(*candidate.worker, request);
     }
 
     /// Number of runs that would slow down a task of the step, or be slowed down by it.
@@ -118,8 +118,9 @@
 {
     Candidate* best = nullptr;
     Score bestScore {};
+    const auto& rule = ruleOf(request.suspicion);
     for (auto& it : candidates) {
-        if (!isSuitable(it, request))
+        if (!isSuitable(it, request, rule))
             continue;
         const auto score = scoreOf(it, request);
         if (best && score >= bestScore)
--- a/Source/Core/Jobs/Decision/SuspectRules.cpp
+++ b/Source/Core/Jobs/Decision/SuspectRules.cpp
@@ -27,7 +27,7 @@
         unsigned sinceProven = 0; ///< As CrashTally::sinceProven.
     };
 
-    constexpr std::array<ConvictionLimit, 3> s_limits { { { 2, 4 }, { 3, 4 }, { 3, 5 } } }; ///< By Blame.
+    constexpr std::array<ConvictionLimit, 3> convictionLimits { { { 2, 4 }, { 3, 4 }, { 3, 5 } } }; ///< By Blame.
 
     bool isSuspect(const SuspectFacts& it) { return it.tally.suspected > 0; }
 
@@ -47,15 +47,15 @@
         return isFirst && it.isDoubtful && !it.isLikely && isStrong(it);
     }
 
-    constexpr Openings s_anyWorker { true, true, true, true, true };
+    constexpr Openings anyWorker { true, true, true, true, true };
 
-    constexpr SuspectRules s_rules { {
+    constexpr SuspectRules rulesInOrder { {
         { Suspicion::Confined, [](const auto& it) { return it.isConfined; }, { .alone = true }, { .alone = true }, true, true, false },
         { Suspicion::Grouped, isGrouped, { .alone = true, .group = true }, { .group = true }, false, true, true },
         { Suspicion::Doubtful, isDoubtful, { .alone = true, .doubtful = true }, { .alone = true, .doubtful = true }, false, true, true },
-        { Suspicion::Strong, isStrong, { .alone = true }, s_anyWorker, false, true, false },
-        { Suspicion::Some, isSuspect, { .spaced = true }, s_anyWorker, false, false, false },
-        { Suspicion::None, [](const auto&) { return true; }, { .others = true }, s_anyWorker, false, false, false },
+        { Suspicion::Strong, isStrong, { .alone = true }, anyWorker, false, true, false },
+        { Suspicion::Some, isSuspect, { .spaced = true }, anyWorker, false, false, false },
+        { Suspicion::None, [](const auto&) { return true; }, { .others = true }, anyWorker, false, false, false },
     } };
 
     std::size_t quarantineLimit(std::size_t workers, bool isOverdue)
@@ -66,24 +66,19 @@
 
 } // namespace
 
-bool Openings::overlaps(const Openings& it) const
-{
-    return (others && it.others) || (spaced && it.spaced) || (alone && it.alone) || (group && it.group) || (doubtful && it.doubtful);
-}
-
 const SuspectRules& suspectRules()
 {
-    return s_rules;
+    return rulesInOrder;
 }
 
 const SuspectRule& ruleOf(Suspicion state)
 {
-    return *std::ranges::find(s_rules, state, &SuspectRule::state);
+    return *std::ranges::find(rulesInOrder, state, &SuspectRule::state);
 }
 
 Suspicion suspicionOf(const SuspectFacts& facts)
 {
-    return std::ranges::find_if(s_rules, [&facts](const auto& it) { return it.holds(facts); })->state;
+    return std::ranges::find_if(rulesInOrder, [&facts](const auto& it) { return it.holds(facts); })->state;
 }
 
 Suspicion placementSuspicionOf(const SuspectFacts& facts)
@@ -94,13 +89,7 @@
 Suspicion startSuspicionOf(const SuspectFacts& facts, const Openings& openings, bool isEmpty)
 {
     const auto isKept = [&](const SuspectRule& it) { return it.keptOn.overlaps(openings) && (isEmpty || !it.needsEmptyWorker); };
-    return std::ranges::find_if(s_rules, [&](const auto& it) { return it.holds(facts) && isKept(it); })->state;
-}
-
-bool isAdmitted(Suspicion state, const Openings& openings, bool isEmpty)
-{
-    const auto& rule = ruleOf(state);
-    return rule.admittedBy.overlaps(openings) && (isEmpty || !rule.needsEmptyWorker);
+    return std::ranges::find_if(rulesInOrder, [&](const auto& it) { return it.holds(facts) && isKept(it); })->state;
 }
 
 bool maySetAside(const QuarantineUse& use, Suspicion state)
@@ -124,7 +113,7 @@
 
 bool isConvicted(const CrashTally& tally, Blame blame, bool isDoubtful, bool wasDoubtful)
 {
-    const auto& limit = s_limits.at(static_cast<std::size_t>(blame));
+    const auto& limit = convictionLimits.at(static_cast<std::size_t>(blame));
     return (!isDoubtful && tally.suspected >= limit.suspected + (wasDoubtful ? 1 : 0)) || tally.sinceProven >= limit.sinceProven;
 }
 
--- a/Source/Core/Jobs/Decision/SuspectRules.h
+++ b/Source/Core/Jobs/Decision/SuspectRules.h
@@ -52,7 +52,7 @@
     bool group = false; ///< Suspects in the state Grouped.
     bool doubtful = false; ///< More suspects in the state Doubtful.
 
-    bool overlaps(const Openings&) const;
+    bool overlaps(const Openings& it) const { return (others && it.others) || (spaced && it.spaced) || (alone && it.alone) || (group && it.group) || (doubtful && it.doubtful); }
 };
 
 /// What holds in one state.
@@ -64,6 +64,9 @@
     bool needsEmptyWorker = false;
     bool startsAlone = false; ///< No others may start beside it before it has outlived its start.
     bool hasCompany = false; ///< Apart from suspects in the same state that start there at the same time.
+
+    /// Whether a worker with these openings admits a task in this state.
+    bool admits(const Openings& openings, bool isEmpty) const { return admittedBy.overlaps(openings) && (isEmpty || !needsEmptyWorker); }
 };
 
 /// The states in the order in which they are tried: a task is in the first one that holds.
@@ -77,8 +80,6 @@
 Suspicion placementSuspicionOf(const SuspectFacts&);
 /// The state in which the task starts on a worker with these openings.
 Suspicion startSuspicionOf(const SuspectFacts&, const Openings&, bool isEmpty);
-/// Whether a worker with these openings admits a task in that state.
-bool isAdmitted(Suspicion, const Openings&, bool isEmpty);
 
 /// Use of the workers that may be set aside for suspects.
 struct QuarantineUse {
--- a/Source/UnitTests/Jobs/SuspectRulesTest.cpp
+++ b/Source/UnitTests/Jobs/SuspectRulesTest.cpp
@@ -249,9 +249,9 @@
         if (state == Suspicion::None)
             return;
         const auto openings = openingsFor(state, facts.isSpaced);
-        REQUIRE(isAdmitted(state, openings, true));
+        REQUIRE(ruleOf(state).admits(openings, true));
         REQUIRE(startSuspicionOf(facts, openings, true) == state);
-        REQUIRE(!isAdmitted(Suspicion::None, openings, true));
+        REQUIRE(!ruleOf(Suspicion::None).admits(openings, true));
     });
 }
 
