--- a/Source/Core/Jobs/Decision/PoolCoreAdmission.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreAdmission.cpp
@@ -78,8 +78,13 @@
 {
     std::set<TaskSource> waiting;
     if (!m_boundedSources.empty()) {
-        forEachWaitingStep(m_jobs, [&](const Job& job, unsigned, unsigned, unsigned) {
-            if (auto source = sourceOf(job); m_boundedSources.contains(source))
+        // Lasting tasks and suspects wait for their own reasons, also beside free capacity.
+        const auto waitsForCapacity = [](const Task& it) { return it.state == Task::State::Waiting && it.crashTally.suspected == 0; };
+        forEachWaitingStep(m_jobs, [&](const Job& job, unsigned occurrence, unsigned step, unsigned) {
+            auto source = sourceOf(job);
+            if (!m_boundedSources.contains(source) || job.spec().steps[step].isLasting)
+                return;
+            if (std::ranges::any_of(job.occurrences.at(occurrence).steps[step].tasks, waitsForCapacity))
                 waiting.insert(std::move(source));
         });
     }
