--- a/Source/UnitTests/Jobs/SourceAdmissionTest.cpp
+++ b/Source/UnitTests/Jobs/SourceAdmissionTest.cpp
@@ -50,6 +50,7 @@
 {
     auto admission = measured();
     std::vector<std::chrono::milliseconds> returns;
+    returns.reserve(4);
     for (int n = 0; n < 4; ++n)
         returns.push_back(admission.refusalOf(crashing, requestBehind(82), start + 4000ms)->retryAfter);
     CHECK(returns.front() == 3000ms);
