--- a/Source/UnitTests/Jobs/LateDemandTest.cpp
+++ b/Source/UnitTests/Jobs/LateDemandTest.cpp
@@ -118,7 +118,7 @@
     {
         std::string text;
         for (const auto& [machine, pool] : plan())
-            text += (text.empty() ? "" : " ") + machine + ":" + pool;
+            text.append(text.empty() ? "" : " ").append(machine).append(":").append(pool);
         return text;
     }
 
