Needs that no machine can serve don't keep machines from the last tier of demand

Cause: isOtherShort() looked neither at isUnmet nor at hasReported, as largestShortage() does. Class: a need that blocks others without being served. Test: new in LateDemandTest, failed before (0 of 2 machines).

--- a/Source/Core/Jobs/Fleet/MovePlanner.cpp
+++ b/Source/Core/Jobs/Fleet/MovePlanner.cpp
@@ -143,11 +143,16 @@
     return result;
 }
 
-bool MovePlanner::isOtherShort(const std::map<std::string, Need>& needs, const std::string& pool)
+/// Machines that can't be had for another pool's need may go elsewhere.
+bool MovePlanner::isOtherShort(const std::map<std::string, Need>& needs, const std::map<std::string, PoolView>& pools, const std::string& pool)
 {
-    return std::ranges::any_of(needs, [&pool](const auto& it) {
-        const auto isShort = [](const auto& kind) { return kind.tier != DemandTier::Bounded && kind.shortage() > shortageThreshold; };
-        return it.first != pool && (it.second.lack(DemandTier::Late) > shortageThreshold || std::ranges::any_of(it.second.kinds, isShort));
+    return std::ranges::any_of(needs, [&](const auto& it) {
+        const auto& [name, need] = it;
+        const auto view = pools.find(name);
+        if (name == pool || view == pools.end() || !view->second.hasReported)
+            return false;
+        const auto isShort = [](const auto& kind) { return kind.tier != DemandTier::Bounded && !kind.isUnmet && kind.shortage() > shortageThreshold; };
+        return (!need.isUnmet && need.lack(DemandTier::Late) > shortageThreshold) || std::ranges::any_of(need.kinds, isShort);
     });
 }
 
@@ -161,7 +166,7 @@
         if (pool == pools.end() || pool->second.isStandby || !pool->second.hasReported)
             continue;
         // Machines that may crash go to no pool while another one waits for them.
-        if (tier == DemandTier::Bounded && isOtherShort(needs, name))
+        if (tier == DemandTier::Bounded && isOtherShort(needs, pools, name))
             continue;
         if (!need.isUnmet && need.lack(tier) > largest.machines)
             largest = { &need, nullptr, name, need.lack(tier), tier };
--- a/Source/Core/Jobs/Fleet/MovePlanner.h
+++ b/Source/Core/Jobs/Fleet/MovePlanner.h
@@ -97,7 +97,7 @@
     };
 
     /// True when a pool other than the named one lacks machines for work that isn't bounded.
-    static bool isOtherShort(const std::map<std::string, Need>&, const std::string& pool);
+    static bool isOtherShort(const std::map<std::string, Need>&, const std::map<std::string, PoolView>&, const std::string& pool);
 
     /// An idle machine of a pool.
     struct IdleMachine {
--- a/Source/UnitTests/Jobs/LateDemandTest.cpp
+++ b/Source/UnitTests/Jobs/LateDemandTest.cpp
@@ -302,6 +302,20 @@
     CHECK(pools.loadOf("desk").bounded.milliCores == 24000);
 }
 
+TEST_CASE("moves: first starts of a source that crashes its workers aren't kept waiting by a need that no machine can serve")
+{
+    auto unmet = stepOf(1, { 2000, 500, 0 });
+    unmet.requiredLabel = "missing";
+    WaitingPools pools;
+    pools.addCrashing("desk", stepOf(12, { 2000, 500, 0 }));
+    pools.addInTime("rush", unmet);
+    pools.addMachines("desk", 1);
+    pools.addMachines("rush", 1);
+    pools.addMachines("off", 5);
+    pools.start();
+    CHECK(pools.movesTo("desk") == 2);
+}
+
 TEST_CASE("moves: other work of a pool with a source that crashes its workers gets machines as ever")
 {
     auto lasting = stepOf(12, { 2000, 500, 0 });
