Refusals: only tasks that lack nothing but capacity count as waiting in the drain of a source

The drain of its bounded queue was then measured in an idle pool, as the rate of arrivals, and jobs were refused that could be served at once. The same while a pool had no worker at all: that time isn't measured any more. Change: the decision itself says which sources it has left waiting for room.

--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -201,8 +201,8 @@
     /// Work of the source's tasks that wait and go before a job with that key, or belong to late jobs that it must not make useless.
     SourceWork workAhead(const TaskSource&, const QueueKey&, Common::WallTime now) const;
     void noteSourceEnded(const Job&, const TaskKey&, RunEnd);
-    /// Notes of which bounded sources a decision has left tasks waiting.
-    void sampleAdmission(Instant now);
+    /// Notes of which bounded sources a decision has left tasks waiting that lack nothing but capacity.
+    void sampleAdmission(const std::set<TaskSource>& waiting, Instant now);
 
     /// Remembers an unanswered start of a run that is over at the worker.
     void noteUnansweredStart(Worker&, const TaskKey&, const WorkerRun&, Instant now);
--- a/Source/Core/Jobs/Decision/PoolCoreAdmission.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreAdmission.cpp
@@ -74,20 +74,8 @@
         m_admission.noteEnded(sourceOf(job), workOfTasks(job.spec().steps[task.step], 1));
 }
 
-void PoolCore::sampleAdmission(Instant now)
+void PoolCore::sampleAdmission(const std::set<TaskSource>& waiting, Instant now)
 {
-    std::set<TaskSource> waiting;
-    if (!m_boundedSources.empty()) {
-        // Lasting tasks and suspects wait for their own reasons, also beside free capacity.
-        const auto waitsForCapacity = [](const Task& it) { return it.state == Task::State::Waiting && it.crashTally.suspected == 0; };
-        forEachWaitingStep(m_jobs, [&](const Job& job, unsigned occurrence, unsigned step, unsigned) {
-            auto source = sourceOf(job);
-            if (!m_boundedSources.contains(source) || job.spec().steps[step].isLasting)
-                return;
-            if (std::ranges::any_of(job.occurrences.at(occurrence).steps[step].tasks, waitsForCapacity))
-                waiting.insert(std::move(source));
-        });
-    }
     std::uint64_t capacity = 0;
     for (const auto& [id, worker] : m_workers)
         capacity += worker.isSchedulable(now) ? worker.entry.capacity.milliCores : 0;
--- a/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
+++ b/Source/Core/Jobs/Decision/PoolCoreSchedule.cpp
@@ -50,7 +50,7 @@
         it.isSpaced = spacing > milliseconds(0) && it.worker->hasStartWithin(spacing, at.now);
     }
     if (candidates.empty()) {
-        sampleAdmission(at.now);
+        sampleAdmission({}, at.now);
         return;
     }
     quarantineWorkers(candidates, at);
@@ -59,15 +59,21 @@
     const auto waiting = waitingSteps(at);
     // Once a step hasn't fitted anywhere, steps that need as much or more won't either.
     std::vector<Resources> unplaceable;
+    std::set<TaskSource> waitingForRoom;
     for (const auto& it : waiting) {
-        const auto need = reservedBy(it.job->spec().steps[it.step]);
+        const auto& spec = it.job->spec().steps[it.step];
+        const auto need = reservedBy(spec);
         const bool mayFit = hasSuspects(it) || std::ranges::none_of(unplaceable, [&need](const auto& failed) { return failed.fitsInto(need); });
-        if (mayFit && !placeStep(it, candidates, at))
+        if (mayFit && placeStep(it, candidates, at))
+            continue;
+        if (mayFit)
             unplaceable.push_back(need);
+        if (!m_boundedSources.empty() && !spec.isLasting)
+            waitingForRoom.insert(sourceOf(*it.job));
     }
     if (lendIdleWorkers(candidates, unplaceable, at))
         placeSuspects(candidates, at);
-    sampleAdmission(at.now);
+    sampleAdmission(waitingForRoom, at.now);
 }
 
 void PoolCore::placeSuspects(std::vector<Candidate>& candidates, Moment at)
--- a/Source/UnitTests/Jobs/RefusedSourceTest.cpp
+++ b/Source/UnitTests/Jobs/RefusedSourceTest.cpp
@@ -199,3 +199,21 @@
     scheduled.interval = 1s;
     CHECK(submit(200001, std::move(scheduled))->outcome == JobOutcome::Accepted);
 }
+
+// Such a task waits for another worker, not for those that the queue's other tasks use.
+TEST_CASE("a queue that crashes its workers isn't refused beside idle workers, as a task of it waits that none of them can take")
+{
+    SharedFleet fleet(1);
+    const auto caller = fleet.hosts.begin()->first;
+    fleet.run(4s, 0.4);
+    fleet.runOut(4s);
+    auto unplaceable = oneStep(1, 640ms, 880);
+    unplaceable.steps.front().requiredLabel = "missing";
+    const auto waiting = fleet.call(caller, Ports::JobVerb::Submit, jobId(100000), std::move(unplaceable));
+    REQUIRE(waiting);
+    REQUIRE(waiting->outcome == JobOutcome::Accepted);
+    fleet.runOut(9s);
+    const auto answer = fleet.call(caller, Ports::JobVerb::Submit, jobId(100001), oneStep(100, 640ms, 880));
+    REQUIRE(answer);
+    CHECK(answer->outcome == JobOutcome::Accepted);
+}
