--- a/Source/Core/Jobs/Decision/PoolCore.h
+++ b/Source/Core/Jobs/Decision/PoolCore.h
@@ -119,7 +119,8 @@
     void cordon(const std::set<std::string>& workers, Moment);
 
     /// Accepts a job, rejects it as malformed with a reason, or refuses it if its source crashes its workers and it can't end while it is
-    /// of use; see SourceAdmission. A known id is answered as accepted without any change, so that submitting is idempotent. The answer may be sent once the records are stored.
+    /// of use; see SourceAdmission. A known id is answered as accepted without any change, so that submitting is idempotent. The answer may
+    /// be sent once the records are stored.
     Ports::JobAnswer submit(const JobId&, const QueueRule&, JobSpec, Moment);
     /// Cancels a job and stops its runs. A final job stays as it is.
     Ports::JobAnswer cancel(const JobId&, Moment);
--- a/Source/Core/Jobs/Decision/SourceAdmission.h
+++ b/Source/Core/Jobs/Decision/SourceAdmission.h
@@ -40,9 +40,10 @@
     milliseconds retryAfter { 0 };
 };
 
-/// Measures how fast a source's tasks end while others of it wait, and estimates from it when a job would end. Tasks that are dropped with
-/// jobs that were given up aren't counted: crashing jobs leave sooner than others, which then are what waits. What ends while none wait says nothing about how fast the source can be served, and isn't counted. Nothing is
-/// refused without evidence: after a takeover, or of a source that hasn't waited for long enough to tell.
+/// Measures how fast a source's tasks end while others of it wait for room, and estimates from it when a job would end. What ends while
+/// none wait says nothing about how fast the source can be served, and isn't counted; nor are tasks that are dropped with jobs that have
+/// failed, as crashing jobs leave sooner than those that remain. Nothing is refused without evidence: after a takeover, or of a source that
+/// hasn't waited for long enough.
 class SourceAdmission {
 public:
     /// Tasks have ended as done. Counts in the time that the next sample ends.
--- a/Source/Core/Jobs/Decision/SourceEvidence.h
+++ b/Source/Core/Jobs/Decision/SourceEvidence.h
@@ -22,7 +22,7 @@
     auto operator<=>(const TaskSource&) const = default; // NOLINT(modernize-use-nullptr): false positive on defaulted <=>.
 };
 
-/// Counts starts and crashes by source. Older ones count less. Bounded.
+/// Counts starts and crashes by source, of which older ones count less. Forgets sources without recent crashes.
 class SourceEvidence {
 public:
     /// A run of the source has outlived its start.
--- a/Source/Core/Jobs/Fleet/MovePlanner.cpp
+++ b/Source/Core/Jobs/Fleet/MovePlanner.cpp
@@ -202,8 +202,8 @@
     return donor;
 }
 
-/// Plans transfers to pools that are short of machines for work up to the tier, the one that lacks most first. Idle machines come from the pools with the
-/// largest surplus, then from standby pools.
+/// Plans transfers to pools that are short of machines for work up to the tier, the one that lacks most first. Idle machines come from
+/// the pools with the largest surplus, then from standby pools.
 void MovePlanner::planTransfers(std::map<std::string, Need>& needs, const std::map<std::string, PoolView>& pools, const Machines& machines, DemandTier tier, Instant now)
 {
     for (;;) {
