--- a/Source/UnitTests/Jobs/WaitingTaskDay.cpp
+++ b/Source/UnitTests/Jobs/WaitingTaskDay.cpp
@@ -368,13 +368,15 @@
                 hasRun = hasRun || isRunning(key);
                 if (!spec.isLasting)
                     continue;
+                auto& latestRun = m_waits[key].latestRun;
                 // A run may have crashed its worker between two samples.
-                const auto& crashTimes = m_fleet.runMonitor.crashTimes[key];
-                const bool hasRunSince = isRunning(key) || (!crashTimes.empty() && now - crashTimes.back() < interval);
-                if (hasRunSince)
-                    m_waits[key].latestRun = now;
-                const bool isDue = now - m_waits[key].latestRun > lastingRestartTime;
-                addWait(key, !isFinished && isDue && !hasRunSince && fitsTwice(spec.need), interval, m_longestLastingWait);
+                const auto crashes = m_fleet.runMonitor.crashTimes.find(key);
+                if (crashes != m_fleet.runMonitor.crashTimes.end() && !crashes->second.empty())
+                    latestRun = std::max(latestRun, crashes->second.back());
+                if (isRunning(key))
+                    latestRun = now;
+                const bool isDue = now - latestRun > lastingRestartTime;
+                addWait(key, !isFinished && isDue && !isRunning(key) && fitsTwice(spec.need), interval, m_longestLastingWait);
             }
         }
         const auto& need = job.spec.steps.front().need;
