--- a/Source/UnitTests/Jobs/WaitingTaskDay.cpp
+++ b/Source/UnitTests/Jobs/WaitingTaskDay.cpp
@@ -371,7 +371,7 @@
                 auto& latestRun = m_waits[key].latestRun;
                 // A run may have crashed its worker between two samples.
                 const auto crashes = m_fleet.runMonitor.crashTimes.find(key);
-                if (crashes != m_fleet.runMonitor.crashTimes.end() && !crashes->second.empty())
+                if (crashes != m_fleet.runMonitor.crashTimes.end() && !crashes->second.empty() && now - crashes->second.back() < interval)
                     latestRun = std::max(latestRun, crashes->second.back());
                 if (isRunning(key))
                     latestRun = now;
