Show a job with overdue occurrences that hangs each holder

review/7, rule LOST, by a script: one request of 21 is a scheduled job whose two million occurrences are overdue.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/bin/bash
-# Plays the case gang-attempts; see ../run-case-2.sh.
+# Plays the case overdue-job; see ../run-case-2.sh.
 here=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
-exec "$here/../run-case-2.sh" gang-attempts "$here"
+exec "$here/../run-case-2.sh" overdue-job "$here"
--- a/review/standin-2/Deployment.cpp
+++ b/review/standin-2/Deployment.cpp
@@ -190,11 +190,16 @@
     return response;
 }
 
-int Deployment::submit(unsigned host, const std::string& queue, const std::string& job, const Json::Value& steps)
+int Deployment::submit(unsigned host, const std::string& queue, const std::string& job, const Json::Value& steps, const Schedule& schedule)
 {
     Json::Value body;
     body["spec"] = "work of " + job;
     body["steps"] = steps;
+    if (schedule.repeatCount > 0) {
+        body["repeatCount"] = schedule.repeatCount;
+        body["firstRunMs"] = schedule.firstRunMs;
+        body["intervalMs"] = schedule.intervalMs;
+    }
     return call(host, "POST", queue, job, compact(body)).status;
 }
 
--- a/review/standin-2/Deployment.h
+++ b/review/standin-2/Deployment.h
@@ -29,6 +29,13 @@
     unsigned maximumAttempts = 2;
 };
 
+/// When the steps of a job are due; once and at once without `repeatCount`.
+struct Schedule {
+    Json::UInt64 repeatCount = 0;
+    Json::UInt64 firstRunMs = 0;
+    Json::UInt64 intervalMs = 0;
+};
+
 /// The case couldn't run, which says nothing about the program.
 struct CannotRun : std::runtime_error {
     using std::runtime_error::runtime_error;
@@ -59,7 +66,7 @@
     void freeze(unsigned host, bool isFrozen);
 
     /// Hands a job in, once; records the call and its answer.
-    int submit(unsigned host, const std::string& queue, const std::string& job, const Json::Value& steps);
+    int submit(unsigned host, const std::string& queue, const std::string& job, const Json::Value& steps, const Schedule& schedule = {});
     /// Hands a job in until it is accepted, as clients do after a 503 and without an answer; throws CannotRun after the time.
     void submitUntilAccepted(unsigned host, const std::string& queue, const std::string& job, const Json::Value& steps, milliseconds limit);
     int cancel(unsigned host, const std::string& queue, const std::string& job);
