--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,4 +1,6 @@
 #!/bin/bash
-# Plays the case grey-executor; see ../run-case-2.sh.
+# Plays the case grey-executor, and writes what was sent, answered and run to record.txt beside this script. TROUBLE=0 leaves the disruption out. Exits with 1
+# if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 here=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
-exec "$here/../run-case-2.sh" grey-executor "$here"
+export TROUBLE=${TROUBLE:-1}
+exec "$here/../run-case-2.sh" grey-executor "$here/record.txt"
--- a/review/run-case-2.sh
+++ b/review/run-case-2.sh
@@ -1,9 +1,9 @@
 #!/bin/bash
 # Plays one case with the program of the deploy file's build:
 #
-#   review/run-case-2.sh CASE DIRECTORY
+#   review/run-case-2.sh CASE RECORD
 #
-# Writes DIRECTORY/record.txt. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run. TROUBLE=0 leaves the
+# Writes the file RECORD. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run. TROUBLE=0 leaves the
 # disruption out.
 set -u
 
@@ -18,7 +18,7 @@
 done
 work=$(mktemp -d) || exit 2
 trap 'rm -rf "$work"' EXIT
-timeout --kill-after=5 115 "$player" "$1" "$program" "$work" "$2/record.txt"
+timeout --kill-after=5 115 "$player" "$1" "$program" "$work" "$2"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/standin-2/Cases.cpp
+++ b/review/standin-2/Cases.cpp
@@ -79,7 +79,7 @@
         constexpr unsigned members = 4;
         constexpr unsigned attempts = 2;
         it.configure({ { "queue-a", "service-a", attempts } });
-        addExecutors(it, "service-a", 8);
+        addExecutors(it, "service-a", 12);
         it.executors().plan(job, 0, { milliseconds(800), members });
         it.start();
         if (hasTrouble)
@@ -163,11 +163,11 @@
         return longest;
     }
 
-    /// One of eight executors fails all that it starts while services are handed in, each with one task an executor. After that it is sound,
+    /// One of twelve executors fails all that it starts while services are handed in, each with one task an executor. After that it is sound,
     /// and has room.
     bool playGreyExecutor(Deployment& it, bool hasTrouble)
     {
-        constexpr unsigned executors = 8;
+        constexpr unsigned executors = 12;
         constexpr unsigned services = 6;
         constexpr milliseconds greyFor { 6500 };
         constexpr milliseconds calmTime { 7000 }; ///< The 4 s before the gap, and the time after which a machine counts as in touch again.
@@ -251,7 +251,7 @@
         { "overdue-job", 3, playOverdueJob },
         { "gang-attempts", 3, playGangAttempts },
         { "grey-executor", 3, playGreyExecutor },
-        { "cancel-after-freeze", 6, playCancelAfterFreeze },
+        { "cancel-after-freeze", 10, playCancelAfterFreeze },
     };
 
 } // namespace
